--- /dev/null
+++ b/src/gentianfold/__init__.py
@@ -0,0 +1,6 @@
+"""A proxy fleet for upstreams with gray failures."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
+"""The version of the package, as the command line prints it."""
--- /dev/null
+++ b/src/gentianfold/codes/__init__.py
@@ -0,0 +1,20 @@
+"""The rows of the result code table, one module a subsystem.
+
+Numbers by subsystem: 1xxx settings and command line, 2xxx rules, 3xxx platform,
+configuration and keys, 4xxx peers and membership, 5xxx limits and fairness,
+6xxx routing and upstreams, 7xxx requests.
+"""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+
+from gentianfold.errors import CODES, Code
+
+
+def all_codes() -> dict[int, Code]:
+    """Import every module of this package and return the whole table."""
+    for module in pkgutil.iter_modules(__path__):
+        importlib.import_module(f"{__name__}.{module.name}")
+    return dict(sorted(CODES.items()))
--- /dev/null
+++ b/src/gentianfold/codes/requests.py
@@ -0,0 +1,74 @@
+"""Result codes of requests, as callers see them."""
+
+from __future__ import annotations
+
+from gentianfold.errors import Retry, RunState, define_code
+
+NO_ROUTE = define_code(
+    7001,
+    "no-route",
+    "No route matches the request.",
+    "Check method, path and headers with `gentianfold explain`.",
+    404,
+    RunState.NOT_RUN,
+)
+KEY_MISSING = define_code(
+    7002,
+    "key-missing",
+    "The route needs a key and the request carries none.",
+    "Send the key as `Authorization: Bearer KEY`.",
+    401,
+    RunState.NOT_RUN,
+)
+KEY_UNKNOWN = define_code(
+    7003,
+    "key-unknown",
+    "The key is not known, or it was withdrawn.",
+    "Ask the operators for a key.",
+    401,
+    RunState.NOT_RUN,
+)
+UPSTREAM_CONNECT_FAILED = define_code(
+    7004,
+    "upstream-connect-failed",
+    "No connection to an upstream could be made.",
+    "Retry; operators look at `gentianfold status`.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+OUTCOME_UNKNOWN = define_code(
+    7005,
+    "outcome-unknown",
+    "The request was sent to an upstream and no whole answer came back.",
+    "Look up whether it took effect before sending it again.",
+    502,
+    RunState.UNKNOWN,
+    Retry.IF_IDEMPOTENT,
+)
+DEADLINE_EXCEEDED = define_code(
+    7006,
+    "deadline-exceeded",
+    "The time for the request was over before it was sent.",
+    "Retry later.",
+    504,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+BODY_TOO_LARGE = define_code(
+    7007,
+    "body-too-large",
+    "The request body is larger than the route allows.",
+    "Send a smaller body.",
+    413,
+    RunState.NOT_RUN,
+)
+NOT_READY = define_code(
+    7008,
+    "not-ready",
+    "This VM holds no configuration yet, or it is stopping.",
+    "Retry; the balancer picks another VM.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
--- /dev/null
+++ b/src/gentianfold/model/__init__.py
@@ -0,0 +1,18 @@
+"""Entities that operators publish: services, upstreams, routes and customers."""
+
+from __future__ import annotations
+
+from gentianfold.model.customer import Customer, RateLimit
+from gentianfold.model.route import HeaderMatch, PathKind, Route
+from gentianfold.model.service import Service, Upstream, UpstreamState
+
+__all__ = [
+    "Customer",
+    "HeaderMatch",
+    "PathKind",
+    "RateLimit",
+    "Route",
+    "Service",
+    "Upstream",
+    "UpstreamState",
+]
--- /dev/null
+++ b/src/gentianfold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Upstream health, ejection with a floor, and placement of requests."""
