--- /dev/null
+++ b/src/gentianfold/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small in-memory stand-ins for the platform and for upstreams."""
