Forward requests over connections kept by the VM

Cause: callers need whole answers to their own requests, refusals that are true, and no action that runs twice because a proxy retried.

Each attempt counts the bytes handed to its connection, so 'not run' is claimed only when none left or the upstream said so. Connections are reused only after a whole answer with nothing left over. Non-idempotent requests get a fresh connection.

--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -72,3 +72,85 @@
     RunState.NOT_RUN,
     Retry.LATER,
 )
+CONNECTION_BUDGET_SPENT = define_code(
+    7009,
+    "connection-budget-spent",
+    "All connections that this VM may open to the upstream are in use.",
+    "Retry later; operators raise the connections or add upstreams.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+UPSTREAM_SHED = define_code(
+    7010,
+    "upstream-shed",
+    "The upstreams that were asked said that they did not run the request.",
+    "Retry later.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+ANSWER_LOST = define_code(
+    7011,
+    "answer-lost",
+    "An upstream ran the request and its answer was cut short.",
+    "Look up the result before sending the request again.",
+    502,
+    RunState.RAN,
+    Retry.IF_IDEMPOTENT,
+)
+REQUEST_MALFORMED = define_code(
+    7012,
+    "request-malformed",
+    "The head of the request is not valid HTTP.",
+    "Correct the method, target or header that the reason names.",
+    400,
+    RunState.NOT_RUN,
+)
+LENGTH_AMBIGUOUS = define_code(
+    7013,
+    "length-ambiguous",
+    "The length of the request body can be read in more than one way.",
+    "Send one Content-Length or one `Transfer-Encoding: chunked`, not both.",
+    400,
+    RunState.NOT_RUN,
+)
+UPGRADE_REFUSED = define_code(
+    7014,
+    "upgrade-refused",
+    "The request asks for a tunnel or another protocol.",
+    "Send plain HTTP/1.1 requests.",
+    501,
+    RunState.NOT_RUN,
+)
+HTTP_VERSION_REFUSED = define_code(
+    7015,
+    "http-version-refused",
+    "The request is not HTTP/1.1.",
+    "Send HTTP/1.1; older versions can't tell a whole answer from a cut one.",
+    505,
+    RunState.NOT_RUN,
+)
+EXPECTATION_REFUSED = define_code(
+    7016,
+    "expectation-refused",
+    "The Expect header asks for something other than `100-continue`.",
+    "Leave the header out.",
+    417,
+    RunState.NOT_RUN,
+)
+CALLER_GONE = define_code(
+    7017,
+    "caller-gone",
+    "The caller hung up before its answer was ready.",
+    "Look at the timeouts of the caller.",
+)
+ANSWER_TIMEOUT = define_code(
+    7018,
+    "answer-timeout",
+    "The request was sent to an upstream and no whole answer came in time.",
+    "Look up whether it took effect before sending it again.",
+    504,
+    RunState.UNKNOWN,
+    Retry.IF_IDEMPOTENT,
+)
