Route attempts: evidence over VMs, ejection with a floor, placement

One Router a VM. Outcomes add to a cumulative sum test for each upstream; VMs exchange sketches; removals pass through floor.admit_removals. Placer.choose returns a Choice with its reason and takes route, customer and idempotent.

--- /dev/null
+++ b/src/gentianfold/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports that measure the decisions under load and faults."""
--- /dev/null
+++ b/src/gentianfold/routing/ejection.py
@@ -0,0 +1,177 @@
+"""Ejection, trial traffic and readmission of upstreams."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from gentianfold.routing.evidence import UNSCOPED
+from gentianfold.routing.floor import Removal, admit_removals
+from gentianfold.routing.upstream_table import Cause
+
+if TYPE_CHECKING:
+    import random
+
+    from gentianfold.routing.evidence import Evidence
+    from gentianfold.routing.observer_table import ObserverTable
+    from gentianfold.routing.policy import RoutingPolicy
+    from gentianfold.routing.upstream_table import ServiceRow, UpstreamRow
+
+SCOPE_MEMORY_S = 60.0
+"""Time for which a route or customer counts as active."""
+TRIAL_RATE_PER_S = 5.0
+"""Trial requests over all VMs while an ejected upstream looks well again."""
+MAX_TRIAL_FACTOR = 4
+"""Largest factor on the successes that a repeatedly ejected upstream needs."""
+TRIAL_SPREAD = 2.0
+"""Spread of the first trials of all VMs relative to the backoff."""
+
+
+@attrs.define(eq=False)
+class EjectionSystem:
+    """Decides which upstreams are in service on this VM."""
+
+    policy: RoutingPolicy
+    """Thresholds and periods."""
+    observers: ObserverTable
+    """The VMs whose evidence counts."""
+    rng: random.Random
+    """Source of jitter."""
+
+    def judge(self, row: UpstreamRow, now_s: float) -> None:
+        """Act on new failures of an upstream."""
+        if row.ejected:
+            self._fail_trial(row, now_s)
+            return
+        service = row.service
+        if not service.service.ejection_enabled:
+            return
+        policy = self.policy
+        observers = min(policy.min_observers, self.observers.vms)
+        zones = min(policy.min_zones, len(self.observers.zones))
+        zone_observers = min(policy.min_observers, self.observers.zone_vms)
+        if self._proved(row.fleet, observers, zones):
+            self._act(row, row.fleet, Cause.FLEET, now_s)
+        elif self._proved(row.zone, max(zone_observers, 2), 1):
+            self._act(row, row.zone, Cause.ZONE, now_s)
+
+    def _proved(self, evidence: Evidence, observers: int, zones: int) -> bool:
+        return (
+            evidence.score >= self.policy.ejection_score
+            and len(evidence.failures_by_vm) >= observers
+            and len(evidence.zones) >= zones
+        )
+
+    def _act(
+        self, row: UpstreamRow, evidence: Evidence, cause: Cause, now_s: float
+    ) -> None:
+        """Eject for all, or keep away the one customer or route that fails."""
+        service = row.service
+        if _narrow(evidence.customers, service.customers_s, now_s):
+            self._avoid(row, evidence.customers, now_s)
+        elif _narrow(evidence.routes, service.routes_s, now_s):
+            self._avoid(row, evidence.routes, now_s)
+        else:
+            self.eject(row, cause, now_s)
+
+    def _avoid(self, row: UpstreamRow, scopes: set[int], now_s: float) -> None:
+        until_s = now_s + self.policy.min_backoff_s * 4
+        row.avoided.update(dict.fromkeys(scopes, until_s))
+
+    def eject(self, row: UpstreamRow, cause: Cause, now_s: float) -> None:
+        """Take an upstream out of service, as far as the floor permits."""
+        policy = self.policy
+        if now_s - row.readmitted_s > policy.forgive_s:
+            row.ejections = 0
+        row.ejections += 1
+        row.cause = cause
+        row.ejected_s = now_s
+        row.trial_successes = 0
+        row.avoided.clear()
+        factor = 2.0 ** min(row.ejections - 1, 16)
+        row.backoff_s = min(policy.min_backoff_s * factor, policy.max_backoff_s)
+        self._schedule_trial(row, now_s)
+        self.resolve(row.service, now_s)
+
+    def _schedule_trial(self, row: UpstreamRow, now_s: float) -> None:
+        row.backoff_until_s = now_s + row.backoff_s
+        jitter_s = row.backoff_s * TRIAL_SPREAD * self.rng.random()
+        row.trial_s = row.backoff_until_s + jitter_s
+
+    def _fail_trial(self, row: UpstreamRow, now_s: float) -> None:
+        row.trial_successes = 0
+        if now_s < row.backoff_until_s:
+            return
+        row.backoff_s = min(row.backoff_s * 2, self.policy.max_backoff_s)
+        self._schedule_trial(row, now_s)
+
+    def credit_trial(self, row: UpstreamRow, count: int, now_s: float) -> None:
+        """Count successes of an ejected upstream; readmit it after enough."""
+        if now_s < row.backoff_until_s:
+            return
+        row.trial_successes += count
+        factor = min(row.ejections, MAX_TRIAL_FACTOR)
+        if row.trial_successes >= self.policy.trial_successes * factor:
+            self.readmit(row, now_s)
+            return
+        # All VMs draw anew at each success, so that they take turns.
+        spread_s = self.observers.vms / TRIAL_RATE_PER_S
+        row.trial_s = now_s + spread_s * self.rng.random()
+
+    def readmit(self, row: UpstreamRow, now_s: float) -> None:
+        """Put an upstream back into service with a slow start."""
+        row.cause = Cause.NONE
+        row.readmitted_s = now_s
+        row.warm_until_s = now_s + self.policy.warm_up_s
+        row.trial_s = math.inf
+        row.weight = self.policy.min_weight
+        row.fleet.clear()
+        row.zone.clear()
+        row.recent_failures = row.recent_successes = 0.0
+        row.recent_latency_s = row.recent_latencies = 0.0
+        self.resolve(row.service, now_s)
+
+    def resolve(self, service: ServiceRow, now_s: float) -> None:
+        """Recompute which upstreams take new work, within the floor."""
+        rows = service.rows
+        live = [row for row in rows if not row.draining]
+        wanted = self._wanted(live, now_s) if service.service.ejection_enabled else []
+        removed = admit_removals(
+            wanted,
+            published_slots=sum(row.upstream.slots for row in rows),
+            live_slots=sum(row.upstream.slots for row in live),
+            floor_fraction=service.service.floor_fraction,
+        )
+        for row in rows:
+            row.removed = row.draining or row.upstream.name in removed
+        service.active = [row for row in rows if not row.removed]
+        service.active_slots = sum(row.upstream.slots for row in service.active)
+        service.trials = [row for row in live if row.ejected and row.removed]
+        service.suspects = [row for row in service.active if row.fleet.score > 0.0]
+
+    def _wanted(self, live: list[UpstreamRow], now_s: float) -> list[Removal]:
+        trusted = self.observers.own.trusted(now_s)
+        return [
+            Removal(row.upstream.name, row.upstream.slots, _badness(row))
+            for row in live
+            if row.ejected or (trusted and row.paused_until_s > now_s)
+        ]
+
+
+def _narrow(failed: set[int], seen_s: dict[int, float], now_s: float) -> bool:
+    """Return whether one scope alone failed while others are active."""
+    if len(failed) != 1 or UNSCOPED in failed:
+        return False
+    since_s = now_s - SCOPE_MEMORY_S
+    return any(
+        key not in failed and time_s >= since_s for key, time_s in seen_s.items()
+    )
+
+
+def _badness(row: UpstreamRow) -> float:
+    """Rank ejected upstreams above paused ones, then by failure rate."""
+    total = row.recent_failures + row.recent_successes
+    rate = row.recent_failures / (total + 1.0)
+    return rate + (1.0 if row.ejected else 0.0) - row.trial_successes * 0.01
--- a/src/gentianfold/routing/outcome.py
+++ b/src/gentianfold/routing/outcome.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from gentianfold.errors import Failure
-    from gentianfold.model import Upstream
+    from gentianfold.routing.choice import Choice
 
 
 class OutcomeKind(enum.Enum):
@@ -51,12 +51,24 @@
     """Chooses upstreams and learns from the outcomes."""
 
     def choose(
-        self, service: str, exclude: frozenset[str], now_s: float
-    ) -> Upstream | Failure:
-        """Choose the upstream for one attempt, none of ``exclude``."""
+        self,
+        service: str,
+        exclude: frozenset[str],
+        now_s: float,
+        *,
+        route: str = "",
+        customer: str = "",
+        idempotent: bool = True,
+    ) -> Choice | Failure:
+        """Choose the upstream for one attempt, none of ``exclude``.
+
+        Only idempotent requests test upstreams that may be sick.
+        """
         ...
 
-    def started(self, upstream: str, now_s: float) -> None:
+    def started(
+        self, upstream: str, now_s: float, *, route: str = "", customer: str = ""
+    ) -> None:
         """Count an attempt in flight."""
         ...
 
--- /dev/null
+++ b/src/gentianfold/routing/policy.py
@@ -0,0 +1,67 @@
+"""Constants of outlier detection, ejection and placement."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class RoutingPolicy:
+    """Thresholds and periods that all systems of this package share."""
+
+    sick_failure_rate: float = 0.3
+    """Failure rate of an upstream that is worth ejecting."""
+    min_baseline_rate: float = 0.005
+    """Least failure rate that is taken as normal for a service."""
+    max_baseline_rate: float = 0.25
+    """Failure rate of a service above which no upstream is an outlier."""
+    ejection_score: float = 11.0
+    """Log-likelihood ratio at which an upstream is ejected."""
+    max_failures_per_observer: int = 2
+    """Failures of one VM that count in one episode."""
+    min_observers: int = 3
+    """VMs that must have seen failures, if the fleet has as many."""
+    min_zones: int = 2
+    """Zones that those VMs must span, if the fleet spans as many."""
+    evidence_half_life_s: float = 10.0
+    """Half-life of counts that set weights and baselines."""
+    episode_s: float = 20.0
+    """Time without a failure after which an episode is over."""
+    local_pause_s: float = 2.0
+    """Pause of an upstream on this VM after a failure there."""
+    verify_share: float = 0.25
+    """Share of a service's idempotent requests that verify a suspect."""
+    verify_s: float = 3.0
+    """Time after a failure during which a suspect is verified."""
+    min_backoff_s: float = 3.0
+    """First delay before trial traffic."""
+    max_backoff_s: float = 120.0
+    """Largest delay before trial traffic."""
+    forgive_s: float = 300.0
+    """Time in service after which former ejections are forgotten."""
+    trial_successes: int = 12
+    """Successes over all VMs that readmit an upstream."""
+    warm_up_s: float = 10.0
+    """Length of the slow start."""
+    min_weight: float = 0.1
+    """Least weight of an upstream in service."""
+    slow_ratio: float = 2.0
+    """Latency relative to the median above which the weight drops."""
+    min_overdue_s: float = 0.15
+    """Least age of an attempt that counts as overdue."""
+    default_overdue_s: float = 1.0
+    """Age of an overdue attempt while too few latencies are known."""
+    overdue_ratio: float = 3.0
+    """Age of an overdue attempt relative to the 95th latency percentile."""
+    zone_penalty: float = 0.1
+    """Load difference up to which an upstream of another zone loses."""
+    load_max_age_s: float = 3.0
+    """Age above which the load that a peer reported is dropped."""
+    peer_max_age_s: float = 30.0
+    """Silence after which a peer is forgotten."""
+    max_sketch_bytes: int = 4096
+    """Largest encoded sketch."""
+    max_sketch_items: int = 100
+    """Most upstreams in one sketch."""
+    min_subset: int = 8
+    """Least upstreams of a service that a VM connects to."""
