--- /dev/null
+++ b/src/gentianfold/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The published configuration: documents, the snapshot in force, the VM list."""
