--- /dev/null
+++ b/src/gentianfold/keys/__init__.py
@@ -0,0 +1,24 @@
+"""Caller keys: how they are made, published, presented and looked up."""
+
+from __future__ import annotations
+
+from gentianfold.keys.headers import (
+    check_target,
+    extract_key,
+    strip_key_headers,
+)
+from gentianfold.keys.key import digest_key, new_key
+from gentianfold.keys.key_table import KeyTable
+from gentianfold.keys.publication import KeyEntry, format_entry, parse_keys
+
+__all__ = [
+    "KeyEntry",
+    "KeyTable",
+    "check_target",
+    "digest_key",
+    "extract_key",
+    "format_entry",
+    "new_key",
+    "parse_keys",
+    "strip_key_headers",
+]
--- a/src/gentianfold/model/customer.py
+++ b/src/gentianfold/model/customer.py
@@ -27,3 +27,7 @@
     """Limit over all routes; ``None`` for no limit."""
     route_limits: dict[str, RateLimit] = attrs.field(factory=dict)
     """Further limits by route name; a request must pass both."""
+    line: int = 0
+    """Line in the rules file; 0 for defaults."""
+    comment: str = ""
+    """Who asked for the rule and why."""
--- /dev/null
+++ b/src/gentianfold/rules/__init__.py
@@ -0,0 +1,23 @@
+"""The operators' rules: grammar, checks, route lookup, explanation, difference."""
+
+from __future__ import annotations
+
+from gentianfold.rules.formatter import format_rule, format_rules
+from gentianfold.rules.parser import parse_line, parse_rules
+from gentianfold.rules.path_pattern import PathPattern
+from gentianfold.rules.paths import split_path
+from gentianfold.rules.route_table import RouteTable
+from gentianfold.rules.rule_set import LimitRule, Rule, RuleSet
+
+__all__ = [
+    "LimitRule",
+    "PathPattern",
+    "RouteTable",
+    "Rule",
+    "RuleSet",
+    "format_rule",
+    "format_rules",
+    "parse_line",
+    "parse_rules",
+    "split_path",
+]
