--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -154,3 +154,20 @@
     RunState.UNKNOWN,
     Retry.IF_IDEMPOTENT,
 )
+IDEMPOTENCY_KEY_MISSING = define_code(
+    7020,
+    "idempotency-key-missing",
+    "The route runs requests at most once and needs an idempotency key.",
+    "Send a header `Idempotency-Key` with a new random value for each action.",
+    400,
+    RunState.NOT_RUN,
+)
+INTERNAL_ERROR = define_code(
+    7021,
+    "internal-error",
+    "The VM failed in a way that no part expected.",
+    "Look up whether the request took effect; operators read the log of the VM.",
+    500,
+    RunState.UNKNOWN,
+    Retry.IF_IDEMPOTENT,
+)
--- a/src/gentianfold/requests/forwarder.py
+++ b/src/gentianfold/requests/forwarder.py
@@ -44,6 +44,7 @@
     from gentianfold.model import Upstream
     from gentianfold.requests.connections import Connections
     from gentianfold.requests.proxy_request import Answer, CallerStream, ProxyRequest
+    from gentianfold.routing.choice import Choice
     from gentianfold.routing.outcome import Placer
 
 UPSTREAM_ERRORS = (
@@ -101,12 +102,14 @@
         clock: Clock,
         strip: Callable[[Headers], Headers],
         options: ForwarderOptions | None = None,
+        on_placed: Callable[[ProxyRequest, Choice, int], None] | None = None,
     ) -> None:
         self._placer = placer
         self._connections = connections
         self._clock = clock
         self._strip = strip
         self._options = options or ForwarderOptions()
+        self._on_placed = on_placed
         self._budgets: dict[str, RetryBudget] = {}
 
     async def run(
@@ -165,11 +168,12 @@
             now_s = self._clock.now_s()
             if now_s >= run.request.deadline_s:
                 return self._result(run, "", Failure(DEADLINE_EXCEEDED))
-            upstream = self._placer.choose(route.service, run.tried, now_s)
-            if isinstance(upstream, Failure):
+            choice = self._choose(run, now_s)
+            if isinstance(choice, Failure):
                 # What the last attempt met says more than that nothing else is left.
                 last = run.last.failure if run.last is not None else None
-                return self._result(run, "", last or upstream)
+                return self._result(run, "", last or choice)
+            upstream = choice.upstream
             attempt = await self._attempt(run, upstream)
             run.note(attempt, upstream.name)
             if attempt.delivery_started and attempt.failure is not None:
@@ -183,6 +187,20 @@
                 upstream.name,
             )
 
+    def _choose(self, run: _Run, now_s: float) -> Choice | Failure:
+        route = run.request.route
+        choice = self._placer.choose(
+            route.service,
+            run.tried,
+            now_s,
+            route=route.name,
+            customer=run.request.customer,
+            idempotent=route.idempotent,
+        )
+        if self._on_placed is not None and not isinstance(choice, Failure):
+            self._on_placed(run.request, choice, run.attempts + 1)
+        return choice
+
     def _retries(self, run: _Run, attempt: Attempt, budget: RetryBudget) -> bool:
         return (
             run.attempts <= run.request.route.retries
@@ -216,7 +234,12 @@
         started_s = self._clock.now_s()
         route = run.request.route
         kind = OutcomeKind.CANCELLED
-        self._placer.started(upstream.name, started_s)
+        self._placer.started(
+            upstream.name,
+            started_s,
+            route=route.name,
+            customer=run.request.customer,
+        )
         try:
             attempt = await self._exchange(run, upstream, started_s)
             kind = evidence_of(attempt)
