--- a/src/gentianfold/rules/_values.py
+++ b/src/gentianfold/rules/_values.py
@@ -84,7 +84,8 @@
 
     def format(self, value: bool) -> str:
         """Write the word of the value."""
-        return next(word for word, meaning in self.words.items() if meaning == value)
+        words = (word for word, meaning in self.words.items() if meaning == value)
+        return next(words, "none")
 
 
 def _count(low: int, high: int) -> Quantity:
