--- /dev/null
+++ b/src/gentianfold/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports that measure the decision layers in simulated time."""
