--- a/src/gentianfold/limits/home_table.py
+++ b/src/gentianfold/limits/home_table.py
@@ -137,7 +137,9 @@
 
     def lapse(self, now_s: float) -> None:
         """Stop refilling from pledges that have ended."""
-        end_s = self.pledges.next_end_s
+        if now_s < self.pledges.next_end_s:
+            return
+        end_s = self.pledges.find_next_end()
         if now_s < end_s:
             return
         # Between the first end and now no bucket refills: pledges that last longer
--- a/src/gentianfold/limits/pledge_table.py
+++ b/src/gentianfold/limits/pledge_table.py
@@ -112,11 +112,16 @@
         ended = [vm for vm, row in self.rows.items() if row.grant_end_s <= now_s]
         for vm in ended:
             del self.rows[vm]
+        self.find_next_end()
+        if ended:
+            self.refresh()
+
+    def find_next_end(self) -> float:
+        """Find the earliest end of the pledges as renewed, and return it."""
         self.next_end_s = min(
             (row.grant_end_s for row in self.rows.values()), default=math.inf
         )
-        if ended:
-            self.refresh()
+        return self.next_end_s
 
     def share(self, home_slot: int) -> float:
         """Return the part of the buckets of a home slot that is pledged here."""
