--- /dev/null
+++ b/src/gentianfold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the VMs, membership, and the spread of configuration."""
--- a/src/gentianfold/platform/follower.py
+++ b/src/gentianfold/platform/follower.py
@@ -8,6 +8,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.codes.platform import PLATFORM_UNREACHABLE
 from gentianfold.configuration.root import ROOT_NAME
 from gentianfold.configuration.vm_list import VM_LIST_NAME
 from gentianfold.errors import Failure
@@ -39,10 +40,13 @@
     """Tells elapsed time."""
     random: Random
     """Source of jitter."""
+    watch_s: float = WATCH_S
+    """Time that a watch waits; change it with ``set_watch_s``."""
     pacer: CallPacer = attrs.field(init=False)
     """Paces all calls of this VM."""
     _root: WatchSchedule = attrs.field(init=False)
     _vm_list: WatchSchedule = attrs.field(init=False)
+    _watches: set[anyio.CancelScope] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.pacer = CallPacer(self.random)
@@ -57,6 +61,14 @@
         """When the service last answered any call."""
         return max(self._root.answered_s, self._vm_list.answered_s)
 
+    def set_watch_s(self, watch_s: float) -> None:
+        """Change the time of watches; a shorter one ends the waiting watches."""
+        shorter = watch_s < self.watch_s
+        self.watch_s = watch_s
+        if shorter:
+            for scope in tuple(self._watches):
+                scope.cancel()
+
     async def run(self) -> None:
         """Follow both values until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -84,13 +96,22 @@
         if call.kind is CallKind.READ:
             answer: Value | Failure | None = await self.client.read(name)
         else:
-            answer = await self.client.watch(name, call.after, WATCH_S)
+            answer = await self._watch(name, call.after)
         schedule.answered(answer, self.clock.now_s())
         if isinstance(answer, Failure):
             self._report(answer)
             return None
         return answer
 
+    async def _watch(self, name: str, after: int) -> Value | Failure | None:
+        with anyio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                return await self.client.watch(name, after, self.watch_s)
+            finally:
+                self._watches.discard(scope)
+        return Failure(PLATFORM_UNREACHABLE, f"the watch of {name} was cut short")
+
     async def _fetch_shards(self) -> None:
         backoff = Backoff(self.random)
         while self.store.missing() and backoff.failures < SHARD_ATTEMPTS:
