Wire limits, peers and routing exchange into the VM

Cause: a VM decided alone. The composition root now drives the limiter, the peer node and the sketch exchange; a VM is ready once its share slots are usable. Found on the way: the timer of the limiter outlived the link and raised after a stop; it is closed with the link now.

--- a/src/gentianfold/daemon/caller_app.py
+++ b/src/gentianfold/daemon/caller_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
@@ -11,6 +12,7 @@
 from gentianfold.codes.requests import (
     CALLER_GONE,
     IDEMPOTENCY_KEY_MISSING,
+    INTERNAL_ERROR,
     NOT_READY,
 )
 from gentianfold.daemon.answers import send_failure
@@ -77,8 +79,12 @@
     """Counts and latencies."""
     clock: Clock
     """Elapsed time."""
+    body_timeout_s: float = 30.0
+    """Longest wait for the next part of a request body."""
     open_requests: int = 0
     """Requests between accept and the end of their answer."""
+    customer_counts: dict[str, Counter[str]] = attrs.field(factory=dict)
+    """Requests admitted, and refused by code number, by customer."""
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Send) -> None:
@@ -89,28 +95,38 @@
             f"{self.vm_name}-{self.state.incarnation:08x}-{next(self._numbers)}"
         )
         context = RequestContext(request_id, scope, self.clock.now_s())
+        caller = self._caller(context, receive, send)
         self.open_requests += 1
         try:
-            await self._serve(context, AsgiCaller(receive, self._closing(send)), send)
+            await self._serve(context, caller)
         except BrokenAnswerError as error:
             # Returning with the answer unfinished makes the server close the
             # connection, so that the caller sees that the answer isn't whole.
             self._log(context, "break", str(error), code=error.failure.code.number)
+        except Exception as error:  # noqa: BLE001 - nothing may escape a request
+            self._log(context, "break", repr(error), code=INTERNAL_ERROR.number)
+            logger.opt(exception=error).error("daemon: a request failed unexpectedly")
+            if not caller.started:
+                failure = Failure(INTERNAL_ERROR)
+                await send_failure(send, failure, request_id, CLOSE_HEADERS)
         finally:
             self.open_requests -= 1
             self.metrics.observe("request", self.clock.now_s() - context.accepted_s)
 
-    async def _serve(
-        self, context: RequestContext, caller: AsgiCaller, send: Send
-    ) -> None:
+    def _caller(self, context: RequestContext, receive: Any, send: Send) -> AsgiCaller:
+        headers = CLOSE_HEADERS if self.state.draining else []
+        return AsgiCaller(receive, send, self.body_timeout_s, headers)
+
+    async def _serve(self, context: RequestContext, caller: AsgiCaller) -> None:
         refusal = self._check(context) or await self.admission.admit(context)
         if refusal is not None:
-            await self._refuse(context, refusal, send)
+            await self._refuse(context, refusal, caller)
             return
+        self._count_customer(context, "admitted")
         result = await self.runner.run(context, self._proxy_request(context), caller)
         self._count_result(context, result)
         if result.failure is not None:
-            await self._refuse(context, result.failure, send)
+            await self._refuse(context, result.failure, caller)
 
     def _check(self, context: RequestContext) -> Failure | None:
         """Run the checks that need no waiting."""
@@ -178,14 +194,21 @@
         )
 
     async def _refuse(
-        self, context: RequestContext, failure: Failure, send: Send
+        self, context: RequestContext, failure: Failure, caller: AsgiCaller
     ) -> None:
+        number = str(failure.code.number)
         self._log(context, "refuse", str(failure), code=failure.code.number)
-        self.metrics.count("refused", code=str(failure.code.number))
+        self.metrics.count("refused", code=number)
+        self._count_customer(context, number)
         if failure.code is CALLER_GONE:
             return
-        headers = [] if self.state.serves else CLOSE_HEADERS
-        await send_failure(send, failure, context.request_id, headers)
+        await send_failure(caller.send, failure, context.request_id, caller.headers)
+
+    def _count_customer(self, context: RequestContext, result: str) -> None:
+        if context.identity is None:
+            return
+        name = context.identity.customer.name
+        self.customer_counts.setdefault(name, Counter())[result] += 1
 
     def _count_result(self, context: RequestContext, result: ForwardResult) -> None:
         if result.failure is not None:
@@ -224,20 +247,3 @@
                 elapsed_ms,
             )
         )
-
-    def _closing(self, send: Send) -> Send:
-        """Tell keep-alive callers to connect elsewhere while this VM stops."""
-        if not self.state.draining:
-            return send
-
-        async def send_and_close(message: Any) -> None:
-            if message["type"] == "http.response.start":
-                message["headers"] = [*message["headers"], *CLOSE_HEADERS]
-            await send(message)
-
-        return send_and_close
-
-
-def report_unexpected(error: BaseException) -> None:
-    """Log an error that no part expected."""
-    logger.opt(exception=error).error("daemon: a request failed unexpectedly")
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -3,26 +3,36 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from loguru import logger
 
-from gentianfold import __version__
 from gentianfold.clock import BootClock
 from gentianfold.configuration.store import ConfigurationStore
-from gentianfold.daemon.admit_all import AdmitAll
 from gentianfold.daemon.caller_app import CallerApp
 from gentianfold.daemon.caller_protocol import head_limited_protocol
 from gentianfold.daemon.decision_log import DecisionLog
 from gentianfold.daemon.http_server import HttpServer
+from gentianfold.daemon.limit_gate import LimitGate
+from gentianfold.daemon.link_key_setup import link_keys_of
 from gentianfold.daemon.metrics import Metrics
 from gentianfold.daemon.operator_app import OperatorApp
+from gentianfold.daemon.planned_stop import PlannedStop
 from gentianfold.daemon.published_view import PublishedView
+from gentianfold.daemon.routing_exchange import RoutingExchange
 from gentianfold.daemon.runner import ForwardRunner, PlacementLog
+from gentianfold.daemon.status import VmReport
+from gentianfold.daemon.tls import caller_tls, upstream_tls
 from gentianfold.daemon.vm_state import VmState
 from gentianfold.keys import strip_key_headers
+from gentianfold.limits.limiter import Limiter
+from gentianfold.peers.configuration_spread import ConfigurationSpread
+from gentianfold.peers.incarnation import Incarnation
+from gentianfold.peers.isolation import IsolationDetector
+from gentianfold.peers.membership import MembershipTable
+from gentianfold.peers.node import PeerNode
+from gentianfold.peers.zmq_link import ZmqLink
 from gentianfold.platform.follower import PlatformFollower
 from gentianfold.platform.http_client import HttpPlatformClient
 from gentianfold.requests.connections import Connections
@@ -34,10 +44,13 @@
     from anyio.abc import TaskStatus
 
     from gentianfold.configuration.snapshot import Snapshot
-    from gentianfold.daemon.vm_options import VmOptions
+    from gentianfold.configuration.vm_list import VmList
+    from gentianfold.settings import Settings
 
 TICK_S = 0.05
 """Time between two runs of the systems over their tables (seconds)."""
+SHARE_WAIT_S = 10.0
+"""Longest time that a starting VM waits for its share slots (seconds)."""
 SWEEP_S = 1.0
 """Time between two sweeps of idle connections (seconds)."""
 
@@ -45,17 +58,52 @@
 class EntryVm:
     """One VM of the fleet."""
 
-    def __init__(self, options: VmOptions) -> None:
-        self.options = options
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
         self.clock = BootClock()
-        self.started_s = self.clock.now_s()
         self.state = VmState()
-        self.decisions = DecisionLog(options.log_decisions)
+        self._start_s: float | None = None
+        self.decisions = DecisionLog(settings.logging.decisions)
         self.metrics = Metrics()
+        self._wire_configuration()
+        self._wire_decisions()
+        self._wire_requests()
+        self._wire_ports()
+        self.report = VmReport(self)
+        self.planned_stop = PlannedStop(self)
+        self.store.subscribe(self._adopt)
+        self.store.subscribe_vm_list(self._adopt_vm_list)
+
+    def _wire_configuration(self) -> None:
+        """Wire the published configuration, the platform and the peers."""
+        rng = random.Random()
+        settings = self.settings
         self.view = PublishedView()
         self.store = ConfigurationStore(parse_rules)
-        self.router = Router(options.name, options.zone, random.Random())
-        self.connections = Connections(self.clock)
+        self.client = HttpPlatformClient(settings.platform_urls[0], settings.vm)
+        self.follower = PlatformFollower(self.client, self.store, self.clock, rng)
+        self.members = MembershipTable(settings.vm, Incarnation.create())
+        self.node = PeerNode(self.members, self.store, self.clock, rng)
+        self.link = ZmqLink(link_keys_of(settings.peer_keys), self.node.receive)
+        self.spread = ConfigurationSpread(self.node, self.store, self.clock, rng)
+        self.isolation = IsolationDetector(self.members, self.store)
+
+    def _wire_decisions(self) -> None:
+        """Wire the decision layers: limits and routing."""
+        settings = self.settings
+        self.limiter = Limiter(
+            settings.vm, random.getrandbits(62) + 1, self.clock.now_s()
+        )
+        self.limit_gate = LimitGate(self.limiter, self.node, self.clock)
+        self.router = Router(settings.vm, settings.zone, random.Random())
+        self.routing = RoutingExchange(self.router, self.node, self.clock)
+
+    def _wire_requests(self) -> None:
+        """Wire what carries a request to an upstream and back."""
+        tls = self.settings.upstream_tls
+        self.connections = Connections(
+            self.clock, ssl_context=upstream_tls(tls) if tls else None
+        )
         self.forwarder = Forwarder(
             self.router,
             self.connections,
@@ -63,28 +111,34 @@
             strip_key_headers,
             on_placed=PlacementLog(self.decisions, self.clock).placed,
         )
+        self.caller_app = CallerApp(
+            self.settings.vm,
+            self.view,
+            self.state,
+            self.limit_gate,
+            ForwardRunner(self.forwarder),
+            self.decisions,
+            self.metrics,
+            self.clock,
+        )
+
+    def _wire_ports(self) -> None:
+        """Wire the caller port and the operator port."""
+        settings = self.settings
+        limits = settings.limits
         self.caller_server = HttpServer(
-            CallerApp(
-                options.name,
-                self.view,
-                self.state,
-                AdmitAll(),
-                ForwardRunner(self.forwarder),
-                self.decisions,
-                self.metrics,
-                self.clock,
-            ),
-            options.caller_host,
-            options.caller_port,
-            head_limited_protocol(options.max_head_bytes, options.head_timeout_s),
+            self.caller_app,
+            settings.caller_host,
+            settings.caller_port,
+            head_limited_protocol(limits.max_header_bytes, limits.header_timeout_s),
+            caller_tls(settings.caller_tls) if settings.caller_tls else None,
         )
         self.operator_server = HttpServer(
             OperatorApp(self, self.decisions),
-            options.operator_host,
-            options.operator_port,
+            settings.operator_host,
+            settings.operator_port,
         )
-        self._stop_asked = anyio.Event()
-        self.store.subscribe(self._adopt)
+        self.peer_port = settings.peer_port
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -92,32 +146,26 @@
         """Serve until a planned stop is finished or the task is cancelled."""
         self.caller_server.bind()
         self.operator_server.bind()
-        options = self.options
-        client = HttpPlatformClient(options.platform_url, options.name)
-        follower = PlatformFollower(client, self.store, self.clock, random.Random())
-        logger.info(
-            "daemon: VM {} in zone {} serves callers on port {}, operators on port {}",
-            options.name,
-            options.zone,
-            self.caller_server.port,
-            self.operator_server.port,
-        )
-        async with client, anyio.create_task_group() as tasks:
-            tasks.start_soon(follower.run)
+        async with self.client, anyio.create_task_group() as tasks:
+            self.peer_port = await tasks.start(
+                self.link.run, self.settings.peer_host, self.peer_port
+            )
+            self.node.attach(self.link)
+            tasks.start_soon(self.follower.run)
             tasks.start_soon(self._tick)
             tasks.start_soon(self.caller_server.serve)
             tasks.start_soon(self.operator_server.serve)
+            self._log_start()
             task_status.started()
-            await self._stop_asked.wait()
-            await self._stop()
+            try:
+                await self.planned_stop.run()
+            finally:
+                self.limit_gate.close()
             tasks.cancel_scope.cancel()
 
     def drain(self) -> None:
         """Start a planned stop."""
-        if not self.state.draining:
-            logger.info("daemon: VM {} starts a planned stop", self.options.name)
-        self.state.draining = True
-        self._stop_asked.set()
+        self.planned_stop.ask()
 
     def not_ready_reason(self) -> str:
         """Return why callers should go elsewhere; empty when ready."""
@@ -125,86 +173,83 @@
 
     def exposition(self) -> str:
         """Return the metrics as text."""
-        self.metrics.set_gauge("configuration_version", self.store.version)
-        self.metrics.set_gauge("open_requests", self._caller_app.open_requests)
-        return self.metrics.exposition()
+        return self.report.exposition()
 
     def status(self) -> dict[str, Any]:
         """Return the state of all parts."""
-        now_s = self.clock.now_s()
-        return {
-            "vm": self.options.name,
-            "zone": self.options.zone,
-            "version": __version__,
-            "state": self.state.not_ready_reason() or "ready",
-            "configuration_version": self.store.version,
-            "uptime_s": round(now_s - self.started_s, 1),
-            "time_unix_s": round(time.time(), 3),
-            "open_requests": self._caller_app.open_requests,
-            "peers": [],
-            "upstreams": [
-                {
-                    "name": row.upstream,
-                    "service": row.service,
-                    "state": row.state.value,
-                    "weight": row.weight,
-                    "in_flight": row.in_flight,
-                    "reason": row.reason,
-                }
-                for row in self.router.rows(now_s)
-            ],
-            "customers": [],
-            "shares": {},
-        }
-
-    @property
-    def _caller_app(self) -> CallerApp:
-        app = self.caller_server.app
-        assert isinstance(app, CallerApp)
-        return app
+        return self.report.status()
+
+    def _log_start(self) -> None:
+        logger.info(
+            "daemon: VM {} in zone {}: callers on port {}, operators {}, peers {}",
+            self.settings.vm,
+            self.settings.zone,
+            self.caller_server.port,
+            self.operator_server.port,
+            self.peer_port,
+        )
 
     def _adopt(self, snapshot: Snapshot) -> None:
         """Put a new configuration in force in every part."""
+        now_s = self.clock.now_s()
         self.view.adopt(snapshot)
+        self.limiter.limits_version = snapshot.version
+        self.limiter.on_off(snapshot.fleet.retired, now_s)
+        self._place_over(snapshot, now_s)
+
+    def _adopt_vm_list(self, vm_list: VmList) -> None:
+        """Tell every part which VMs make up the fleet."""
+        now_s = self.clock.now_s()
+        staying = [vm.name for vm in vm_list.vms if vm.state.value == "live"]
+        self.limiter.on_list(vm_list.version, staying, now_s)
+        if self.store.snapshot is not None:
+            self._place_over(self.store.snapshot, now_s)
+
+    def _place_over(self, snapshot: Snapshot, now_s: float) -> None:
+        vm_list = self.store.vm_list
         self.router.on_snapshot(
             snapshot.services.values(),
             snapshot.upstreams.values(),
-            self.clock.now_s(),
-            fleet_vms=self._fleet_vms(),
+            now_s,
+            fleet_vms=len(vm_list.vms) if vm_list else 1,
         )
-        self.state.configured = True
-
-    def _fleet_vms(self) -> int:
-        return len(self.store.vm_list.vms) if self.store.vm_list else 1
 
     async def _tick(self) -> None:
         """Run the systems over their tables."""
         sweep_due_s = 0.0
         while True:
-            await anyio.sleep(TICK_S)
             now_s = self.clock.now_s()
-            self.router.on_tick(now_s)
+            self.node.tick()
+            self.spread.tick()
+            self._update_state(now_s)
+            self.limit_gate.tick()
+            self.routing.tick()
             self.decisions.flush()
             if now_s >= sweep_due_s:
                 sweep_due_s = now_s + SWEEP_S
                 self.connections.sweep(frozenset(self.router.table.rows))
+            await anyio.sleep(TICK_S)
 
-    async def _stop(self) -> None:
-        """Finish open requests after the balancer had time to move callers."""
-        with anyio.move_on_after(self.options.stop_timeout_s) as scope:
-            await anyio.sleep(self.options.settle_s)
-            self.caller_server.stop()
-            while self.caller_server.connection_count() or self._open_requests():
-                await anyio.sleep(TICK_S)
-        if scope.cancelled_caught:
-            logger.warning(
-                "daemon: VM {} stops with {} requests open",
-                self.options.name,
-                self._open_requests(),
+    def _may_admit(self, now_s: float) -> bool:
+        """Tell whether the limits work, or were waited for long enough."""
+        if self._start_s is None:
+            self._start_s = now_s
+        waited = now_s - self._start_s >= SHARE_WAIT_S
+        shares = self.limiter.shares
+        holds = len(shares.held) >= len(shares.owned)
+        return waited or (shares.usable(now_s) and holds)
+
+    def _update_state(self, now_s: float) -> None:
+        isolated = self.isolation.on_tick(now_s, self.follower.answered_s)
+        ready = self.isolation.is_ready(now_s) and self._may_admit(now_s)
+        if ready and not self.state.configured:
+            self.state.configured = True
+            logger.info(
+                "daemon: VM {} is ready with configuration {}",
+                self.settings.vm,
+                self.store.version,
             )
-        self.decisions.flush()
-        self.connections.close()
-        logger.info("daemon: VM {} has stopped", self.options.name)
-
-    def _open_requests(self) -> int:
-        return self._caller_app.open_requests
+        if self.state.configured and isolated != self.state.isolated:
+            state = "isolated" if isolated else "no longer isolated"
+            logger.warning("daemon: VM {} is {}", self.settings.vm, state)
+        self.state.isolated = isolated
--- a/src/gentianfold/daemon/http_server.py
+++ b/src/gentianfold/daemon/http_server.py
@@ -70,6 +70,7 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            proxy_headers=False,
             server_header=False,
             date_header=False,
             backlog=LISTEN_BACKLOG,
--- a/src/gentianfold/demo/local_fleet.py
+++ b/src/gentianfold/demo/local_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from contextlib import AsyncExitStack, asynccontextmanager
 from itertools import chain, repeat
 from typing import TYPE_CHECKING
@@ -10,10 +11,16 @@
 import attrs
 
 from gentianfold.configuration.publication import publish_configuration
+from gentianfold.configuration.vm_list import (
+    VM_LIST_NAME,
+    Vm,
+    VmList,
+    encode_vm_list,
+)
 from gentianfold.daemon.entry_vm import EntryVm
-from gentianfold.daemon.vm_options import VmOptions
 from gentianfold.demo.site import RULES, UPSTREAM_COUNTS, ZONES, key_records
 from gentianfold.keys import new_key
+from gentianfold.settings import DaemonLimits, PeerKeys, Secret, Settings
 from gentianfold.standins.platform import StandinPlatform
 from gentianfold.standins.platform_server import run_platform
 from gentianfold.standins.upstream import UpstreamStandin
@@ -47,6 +54,8 @@
     """Keys by customer."""
     version: int = 0
     """Version of the configuration published last."""
+    vm_list_version: int = 0
+    """Version of the VM list published last."""
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[LocalFleet]:
@@ -86,19 +95,37 @@
             self.upstreams.append(await stack.enter_async_context(server))
 
     async def _start_vms(self, tasks: TaskGroup, platform_url: str) -> None:
+        secret = Secret(secrets.token_urlsafe(32))
         self.vms = [
-            EntryVm(
-                VmOptions(
-                    f"vm-{index + 1}",
-                    ZONES[index % len(ZONES)],
-                    platform_url,
-                    settle_s=0.1,
-                )
-            )
+            EntryVm(self._settings(index, platform_url, secret))
             for index in range(self.vm_count)
         ]
         for vm in self.vms:
             await tasks.start(vm.run)
+        self._publish_vm_list()
+
+    def _settings(self, index: int, platform_url: str, secret: Secret) -> Settings:
+        return Settings(
+            vm=f"vm-{index + 1}",
+            zone=ZONES[index % len(ZONES)],
+            platform_urls=(platform_url,),
+            caller_host="127.0.0.1",
+            caller_port=0,
+            operator_port=0,
+            peer_host="127.0.0.1",
+            peer_port=0,
+            peer_keys=PeerKeys(fleet_secret=secret),
+            limits=DaemonLimits(settle_s=0.1, stop_timeout_s=10.0),
+        )
+
+    def _publish_vm_list(self) -> None:
+        listed = tuple(
+            Vm(vm.settings.vm, "127.0.0.1", vm.peer_port, vm.settings.zone)
+            for vm in self.vms
+        )
+        self.vm_list_version += 1
+        vm_list = VmList(self.vm_list_version, listed)
+        self.platform.publish(VM_LIST_NAME, encode_vm_list(vm_list))
 
     async def _wait_until_ready(self) -> None:
         with anyio.fail_after(READY_TIMEOUT_S):
--- a/src/gentianfold/peers/isolation.py
+++ b/src/gentianfold/peers/isolation.py
@@ -49,6 +49,8 @@
 
     def on_tick(self, now_s: float, platform_answered_s: float) -> bool:
         """Let time pass; return whether the VM is isolated."""
+        if self._started_s is None:
+            self._started_s = now_s
         acks = len(self.table.acknowledging(now_s, ISOLATION_S))
         self.lacks_peers = acks < self.needed_acks()
         self.isolated = self.lacks_peers and now_s - platform_answered_s > ISOLATION_S
@@ -61,8 +63,6 @@
         waits until ``needed_acks`` peers were heard, but only for ``START_WAIT_S``: if
         fewer answer by then, their versions decide; if none does, the platform's does.
         """
-        if self._started_s is None:
-            self._started_s = now_s
         if self.store.snapshot is None or self.store.vm_list is None or self.isolated:
             return False
         rows = self.table.rows.values()
@@ -71,5 +71,6 @@
         if newest > self.store.version and newest != refused:
             return False
         heard = sum(row.heard_s != NEVER_S for row in rows)
-        waited = now_s - self._started_s >= START_WAIT_S
+        started_s = now_s if self._started_s is None else self._started_s
+        waited = now_s - started_s >= START_WAIT_S
         return waited or heard >= self.needed_acks()
--- a/src/gentianfold/requests/asgi_caller.py
+++ b/src/gentianfold/requests/asgi_caller.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+import anyio
 import attrs
 
 from gentianfold.requests.proxy_request import CallerGoneError
@@ -21,13 +22,23 @@
     """Returns the next message of the caller."""
     send: Callable[[Message], Awaitable[None]]
     """Sends a message to the caller."""
+    body_timeout_s: float = 30.0
+    """Longest wait for the next part of the body."""
+    headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
+    """Headers that are added to the answer."""
     body_ended: bool = False
     """Whether the whole body was read."""
+    started: bool = False
+    """Whether the head of the answer was sent."""
 
     async def read(self) -> bytes:
-        """Return the next part of the body, empty at its end."""
+        """Return the next part of the body, empty at its end.
+
+        Raises:
+            CallerGoneError: If the caller hung up, or sends nothing for too long.
+        """
         while not self.body_ended:
-            message = await self.receive()
+            message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise CallerGoneError
             self.body_ended = not message.get("more_body", False)
@@ -36,6 +47,13 @@
                 return body
         return b""
 
+    async def _receive(self) -> Message:
+        try:
+            with anyio.fail_after(self.body_timeout_s):
+                return await self.receive()
+        except TimeoutError as error:
+            raise CallerGoneError from error
+
     async def wait_gone(self) -> None:
         """Return when the caller hung up."""
         while (await self.receive())["type"] != "http.disconnect":
@@ -43,8 +61,10 @@
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of the answer."""
+        self.started = True
+        sent = [*headers, *self.headers]
         await self.send(
-            {"type": "http.response.start", "status": status, "headers": headers}
+            {"type": "http.response.start", "status": status, "headers": sent}
         )
 
     async def write(self, data: bytes, last: bool) -> None:
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -84,6 +84,8 @@
         default=30.0, metadata=form(forms.Number(0.1, 3600))
     )
     """Time in which a caller must send the body."""
+    settle_s: float = attrs.field(default=5.0, metadata=form(forms.Number(0, 600)))
+    """Time that the balancer takes to send callers elsewhere on a planned stop."""
     stop_timeout_s: float = attrs.field(
         default=30.0, metadata=form(forms.Number(0, 3600))
     )
