Add the command line

Cause: operators check and explain rules before they publish them, make keys, and look at the VMs while traffic runs.

Commands: check, explain, diff, key new, errors over files; status, top, decisions and drain over the operator ports of one or more VMs.

--- /dev/null
+++ b/src/gentianfold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/gentianfold/cli/main.py
@@ -0,0 +1,62 @@
+"""The command ``gentianfold`` and its subcommands."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+import cappa
+
+from gentianfold import __version__
+from gentianfold.cli.check import Check
+from gentianfold.cli.decisions import Decisions
+from gentianfold.cli.diff import Diff
+from gentianfold.cli.drain import Drain
+from gentianfold.cli.errors import Errors
+from gentianfold.cli.explain import Explain
+from gentianfold.cli.key import Key
+from gentianfold.cli.status import Status
+from gentianfold.cli.top import Top
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# Each command is a callable attrs class that returns its exit code.
+Command: TypeAlias = (
+    Check | Explain | Diff | Key | Errors | Status | Top | Decisions | Drain
+)
+
+
+@cappa.command(name="gentianfold")
+@attrs.frozen
+class Gentianfold:
+    """Check, explain and operate a gentianfold fleet."""
+
+    command: cappa.Subcommands[Command]
+    """The subcommand."""
+
+
+def run(argv: Sequence[str] | None = None) -> int:
+    """Run a command and return its exit code.
+
+    Args:
+        argv: The arguments without the program name; ``None`` for the process's.
+    """
+    try:
+        code: int = cappa.invoke(
+            Gentianfold,
+            argv=None if argv is None else list(argv),
+            version=__version__,
+            completion=False,
+        )
+    except BrokenPipeError:
+        # The reader of a pipe, such as `head`, has seen enough.
+        sys.stderr.close()
+        return 0
+    return int(code)
+
+
+def main() -> None:
+    """Run the command of the process and exit."""
+    sys.exit(run())
--- /dev/null
+++ b/tests/cli/test_cli_files.py
@@ -0,0 +1,123 @@
+"""Commands over files: results, exit codes and JSON."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from gentianfold.cli.main import run
+from gentianfold.codes import all_codes
+from gentianfold.keys import KeyTable, digest_key, parse_keys
+
+RULES = (
+    "service s  # a: b\n"
+    "route one GET /a service=s timeout=2s  # a: b\n"
+    "route two POST /a service=s  # a: b\n"
+)
+
+
+@pytest.fixture
+def files(tmp_path):
+    def write(name, text):
+        path = tmp_path / name
+        path.write_text(text)
+        return str(path)
+
+    return write
+
+
+def test_check_reports_all_faults_of_all_files(files, capsys):
+    rules = files("rules", "service s\n")
+    settings = files("vm.json", "{vm: 1}")
+    keys = files("keys", "x\n")
+    argv = ["check", "--rules", rules, "--settings", settings, "--keys", keys]
+    assert run([*argv, "--json"]) == 1
+    found = json.loads(capsys.readouterr().out)["failures"]
+    numbers = [failure["number"] for failure in found]
+    assert sorted(numbers) == [1004, 1004, 1005, 2003, 3501]
+    assert run(argv) == 1
+    assert f"{rules}:1:10: error 2003" in capsys.readouterr().err
+
+
+def test_check_of_good_missing_and_no_files(files, capsys):
+    assert run(["check", "--rules", files("rules", RULES)]) == 0
+    assert capsys.readouterr().out == "no faults\n"
+    assert run(["check", "--rules", files("rules", RULES) + ".none"]) == 2
+    assert run(["check"]) == 2
+
+
+def test_explain_shows_the_answer_and_near_routes(files, capsys):
+    rules = files("rules", RULES)
+    assert run(["explain", "get", "/a", "--rules", rules]) == 0
+    out = capsys.readouterr().out
+    assert out.startswith("line 2: route one GET /a service=s timeout=2s  # a: b")
+    assert "it takes POST, not GET" in out
+    argv = ["explain", "PUT", "/a", "-H", "x-a: 1", "-H", "b:", "--rules", rules]
+    assert run([*argv, "--json"]) == 1
+    fields = json.loads(capsys.readouterr().out)
+    assert fields["route"] is None and fields["failure"]["name"] == "no-route"
+    assert [near["name"] for near in fields["near"]] == ["one", "two"]
+    assert run(["explain", "GET", "/a", "-H", "x", "--rules", rules]) == 2
+    assert run(["explain", "GET", "/a", "--rules", rules + ".none"]) == 2
+
+
+def test_diff_shows_differences_in_effect(files, capsys):
+    old = files("old", RULES)
+    new = files("new", RULES.replace("timeout=2s", "timeout=3s"))
+    assert run(["diff", old, old]) == 0
+    assert run(["diff", old, new]) == 1
+    assert "route one changed (timeout: 2s -> 3s)" in capsys.readouterr().out
+    assert run(["diff", old, new, "--json"]) == 1
+    (change,) = json.loads(capsys.readouterr().out)["changes"]
+    assert change["action"] == "changed"
+    assert change["fields"] == [{"name": "timeout", "old": "2s", "new": "3s"}]
+    assert run(["diff", old, files("bad", "x")]) == 2
+
+
+def test_a_new_key_is_shown_with_the_line_that_publishes_it(capsys):
+    assert run(["key", "new", "--customer", "stall", "--json"]) == 0
+    made = json.loads(capsys.readouterr().out)
+    table = parse_keys(json.dumps(made["publish"]), "keys")
+    assert isinstance(table, KeyTable)
+    assert table.find_customer(made["key"]) == "stall"
+    assert run(["key", "new", "--customer", "stall"]) == 0
+    *_, key, _, line = capsys.readouterr().out.split("\n")[:4]
+    assert digest_key(key.strip()) in line
+    assert run(["key", "new", "--customer", "a b"]) == 2
+
+
+def test_the_page_of_result_codes_is_up_to_date(capsys):
+    assert run(["errors", "--markdown"]) == 0
+    page = Path(__file__).parents[2] / "docs" / "ERRORS.md"
+    assert capsys.readouterr().out == page.read_text(), (
+        "run `gentianfold errors --markdown > docs/ERRORS.md`"
+    )
+
+
+def test_errors_lists_all_codes_and_describes_one(capsys):
+    assert run(["errors", "--json"]) == 0
+    listed = json.loads(capsys.readouterr().out)
+    assert [code["number"] for code in listed] == list(all_codes())
+    assert run(["errors", "7001"]) == 0
+    assert "status 404, not run" in capsys.readouterr().out
+    assert run(["errors", "9"]) == 1
+
+
+@pytest.mark.parametrize(
+    ("argv", "code"),
+    [
+        (["--help"], 0),
+        (["--version"], 0),
+        (["check", "--help"], 0),
+        ([], 2),
+        (["chekc"], 2),
+        (["status"], 2),
+        (["errors", "x"], 2),
+    ],
+)
+def test_usage_ends_with_its_exit_code(argv, code):
+    with pytest.raises(SystemExit) as ended:
+        run(argv)
+    assert ended.value.code == code
