--- a/benchmarks/route_lookup.py
+++ b/benchmarks/route_lookup.py
@@ -1,15 +1,22 @@
 """Measures the time of a route lookup with growing numbers of routes.
 
+Compares the trie with a scan over all routes, sorted by specificity.
+
 Usage: python benchmarks/route_lookup.py
 """
 
 from __future__ import annotations
 
+import functools
 import statistics
 import time
+from typing import TYPE_CHECKING
 
 from gentianfold.model import Route
-from gentianfold.rules import PathPattern, RouteTable
+from gentianfold.rules import PathPattern, RouteTable, split_path
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 ROUTE_COUNTS = (16, 160, 1600)
 LOOKUPS = 4_000
@@ -32,10 +39,9 @@
     ]
 
 
-def measure_us(count: int) -> float:
-    """Return the median time of one lookup in microseconds."""
-    table = RouteTable(build_routes(count))
-    paths = [
+def build_paths(count: int) -> list[str]:
+    """Return request paths that match routes of all kinds, and one that doesn't."""
+    return [
         path
         for group in range(0, count // 4, max(1, count // 64))
         for path in (
@@ -46,13 +52,33 @@
             f"/town/district-{group}/none",
         )
     ]
-    rounds = max(1, LOOKUPS // len(paths))
+
+
+def build_scan(routes: list[Route]) -> Callable[[str], object]:
+    """Return a lookup that scans all routes, the most specific first."""
+
+    def compare(one: PathPattern, other: PathPattern) -> int:
+        return -1 if one.is_more_specific(other) else 1
+
+    patterns = sorted(map(PathPattern.of, routes), key=functools.cmp_to_key(compare))
+
+    def find(path: str) -> object:
+        segments = split_path(path)
+        assert isinstance(segments, tuple)
+        return next((one for one in patterns if one.matches(segments)), None)
+
+    return find
+
+
+def measure_us(find: Callable[[str], object], paths: list[str], lookups: int) -> float:
+    """Return the median time of one lookup in microseconds."""
+    rounds = max(1, lookups // len(paths))
     times_us = []
     for _ in range(ROUNDS):
         start_s = time.perf_counter()
         for _ in range(rounds):
             for path in paths:
-                table.find("GET", path, HEADERS)
+                find(path)
         elapsed_s = time.perf_counter() - start_s
         times_us.append(elapsed_s / (rounds * len(paths)) * 1e6)
     return statistics.median(times_us)
@@ -60,9 +86,18 @@
 
 def main() -> None:
     """Print a row for each number of routes."""
-    print("routes  lookup (median of rounds, us)")
+    print("median time of one lookup, in microseconds")
+    print("routes   trie     scan")
     for count in ROUTE_COUNTS:
-        print(f"{count:6}  {measure_us(count):.2f}")
+        routes, paths = build_routes(count), build_paths(count)
+        table = RouteTable(routes)
+        trie_us = measure_us(
+            lambda path, table=table: table.find("GET", path, HEADERS),
+            paths,
+            LOOKUPS,
+        )
+        scan_us = measure_us(build_scan(routes), paths, LOOKUPS // 10)
+        print(f"{count:6}  {trie_us:5.2f}  {scan_us:7.2f}")
 
 
 if __name__ == "__main__":
--- a/src/gentianfold/cli/check.py
+++ b/src/gentianfold/cli/check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Annotated
 
 import attrs
@@ -17,13 +18,18 @@
 )
 from gentianfold.cli.exit_codes import ExitCode
 from gentianfold.codes.cli import FILE_UNREADABLE, NOTHING_TO_CHECK
-from gentianfold.errors import Failure
-from gentianfold.keys import parse_keys
+from gentianfold.codes.keys import KEY_CUSTOMER_UNKNOWN
+from gentianfold.codes.settings import SETTINGS_UNREADABLE
+from gentianfold.errors import Failure, Location
+from gentianfold.keys import KeyTable, parse_keys
+from gentianfold.rules import RuleSet
 from gentianfold.settings import load_settings
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+_USAGE_CODES = (FILE_UNREADABLE, SETTINGS_UNREADABLE, NOTHING_TO_CHECK)
+
 
 @cappa.command(name="check", help="Check settings, rules and keys files.")
 @attrs.frozen(kw_only=True)
@@ -54,7 +60,7 @@
             write_failures(failures)
         else:
             write_line("no faults")
-        if any(f.code in (FILE_UNREADABLE, NOTHING_TO_CHECK) for f in failures):
+        if any(failure.code in _USAGE_CODES for failure in failures):
             return ExitCode.USAGE
         return ExitCode.FINDINGS if failures else ExitCode.OK
 
@@ -65,10 +71,32 @@
         for path in self.settings:
             settings = load_settings(path)
             yield from settings if isinstance(settings, tuple) else ()
-        for path in self.rules:
-            rules = read_rules(path)
-            yield from rules if isinstance(rules, tuple) else ()
-        for path in self.keys:
-            text = read_text(path)
-            keys = (text,) if isinstance(text, Failure) else parse_keys(text, path)
-            yield from keys if isinstance(keys, tuple) else ()
+        rule_sets = [read_rules(path) for path in self.rules]
+        tables = [(path, _read_keys(path)) for path in self.keys]
+        for result in itertools.chain(rule_sets, (keys for _, keys in tables)):
+            yield from result if isinstance(result, tuple) else ()
+        customers = {
+            name
+            for rules in rule_sets
+            if isinstance(rules, RuleSet)
+            for name in rules.customers
+        }
+        for path, keys in tables:
+            if customers and isinstance(keys, KeyTable):
+                yield from _find_unknown_customers(path, keys, customers)
+
+
+def _read_keys(path: str) -> KeyTable | tuple[Failure, ...]:
+    """Return the keys of a file."""
+    text = read_text(path)
+    return (text,) if isinstance(text, Failure) else parse_keys(text, path)
+
+
+def _find_unknown_customers(
+    path: str, keys: KeyTable, customers: set[str]
+) -> Iterator[Failure]:
+    """Yield a fault for each customer with a key that no rule defines."""
+    for name in sorted({entry.customer for entry in keys.entries.values()}):
+        if name not in customers:
+            reason = f"no rule defines customer {name!r}"
+            yield Failure(KEY_CUSTOMER_UNKNOWN, reason, location=Location(path, 1))
--- a/src/gentianfold/codes/keys.py
+++ b/src/gentianfold/codes/keys.py
@@ -28,6 +28,12 @@
     "A customer has more active keys than a rotation needs.",
     "Withdraw the oldest key before publishing another.",
 )
+KEY_CUSTOMER_UNKNOWN = define_code(
+    3504,
+    "key-customer-unknown",
+    "A key is published for a customer that no rule defines.",
+    "Correct the name, or add a `customer` rule.",
+)
 KEYS_DIFFER = define_code(
     3510,
     "keys-differ",
--- a/src/gentianfold/rules/paths.py
+++ b/src/gentianfold/rules/paths.py
@@ -2,7 +2,8 @@
 
 A path that the proxy and an upstream read differently could be sent to a route
 that was not meant for it. So every spelling that some server folds into another
-path is refused, and harmless percent-encodings are decoded before matching.
+path is refused, and harmless percent-encodings are decoded before matching, so that
+each path has one normal form.
 """
 
 from __future__ import annotations
@@ -15,15 +16,16 @@
 MAX_PATH_BYTES = 8192
 """Longest request path."""
 
-_FORBIDDEN = re.compile(r"[^\x21-\x7e]|[\\#]")
+_FORBIDDEN = re.compile(r"[^\x21-\x7e]|[\\#;]")
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 _ESCAPE = re.compile(r"%([0-9A-Fa-f]{2})")
 _ENCODED_DOT = re.compile(r"%(25)*2e", re.IGNORECASE)
 _ENCODED_SEPARATOR = re.compile(r"%(25)*(2f|5c)", re.IGNORECASE)
 _ENCODED_CONTROL = re.compile(r"%(25)*([01][0-9a-f]|7f)", re.IGNORECASE)
-_UNRESERVED = frozenset(
-    b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_~"
-)
+_OVERLONG = re.compile(r"%(25)*(c[01]|e0%(25)*[89]|f0%(25)*8)", re.IGNORECASE)
+_PARAMETER_START = re.compile("%3b", re.IGNORECASE)
+# These would end a segment or a path, or start another escape, if they were decoded.
+_KEPT_ENCODED = frozenset("/\\.;?#%")
 
 
 def split_path(path: str) -> tuple[str, ...] | Failure:
@@ -49,7 +51,7 @@
         if not segment:
             return Failure(PATH_REFUSED, "the path has an empty segment")
         # Some servers drop everything after ";" before they resolve dots.
-        if segment.partition(";")[0] in ("", ".", ".."):
+        if _PARAMETER_START.split(segment, maxsplit=1)[0] in ("", ".", ".."):
             return Failure(PATH_REFUSED, f"the path has the segment {segment!r}")
     if "%" not in path:
         return tuple(segments)
@@ -74,10 +76,14 @@
         return "the path has an encoded slash or backslash"
     if _ENCODED_CONTROL.search(path):
         return "the path has an encoded control character"
+    if _OVERLONG.search(path):
+        return "the path has a character in an overlong encoding"
     return ""
 
 
 def _normal_escape(match: re.Match[str]) -> str:
-    """Decode an unreserved character; else write the escape in upper case."""
-    byte = int(match[1], 16)
-    return chr(byte) if byte in _UNRESERVED else match[0].upper()
+    """Decode a visible character; else write the escape in upper case."""
+    char = chr(int(match[1], 16))
+    if "!" <= char <= "~" and char not in _KEPT_ENCODED:
+        return char
+    return match[0].upper()
--- a/tests/cli/test_cli_files.py
+++ b/tests/cli/test_cli_files.py
@@ -9,7 +9,7 @@
 
 from gentianfold.cli.main import run
 from gentianfold.codes import all_codes
-from gentianfold.keys import KeyTable, digest_key, parse_keys
+from gentianfold.keys import KeyEntry, KeyTable, digest_key, format_entry, parse_keys
 
 RULES = (
     "service s  # a: b\n"
@@ -45,9 +45,19 @@
     assert run(["check", "--rules", files("rules", RULES)]) == 0
     assert capsys.readouterr().out == "no faults\n"
     assert run(["check", "--rules", files("rules", RULES) + ".none"]) == 2
+    assert run(["check", "--settings", files("vm", "") + ".none"]) == 2
     assert run(["check"]) == 2
 
 
+def test_check_compares_the_customers_of_keys_and_rules(files, capsys):
+    rules = files("rules", "customer a  # b: c\n")
+    lines = [format_entry(KeyEntry(name, digest_key(name))) for name in "ab"]
+    known, both = files("known", lines[0]), files("both", "\n".join(lines))
+    assert run(["check", "--rules", rules, "--keys", known]) == 0
+    assert run(["check", "--rules", rules, "--keys", both]) == 1
+    assert "3504" in capsys.readouterr().err
+
+
 def test_explain_shows_the_answer_and_near_routes(files, capsys):
     rules = files("rules", RULES)
     assert run(["explain", "get", "/a", "--rules", rules]) == 0
