Find silent upstreams sooner; tell faults of one customer from faults of all

Overdue ages: one for all routes at 3 times the 95th percentile made the slow routes decide. Now by route at 2 times, since a late success takes the failure back.

Customers and routes other than the one that fails most must now prove a fault by themselves, against the successes of the episode.

Trials: successes count during the backoff of a VM too, since VMs whose backoff ended earlier saw them; some VMs stayed out for over 60 s otherwise. The backoff after a failed trial grows 1.5 times to at most 30 s, not 2 times to 120 s.

--- a/src/gentianfold/reports/gray_failures.py
+++ b/src/gentianfold/reports/gray_failures.py
@@ -104,6 +104,8 @@
     mode_index: int,
     seed: int,
     policy: RoutingPolicy | None = None,
+    fault_s: float = FAULT_S,
+    heal_s: float = HEAL_S,
 ) -> ModeResult:
     """Run one gray mode with one seed."""
     world = make_world(site, placer, Noise(), seed, policy)
@@ -118,36 +120,36 @@
         world.servers[sick].slots = mode.slots
     before = world.results.copy()
     watch = Watch(world, sick)
-    watch.run(FAULT_S)
+    watch.run(fault_s)
     failed = world.results - before
     world.mode = None
     world.servers[sick].slots = site.slots
     ejecting_vms = watch.most_ejecting
-    watch.run(HEAL_S)
+    watch.run(heal_s)
     return ModeResult(
-        detected_s(world, sick) if mode.ejectable else None,
+        detected_s(world, sick, fault_s) if mode.ejectable else None,
         len(world.harmed),
-        sum(time_s > WARM_S + FAULT_S * 2 / 3 for time_s, _ in world.harmed),
+        sum(time_s > WARM_S + fault_s * 2 / 3 for time_s, _ in world.harmed),
         ejecting_vms,
         len(watch.falsely_ejected),
         watch.least_capacity,
-        watch.last_ejected_s - WARM_S - FAULT_S
+        watch.last_ejected_s - WARM_S - fault_s
         if not watch.ejecting_now and ejecting_vms
         else None,
         sum(count for result, count in failed.items() if result != "ok"),
     )
 
 
-def detected_s(world: World, sick: str) -> float | None:
+def detected_s(world: World, sick: str, fault_s: float) -> float | None:
     """Return when ordinary work stopped, counted from the fault."""
     times_s = [
         time_s - WARM_S
         for time_s, upstream, reason in world.placed
         if upstream == sick
         and reason is not Reason.TRIAL
-        and WARM_S <= time_s <= WARM_S + FAULT_S
+        and WARM_S <= time_s <= WARM_S + fault_s
     ]
-    ends_s = [*times_s[1:], FAULT_S]
+    ends_s = [*times_s[1:], fault_s]
     for time_s, next_s in zip(times_s, ends_s, strict=True):
         if next_s - time_s >= QUIET_S:
             return time_s
--- a/src/gentianfold/reports/gray_failures_faults.py
+++ b/src/gentianfold/reports/gray_failures_faults.py
@@ -121,7 +121,9 @@
             return UNHARMED
         if not self.warm_s:
             return Effect(factor=self.factor)
-        left = max(0.0, 1.0 - attempt.since_s / self.warm_s)
+        left = 1.0 - attempt.since_s / self.warm_s
+        if left <= 0.0:
+            return UNHARMED
         return Effect(factor=1.0 + (self.factor - 1.0) * left)
 
 
--- a/src/gentianfold/routing/ejection.py
+++ b/src/gentianfold/routing/ejection.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from gentianfold.routing.evidence import UNSCOPED
 from gentianfold.routing.floor import Removal, admit_removals
 from gentianfold.routing.upstream_table import Cause
 
@@ -21,6 +20,10 @@
 
 SCOPE_MEMORY_S = 60.0
 """Time for which a route or customer counts as active."""
+LATE_ANSWER_S = 1.0
+"""Time after an ejection in which answers to earlier work may come."""
+TRIAL_BACKOFF_FACTOR = 1.5
+"""Growth of the backoff after a failed trial."""
 TRIAL_RATE_PER_S = 5.0
 """Trial requests over all VMs while an ejected upstream looks well again."""
 MAX_TRIAL_FACTOR = 4
@@ -60,25 +63,26 @@
     def _proved(self, evidence: Evidence, observers: int, zones: int) -> bool:
         return (
             evidence.score >= self.policy.ejection_score
-            and len(evidence.failures_by_vm) >= observers
-            and len(evidence.zones) >= zones
+            and len(evidence.failures) >= observers
+            and evidence.zones >= zones
         )
 
     def _act(
         self, row: UpstreamRow, evidence: Evidence, cause: Cause, now_s: float
     ) -> None:
         """Eject for all, or keep away the one customer or route that fails."""
-        service = row.service
-        if _narrow(evidence.customers, service.customers_s, now_s):
-            self._avoid(row, evidence.customers, now_s)
-        elif _narrow(evidence.routes, service.routes_s, now_s):
-            self._avoid(row, evidence.routes, now_s)
+        service, proof = row.service, self.policy.scope_score
+        customer = evidence.narrow_scope(evidence.customers, service.weights, proof)
+        route = evidence.narrow_scope(evidence.routes, service.weights, proof)
+        if customer is not None and _others(customer, service.customers_s, now_s):
+            self._avoid(row, customer, now_s)
+        elif route is not None and _others(route, service.routes_s, now_s):
+            self._avoid(row, route, now_s)
         else:
             self.eject(row, cause, now_s)
 
-    def _avoid(self, row: UpstreamRow, scopes: set[int], now_s: float) -> None:
-        until_s = now_s + self.policy.min_backoff_s * 4
-        row.avoided.update(dict.fromkeys(scopes, until_s))
+    def _avoid(self, row: UpstreamRow, scope: int, now_s: float) -> None:
+        row.avoided[scope] = now_s + self.policy.avoid_s
 
     def eject(self, row: UpstreamRow, cause: Cause, now_s: float) -> None:
         """Take an upstream out of service, as far as the floor permits."""
@@ -104,21 +108,27 @@
         row.trial_successes = 0
         if now_s < row.backoff_until_s:
             return
-        row.backoff_s = min(row.backoff_s * 2, self.policy.max_backoff_s)
+        policy = self.policy
+        grown_s = row.backoff_s * TRIAL_BACKOFF_FACTOR
+        row.backoff_s = max(row.backoff_s, min(grown_s, policy.max_trial_backoff_s))
         self._schedule_trial(row, now_s)
 
     def credit_trial(self, row: UpstreamRow, count: int, now_s: float) -> None:
-        """Count successes of an ejected upstream; readmit it after enough."""
-        if now_s < row.backoff_until_s:
+        """Count successes of an ejected upstream; readmit it after enough.
+
+        Successes count during the backoff too: other VMs, whose backoff may have
+        ended earlier, saw them.
+        """
+        if now_s < row.ejected_s + LATE_ANSWER_S:
             return
         row.trial_successes += count
         factor = min(row.ejections, MAX_TRIAL_FACTOR)
         if row.trial_successes >= self.policy.trial_successes * factor:
             self.readmit(row, now_s)
-            return
-        # All VMs draw anew at each success, so that they take turns.
-        spread_s = self.observers.vms / TRIAL_RATE_PER_S
-        row.trial_s = now_s + spread_s * self.rng.random()
+        elif now_s >= row.backoff_until_s:
+            # All VMs draw anew at each success, so that they take turns.
+            spread_s = self.observers.vms / TRIAL_RATE_PER_S
+            row.trial_s = now_s + spread_s * self.rng.random()
 
     def readmit(self, row: UpstreamRow, now_s: float) -> None:
         """Put an upstream back into service with a slow start."""
@@ -162,14 +172,10 @@
         ]
 
 
-def _narrow(failed: set[int], seen_s: dict[int, float], now_s: float) -> bool:
-    """Return whether one scope alone failed while others are active."""
-    if len(failed) != 1 or UNSCOPED in failed:
-        return False
+def _others(scope: int, seen_s: dict[int, float], now_s: float) -> bool:
+    """Return whether other routes or customers were active lately."""
     since_s = now_s - SCOPE_MEMORY_S
-    return any(
-        key not in failed and time_s >= since_s for key, time_s in seen_s.items()
-    )
+    return any(key != scope and time_s >= since_s for key, time_s in seen_s.items())
 
 
 def _badness(row: UpstreamRow) -> float:
--- a/src/gentianfold/routing/evidence.py
+++ b/src/gentianfold/routing/evidence.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import attrs
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianfold.routing.policy import RoutingPolicy
 
 UNSCOPED = 0
@@ -69,19 +73,34 @@
     """Log-likelihood ratio since the episode began."""
     last_failure_s: float = -math.inf
     """Time of the last failure."""
-    failures_by_vm: dict[str, int] = attrs.field(factory=dict)
-    """Failures counted in this episode by observer."""
-    zones: set[str] = attrs.field(factory=set)
-    """Zones of the observers that saw failures."""
-    routes: set[int] = attrs.field(factory=set)
-    """Routes that failed."""
-    customers: set[int] = attrs.field(factory=set)
-    """Customers whose requests failed."""
+    successes: int = 0
+    """Successes in this episode."""
+    failures: dict[Observer, list[Scope]] = attrs.field(factory=dict)
+    """Scopes of the failures in this episode by observer."""
+
+    @property
+    def zones(self) -> int:
+        """Number of zones from which failures were seen."""
+        return len({observer.zone for observer in self.failures})
+
+    @property
+    def customers(self) -> Counter[int]:
+        """Failures by customer."""
+        return Counter(scope.customer for scope in self._scopes())
+
+    @property
+    def routes(self) -> Counter[int]:
+        """Failures by route."""
+        return Counter(scope.route for scope in self._scopes())
+
+    def _scopes(self) -> Iterator[Scope]:
+        return chain.from_iterable(self.failures.values())
 
     def add_successes(self, count: int, weights: EvidenceWeights) -> None:
         """Count successes; end the episode once they outweigh the failures."""
         if self.score <= 0.0:
             return
+        self.successes += count
         self.score += count * weights.success
         if self.score <= 0.0:
             self.clear()
@@ -96,31 +115,40 @@
     ) -> None:
         """Count one failure, within the share of its observer."""
         self.last_failure_s = now_s
-        self.routes.add(scope.route)
-        self.customers.add(scope.customer)
-        self.zones.add(observer.zone)
-        seen = self.failures_by_vm.get(observer.vm, 0)
-        self.failures_by_vm[observer.vm] = seen + 1
-        if seen < max_per_observer:
+        seen = self.failures.setdefault(observer, [])
+        if len(seen) < max_per_observer:
+            seen.append(scope)
             self.score += weight
 
     def retract_failure(self, observer: Observer, weight: float) -> None:
         """Take back a failure that turned out to be a late success."""
-        seen = self.failures_by_vm.get(observer.vm, 0)
-        if seen == 0:
+        seen = self.failures.get(observer)
+        if not seen:
             return
-        if seen > 1:
-            self.failures_by_vm[observer.vm] = seen - 1
-        else:
-            del self.failures_by_vm[observer.vm]
+        seen.pop()
         self.score -= weight
-        if self.score <= 0.0 or not self.failures_by_vm:
+        if not seen:
+            del self.failures[observer]
+        if self.score <= 0.0 or not self.failures:
             self.clear()
 
+    def narrow_scope(
+        self, failed: Counter[int], weights: EvidenceWeights, proof: float
+    ) -> int | None:
+        """Return the one customer or route that explains the failures, if any.
+
+        It explains them unless the failures of the others, against the successes,
+        tell of a fault by themselves.
+        """
+        scope, count = failed.most_common(1)[0]
+        others = failed.total() - count
+        rest = others * weights.failure + self.successes * weights.success
+        if scope == UNSCOPED or rest >= proof:
+            return None
+        return scope
+
     def clear(self) -> None:
         """Start over."""
         self.score = 0.0
-        self.failures_by_vm.clear()
-        self.zones.clear()
-        self.routes.clear()
-        self.customers.clear()
+        self.successes = 0
+        self.failures.clear()
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gentianfold.routing.evidence import EvidenceWeights
+from gentianfold.routing.latency import LatencyHistogram
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,6 +33,8 @@
 """Latencies of a service from which its quantiles are used."""
 MAX_OVERDUE_S = 5.0
 """Largest age at which an attempt becomes overdue."""
+MAX_ROUTES = 32
+"""Routes of a service with latencies of their own."""
 MAX_PAUSE_DOUBLINGS = 4
 """Doublings of the pause on this VM."""
 
@@ -101,6 +104,17 @@
         row.paused_until_s = now_s + self.policy.local_pause_s * 2.0**doublings
         self.ejection.resolve(row.service, now_s)
 
+    def record_latency(self, row: UpstreamRow, route: int, latency_s: float) -> None:
+        """Count one latency that this VM saw."""
+        service = row.service
+        service.latency.record(latency_s)
+        by_route = service.route_latency.get(route)
+        if by_route is None and len(service.route_latency) < MAX_ROUTES:
+            by_route = service.route_latency[route] = LatencyHistogram()
+        if by_route is not None:
+            by_route.record(latency_s)
+        self.add_latencies(row, latency_s, 1)
+
     def add_latencies(self, row: UpstreamRow, sum_s: float, count: int) -> None:
         """Count latencies that an observer saw."""
         row.recent_latency_s += sum_s
@@ -117,12 +131,13 @@
                 row.recent_latencies *= decay
                 self._end_episode(row, now_s)
             self._update_service(service)
+            self._update_overdue(service)
             self._update_weights(service, now_s)
 
     def _end_episode(self, row: UpstreamRow, now_s: float) -> None:
         for evidence in (row.fleet, row.zone):
             over_s = evidence.last_failure_s + self.policy.episode_s
-            if evidence.failures_by_vm and now_s > over_s:
+            if evidence.failures and now_s > over_s:
                 evidence.clear()
         if row.avoided:
             row.avoided = {k: t for k, t in row.avoided.items() if t > now_s}
@@ -132,17 +147,28 @@
         service.baseline_rate = _baseline_rate(service, policy.min_baseline_rate)
         capped = min(service.baseline_rate, policy.max_baseline_rate)
         service.weights = EvidenceWeights.of(policy, capped)
-        if service.latency.total >= MIN_OVERDUE_SAMPLES:
-            overdue_s = service.latency.quantile_s(0.95) * policy.overdue_ratio
-            service.overdue_s = min(max(overdue_s, policy.min_overdue_s), MAX_OVERDUE_S)
-        else:
-            service.overdue_s = policy.default_overdue_s
         total = sum(row.recent_successes + row.recent_failures for row in service.rows)
         rate_per_s = total * 0.693 / policy.evidence_half_life_s
         service.verify_share = min(
             policy.verify_share, VERIFY_RATE_PER_S / max(rate_per_s, 1.0)
         )
 
+    def _update_overdue(self, service: ServiceRow) -> None:
+        if service.latency.total >= MIN_OVERDUE_SAMPLES:
+            service.overdue_s = self._overdue_s(service.latency)
+        else:
+            service.overdue_s = self.policy.default_overdue_s
+        service.route_overdue_s = {
+            route: self._overdue_s(latency)
+            for route, latency in service.route_latency.items()
+            if latency.total >= MIN_OVERDUE_SAMPLES
+        }
+
+    def _overdue_s(self, latency: LatencyHistogram) -> float:
+        policy = self.policy
+        overdue_s = latency.quantile_s(0.95) * policy.overdue_ratio
+        return min(max(overdue_s, policy.min_overdue_s), MAX_OVERDUE_S)
+
     def _update_weights(self, service: ServiceRow, now_s: float) -> None:
         median_s = _median_latency_s(service)
         for row in service.rows:
--- a/src/gentianfold/routing/overdue.py
+++ b/src/gentianfold/routing/overdue.py
@@ -46,8 +46,11 @@
             # Slow answers are normal for an upstream that starts cold.
             if row.warm_until_s > now_s:
                 continue
-            oldest_s = now_s - row.service.overdue_s
+            service = row.service
             for attempt in row.attempts:
-                if attempt.start_s < oldest_s and not attempt.overdue:
+                overdue_s = service.route_overdue_s.get(
+                    attempt.scope.route, service.overdue_s
+                )
+                if now_s - attempt.start_s > overdue_s and not attempt.overdue:
                     attempt.overdue = True
                     yield row, attempt
--- a/src/gentianfold/routing/placement.py
+++ b/src/gentianfold/routing/placement.py
@@ -166,7 +166,7 @@
         if now_s - evidence.last_failure_s > self.policy.verify_s:
             return False
         # The customer that failed alone can't tell whether others fail too.
-        return evidence.customers != {scope_key(customer)}
+        return evidence.customers.keys() != {scope_key(customer)}
 
 
 def _fits(row: UpstreamRow, exclude: frozenset[str], now_s: float) -> bool:
--- a/src/gentianfold/routing/policy.py
+++ b/src/gentianfold/routing/policy.py
@@ -17,6 +17,10 @@
     """Failure rate of a service above which no upstream is an outlier."""
     ejection_score: float = 11.0
     """Log-likelihood ratio at which an upstream is ejected."""
+    scope_score: float = 3.5
+    """Log-likelihood ratio that other customers and routes must show."""
+    avoid_s: float = 12.0
+    """Time for which a failing customer or route is kept away."""
     max_failures_per_observer: int = 2
     """Failures of one VM that count in one episode."""
     min_observers: int = 3
@@ -36,7 +40,9 @@
     min_backoff_s: float = 3.0
     """First delay before trial traffic."""
     max_backoff_s: float = 120.0
-    """Largest delay before trial traffic."""
+    """Largest delay before trial traffic, for upstreams that flap."""
+    max_trial_backoff_s: float = 30.0
+    """Largest delay that failed trials lead to."""
     forgive_s: float = 300.0
     """Time in service after which former ejections are forgotten."""
     trial_successes: int = 12
@@ -47,11 +53,11 @@
     """Least weight of an upstream in service."""
     slow_ratio: float = 2.0
     """Latency relative to the median above which the weight drops."""
-    min_overdue_s: float = 0.15
+    min_overdue_s: float = 0.1
     """Least age of an attempt that counts as overdue."""
     default_overdue_s: float = 1.0
     """Age of an overdue attempt while too few latencies are known."""
-    overdue_ratio: float = 3.0
+    overdue_ratio: float = 2.0
     """Age of an overdue attempt relative to the 95th latency percentile."""
     zone_penalty: float = 0.1
     """Load difference up to which an upstream of another zone loses."""
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -170,7 +170,7 @@
         self.exchange.news[outcome.upstream] = row
         counted = attempt is not None and attempt.overdue
         if outcome.kind is OutcomeKind.OK:
-            self._succeed(row, outcome.latency_s, counted, now_s)
+            self._succeed(row, scope.route, outcome.latency_s, counted, now_s)
         elif outcome.kind is OutcomeKind.SHED:
             row.full_until_s = now_s + SHED_PAUSE_S
         elif outcome.kind in _FAILURES and not counted:
@@ -178,7 +178,12 @@
             self._fail(row, Scope() if unscoped else scope, now_s)
 
     def _succeed(
-        self, row: UpstreamRow, latency_s: float, counted: bool, now_s: float
+        self,
+        row: UpstreamRow,
+        route: int,
+        latency_s: float,
+        counted: bool,
+        now_s: float,
     ) -> None:
         own = self.observers.own
         if counted:
@@ -190,8 +195,7 @@
         row.failure_streak = 0
         row.latency_sum_s += latency_s
         row.latency_count += 1
-        row.service.latency.record(latency_s)
-        self.health.add_latencies(row, latency_s, 1)
+        self.health.record_latency(row, route, latency_s)
         self.health.add_successes(row, own, 1, now_s)
 
     def _fail(self, row: UpstreamRow, scope: Scope, now_s: float) -> None:
@@ -284,6 +288,6 @@
         return f"{row.cause.value}, ejected {row.ejections} times"
     if row.avoided:
         return f"avoided for {len(row.avoided)} routes or customers"
-    if row.fleet.failures_by_vm:
-        return f"failures seen by {len(row.fleet.failures_by_vm)} VMs"
+    if row.fleet.failures:
+        return f"failures seen by {len(row.fleet.failures)} VMs"
     return ""
--- a/src/gentianfold/routing/upstream_table.py
+++ b/src/gentianfold/routing/upstream_table.py
@@ -190,8 +190,12 @@
     """Estimated slots in use at the active upstreams at the last tick."""
     latency: LatencyHistogram = attrs.field(factory=LatencyHistogram)
     """Latencies of successes on this VM."""
+    route_latency: dict[int, LatencyHistogram] = attrs.field(factory=dict)
+    """The same by route."""
     overdue_s: float = 1.0
     """Age from which an attempt counts as overdue."""
+    route_overdue_s: dict[int, float] = attrs.field(factory=dict)
+    """The same by route, for routes with enough latencies."""
     baseline_rate: float = 0.0
     """Failure rate of the ordinary upstreams."""
     weights: EvidenceWeights = attrs.field(factory=EvidenceWeights)
--- a/tests/routing/test_router_machine.py
+++ b/tests/routing/test_router_machine.py
@@ -182,7 +182,9 @@
         for vm, router in enumerate(self.routers):
             for row in router.table.rows.values():
                 assert row.in_flight == len(row.attempts) >= 0
-                assert row.remote_load >= -1e-9
+                sources = router.observers.rows.values()
+                loads = [source.loads.get(row.key, 0.0) for source in sources]
+                assert math.isclose(row.remote_load, sum(loads), abs_tol=1e-6)
                 assert 0.0 < row.weight <= 1.0
             assert vm == int(router.vm[2:])
 
