--- /dev/null
+++ b/src/gentianfold/codes/daemon.py
@@ -0,0 +1,24 @@
+"""Result codes of the daemon's start and of the load tool."""
+
+from __future__ import annotations
+
+from gentianfold.errors import define_code
+
+ADDRESS_UNUSABLE = define_code(
+    1201,
+    "address-unusable",
+    "A port of the daemon can't be bound.",
+    "Check the addresses in the settings and what else listens on them.",
+)
+SECRET_UNUSABLE = define_code(
+    1202,
+    "secret-unusable",
+    "A certificate, a private key or the keys of the peer link can't be used.",
+    "Check the files named in the settings, and `peer_keys`.",
+)
+LOAD_REFUSED = define_code(
+    1203,
+    "load-refused",
+    "The load tool does not run this plan.",
+    "Name loopback addresses, and a rate and length within the tool's bounds.",
+)
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -140,12 +140,20 @@
         )
         self.peer_port = settings.peer_port
 
+    def bind(self) -> None:
+        """Bind the caller port and the operator port.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+        self.caller_server.bind()
+        self.operator_server.bind()
+
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until a planned stop is finished or the task is cancelled."""
-        self.caller_server.bind()
-        self.operator_server.bind()
+        self.bind()
         async with self.client, anyio.create_task_group() as tasks:
             self.peer_port = await tasks.start(
                 self.link.run, self.settings.peer_host, self.peer_port
--- a/src/gentianfold/daemon/http_server.py
+++ b/src/gentianfold/daemon/http_server.py
@@ -46,11 +46,13 @@
     _server: _QuietServer | None = None
 
     def bind(self) -> int:
-        """Bind the address and return the TCP port.
+        """Bind the address, once, and return the TCP port.
 
         Raises:
             OSError: The address can't be bound.
         """
+        if self._socket is not None:
+            return self.port
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/gentianfold/demo/tour.py
+++ b/src/gentianfold/demo/tour.py
@@ -15,6 +15,8 @@
     from gentianfold.daemon.entry_vm import EntryVm
 
 Headers = list[tuple[str, str]]
+BUCKET_WAIT_S = 1.0
+"""Time for the buckets of the demo's customers to fill a little."""
 
 
 @attrs.define(eq=False)
@@ -28,6 +30,8 @@
 
     async def run(self) -> None:
         """Show each step."""
+        # Buckets start empty, since an earlier fleet may just have spent them.
+        await anyio.sleep(BUCKET_WAIT_S)
         await self._show("a lookup with a key", "GET", "/gloves/held", "bus-drivers")
         await self._show("an open route", "GET", "/hours", None)
         await self._show("a booking", "POST", "/bookings", "market-stall", b"{}")
