--- a/src/gentianfold/peers/configuration_spread.py
+++ b/src/gentianfold/peers/configuration_spread.py
@@ -98,20 +98,23 @@
     def __attrs_post_init__(self) -> None:
         self.node.handle(TOPIC, self._serve)
 
-    def newest_seen(self) -> int:
-        """Return the newest version that any peer ever said it has in force."""
-        rows = self.node.table.rows.values()
-        return max((row.config_version for row in rows), default=0)
-
     def tick(self) -> None:
         """Start a fetch if peers have something newer; one at a time."""
-        if self._fetch is not None:
+        if self._fetch is not None or not self._is_behind():
             return
         fetch = self._choose_vm_list() or self._choose_shard() or self._choose_root()
         if fetch is not None:
             self._fetch = fetch
             self._ask(fetch)
 
+    def _is_behind(self) -> bool:
+        table = self.node.table
+        return (
+            bool(self.store.missing())
+            or table.newest_config_version > self.store.version
+            or table.newest_vm_list_version > self.store.vm_list_version
+        )
+
     def _choose_vm_list(self) -> _Fetch | None:
         held = self.store.vm_list_version
         peer = self._choose_peer(lambda row: row.vm_list_version > held)
--- a/src/gentianfold/peers/isolation.py
+++ b/src/gentianfold/peers/isolation.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from gentianfold.peers.peer_row import NEVER_S
-
 if TYPE_CHECKING:
     from gentianfold.configuration.store import ConfigurationStore
     from gentianfold.peers.membership import MembershipTable
@@ -39,6 +37,7 @@
     lacks_peers: bool = True
     """Whether this VM relies on the platform and must use ``SHORT_WATCH_S``."""
     _started_s: float | None = attrs.field(default=None, init=False)
+    _was_ready: bool = attrs.field(default=False, init=False)
 
     def needed_acks(self) -> int:
         """Return the peers that must acknowledge this VM: a sixth of all."""
@@ -49,27 +48,32 @@
 
     def on_tick(self, now_s: float, platform_answered_s: float) -> bool:
         """Let time pass; return whether the VM is isolated."""
+        if self._started_s is None:
+            self._started_s = now_s
         acks = len(self.table.acknowledging(now_s, ISOLATION_S))
         self.lacks_peers = acks < self.needed_acks()
         self.isolated = self.lacks_peers and now_s - platform_answered_s > ISOLATION_S
         return self.isolated
 
     def is_ready(self, now_s: float) -> bool:
-        """Return whether a starting VM knows enough to serve.
+        """Return whether this VM may serve.
 
-        It holds a configuration and a VM list, none older than any peer has. It first
-        waits until ``needed_acks`` peers were heard, but only for ``START_WAIT_S``: if
-        fewer answer by then, their versions decide; if none does, the platform's does.
+        A starting VM holds a configuration and a VM list, none older than any peer that
+        it hears has. It first waits until ``needed_acks`` peers were heard, but only
+        for ``START_WAIT_S``: if fewer answer by then, their versions decide; if none
+        does, the platform's does. Once ready, only isolation ends it.
         """
-        if self._started_s is None:
-            self._started_s = now_s
         if self.store.snapshot is None or self.store.vm_list is None or self.isolated:
             return False
+        self._was_ready = self._was_ready or self._knows_enough(now_s)
+        return self._was_ready
+
+    def _knows_enough(self, now_s: float) -> bool:
         rows = self.table.rows.values()
+        heard = [row for row in rows if row.is_heard(now_s, ISOLATION_S)]
+        newest = max((row.config_version for row in heard), default=0)
         refused = self.store.refusal.version if self.store.refusal else 0
-        newest = max((row.config_version for row in rows), default=0)
         if newest > self.store.version and newest != refused:
             return False
-        heard = sum(row.heard_s != NEVER_S for row in rows)
-        waited = now_s - self._started_s >= START_WAIT_S
-        return waited or heard >= self.needed_acks()
+        started_s = now_s if self._started_s is None else self._started_s
+        return now_s - started_s >= START_WAIT_S or len(heard) >= self.needed_acks()
--- a/src/gentianfold/peers/membership.py
+++ b/src/gentianfold/peers/membership.py
@@ -53,12 +53,18 @@
     """Peers that exchange heartbeats with this VM directly."""
     vm_list_version: int = 0
     """Version of the VM list that the rows follow."""
+    newest_config_version: int = 0
+    """Newest configuration that any peer has in force."""
+    newest_vm_list_version: int = 0
+    """Newest VM list that any peer has adopted."""
     resumed_s: float = NEVER_S
     """When this process last went on after a pause."""
     _order: tuple[str, ...] = attrs.field(default=(), init=False)
     _born_s: float | None = attrs.field(default=None, init=False)
     _ticked_s: float | None = attrs.field(default=None, init=False)
     _relay_from: int = attrs.field(default=0, init=False)
+    _judged_s: float = attrs.field(default=NEVER_S, init=False)
+    _hears: tuple[float, bytes] = attrs.field(default=(NEVER_S, b""), init=False)
 
     def adopt_vm_list(self, vm_list: VmList) -> None:
         """Follow a newer VM list; rows of VMs that left it are dropped."""
@@ -67,16 +73,21 @@
         self.vm_list_version = vm_list.version
         listed = {vm.name: vm for vm in vm_list.vms if vm.name != self.own}
         self._order = tuple(sorted(vm.name for vm in vm_list.vms))
+        self._hears = NEVER_S, b""
         self.neighbours = choose_neighbours(self.own, self._order)
         rows = {name: self.rows.get(name) or PeerRow(vm) for name, vm in listed.items()}
         for name, row in rows.items():
             row.vm = listed[name]
+            row.hears, row.hears_bitmap = frozenset(), None
         self.rows = rows
 
     def on_tick(self, now_s: float) -> tuple[MembershipEvent, ...]:
         """Let time pass for all rows; call at least every second."""
         pauses = self.check_pause(now_s)
-        changes = (self._update_state(row, now_s) for row in self.rows.values())
+        names: Iterable[str] = self.neighbours
+        if now_s - self._judged_s >= HEARTBEAT_S:
+            self._judged_s, names = now_s, self.rows
+        changes = (self._update_state(self.rows[name], now_s) for name in names)
         return pauses + tuple(change for change in changes if change)
 
     def check_pause(self, now_s: float) -> tuple[MembershipEvent, ...]:
@@ -118,12 +129,11 @@
             return ()
         row.heard_s = row.evidence_s = now_s
         row.peer_sent_s = heartbeat.sent_s
-        row.config_version = max(row.config_version, heartbeat.config_version)
-        row.vm_list_version = max(row.vm_list_version, heartbeat.vm_list_version)
+        self._learn_versions(row, heartbeat.config_version, heartbeat.vm_list_version)
         row.leaving = heartbeat.leaving
         self._learn_echo(row, heartbeat, now_s)
         if heartbeat.vm_list_version == self.vm_list_version:
-            row.hears = frozenset(decode_bitmap(heartbeat.hears, self._order))
+            self._learn_bitmap(row, heartbeat.hears)
             self._learn_relayed(heartbeat.relayed, now_s)
         change = self._update_state(row, now_s)
         return (change,) if change else ()
@@ -144,7 +154,7 @@
             echo_held_s=now_s - row.heard_s if row.peer_sent_s is not None else 0.0,
             config_version=config_version,
             vm_list_version=self.vm_list_version,
-            hears=encode_bitmap(self.heard(now_s), self._order),
+            hears=self._encode_heard(now_s),
             leaving=leaving,
             extensions=dict(extensions or {}),
             relayed=self._choose_relayed(peer, now_s),
@@ -165,6 +175,24 @@
         rows = self.rows.items()
         return frozenset(n for n, row in rows if row.state is PeerState.LIVE)
 
+    def _encode_heard(self, now_s: float) -> bytes:
+        # All heartbeats of one tick carry the same bitmap.
+        if self._hears[0] != now_s:
+            self._hears = now_s, encode_bitmap(self.heard(now_s), self._order)
+        return self._hears[1]
+
+    def _learn_bitmap(self, row: PeerRow, bitmap: bytes) -> None:
+        # The bitmap seldom changes between two heartbeats.
+        if bitmap != row.hears_bitmap:
+            row.hears_bitmap = bitmap
+            row.hears = frozenset(decode_bitmap(bitmap, self._order))
+
+    def _learn_versions(self, row: PeerRow, config: int, vm_list: int) -> None:
+        row.config_version = max(row.config_version, config)
+        row.vm_list_version = max(row.vm_list_version, vm_list)
+        self.newest_config_version = max(self.newest_config_version, config)
+        self.newest_vm_list_version = max(self.newest_vm_list_version, vm_list)
+
     def _learn_echo(self, row: PeerRow, heartbeat: Heartbeat, now_s: float) -> None:
         echo_s = heartbeat.echo_sent_s
         # The clock goes on when a process restarts: an echo of what an earlier
@@ -189,8 +217,7 @@
                 self._restart(row, incarnation)
             if row.incarnation == incarnation:
                 row.evidence_s = evidence_s
-                row.config_version = max(row.config_version, item.config_version)
-                row.vm_list_version = max(row.vm_list_version, item.vm_list_version)
+                self._learn_versions(row, item.config_version, item.vm_list_version)
 
     def _choose_relayed(self, peer: str, now_s: float) -> tuple[RelayedRow, ...]:
         if len(self.neighbours) + 1 >= len(self._order):
@@ -216,7 +243,8 @@
     def _restart(self, row: PeerRow, incarnation: Incarnation) -> None:
         row.incarnation, row.window = incarnation, ReplayWindow()
         row.heard_s = row.evidence_s = row.acknowledged_s = NEVER_S
-        row.peer_sent_s, row.leaving, row.hears = None, False, frozenset()
+        row.peer_sent_s, row.leaving = None, False
+        row.hears, row.hears_bitmap = frozenset(), None
         row.config_version = row.vm_list_version = 0
 
     def _update_state(self, row: PeerRow, now_s: float) -> StateChanged | None:
--- a/src/gentianfold/peers/memory_fleet.py
+++ b/src/gentianfold/peers/memory_fleet.py
@@ -145,4 +145,5 @@
         if ROOT_NAME in self.values:
             vm.store.offer_root(self.values[ROOT_NAME], now_s)
         for shard in vm.store.missing():
-            vm.store.offer_shard(shard.name, self.values[shard.name], now_s)
+            if data := self.values.get(shard.name):
+                vm.store.offer_shard(shard.name, data, now_s)
--- a/src/gentianfold/peers/node.py
+++ b/src/gentianfold/peers/node.py
@@ -188,9 +188,8 @@
         now_s = self.clock.now_s()
         self._report(self.table.on_tick(now_s))
         self.exchange.expire(now_s)
-        for peer, contact in self._contacts.items():
-            if peer not in self.table.neighbours:
-                continue
+        for peer in self.table.neighbours:
+            contact = self._contacts[peer]
             if contact.beat_s <= now_s:
                 self._beat(peer, contact, now_s)
             self._redial_deaf(peer, contact, now_s)
--- a/src/gentianfold/peers/peer_row.py
+++ b/src/gentianfold/peers/peer_row.py
@@ -58,6 +58,8 @@
     """VM list that it has adopted."""
     hears: frozenset[str] = frozenset()
     """VMs that it hears directly, if it stands at this VM's list."""
+    hears_bitmap: bytes | None = None
+    """The bitmap that ``hears`` was read from."""
     leaving: bool = False
     """Whether it said that it is stopping."""
     window: ReplayWindow = attrs.field(factory=ReplayWindow)
--- a/src/gentianfold/peers/zmq_link.py
+++ b/src/gentianfold/peers/zmq_link.py
@@ -33,6 +33,8 @@
 """Silence of the transport after which it closes a connection."""
 MAX_RECONNECT_MS = 2000
 """Longest wait of the transport between connection attempts."""
+ZAP_DOMAIN = "peers"
+"""Domain under which public keys are checked."""
 
 
 @attrs.define(eq=False)
@@ -82,9 +84,7 @@
         """Receive until cancelled; the started value is the bound port."""
         authenticator = AsyncioAuthenticator(self._context)
         authenticator.start()
-        authenticator.configure_curve_callback(
-            credentials_provider=_AllowedKeys(self.keys)
-        )
+        authenticator.configure_curve_callback(ZAP_DOMAIN, _AllowedKeys(self.keys))
         router = self._context.socket(zmq.ROUTER)
         try:
             self._prepare_router(router)
@@ -143,7 +143,7 @@
         router.curve_server = True
         router.curve_secretkey = self.keys.secret
         router.curve_publickey = self.keys.public
-        router.setsockopt(zmq.ZAP_DOMAIN, b"peers")
+        router.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN.encode())
         _bound(router)
 
     def _dial(self, host: str, port: int, attempt: int) -> zmq.Socket[bytes]:
--- a/tests/peers/test_zmq_link.py
+++ b/tests/peers/test_zmq_link.py
@@ -1,6 +1,6 @@
 """Links over loopback: who is let in, what is bounded, how keys rotate."""
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 import pytest
@@ -57,7 +57,8 @@
                 plain.connect(f"tcp://127.0.0.1:{port}")
                 for _ in range(50):
                     foreign.send("peer", b"foreign")
-                    plain.send(b"plain")
+                    with suppress(zmq.Again):
+                        plain.send(b"plain", zmq.NOBLOCK)
                     await anyio.sleep(0.01)
         async with listening() as (friend, _, _):
             friend.connect("peer", "127.0.0.1", port)
