--- a/tests/peers/test_zmq_link.py
+++ b/tests/peers/test_zmq_link.py
@@ -3,6 +3,7 @@
 from contextlib import asynccontextmanager, suppress
 
 import anyio
+import anyio.abc
 import pytest
 import zmq
 
@@ -90,3 +91,49 @@
         assert results[0] and not results[-1] and sum(results) < 2000
         link.disconnect("peer")
         assert not link.send("peer", b"x")
+
+
+class Relay:
+    """Passes bytes on until it loses track of the connections made so far."""
+
+    def __init__(self, port):
+        self.port = port
+        self.forgotten = anyio.Event()
+
+    async def serve(self, stream):
+        forgotten = self.forgotten
+        async with (
+            await anyio.connect_tcp("127.0.0.1", self.port) as onward,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self.copy, stream, onward, forgotten)
+            await self.copy(onward, stream, forgotten)
+
+    async def copy(self, source, sink, forgotten):
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                data = await source.receive()
+                if not forgotten.is_set():
+                    await sink.send(data)
+
+    def forget(self):
+        self.forgotten.set()
+        self.forgotten = anyio.Event()
+
+
+async def test_a_silent_connection_is_replaced_by_redialling():
+    async with listening() as (_, port, received), listening() as (link, _, _):
+        relay = Relay(port)
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, relay.serve)
+            relay_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            link.connect("peer", "127.0.0.1", relay_port)
+            assert await deliver(link, received)
+            relay.forget()
+            link.send("peer", b"lost")
+            link.redial("peer")
+            assert await deliver(link, received, b"after")
+            assert b"lost" not in received
+            tasks.cancel_scope.cancel()
+        await listener.aclose()
