Keep late heartbeats from subsystems, fuzz the node

Cause: a heartbeat overtaken by a later one was ignored by the membership table but its payload still went to the subsystems, where an old pledge could replace a newer.

The payload handler now gets the whole heartbeat.

Conclusion: subsystems see heartbeats of an incarnation in the order of sending.

--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -33,7 +33,8 @@
     network = MemoryNetwork(Random(seed), jitter_s=jitter_s, loss=loss)
     fleet = MemoryFleet(size, network)
     publish(fleet, 1)
-    fleet.run(6.0)
+    # Faults begin at different times between two heartbeats.
+    fleet.run(6.0 + 0.1 * seed)
     return fleet
 
 
--- a/src/gentianfold/peers/membership.py
+++ b/src/gentianfold/peers/membership.py
@@ -122,11 +122,11 @@
 
     def on_heartbeat(
         self, sender: str, heartbeat: Heartbeat, now_s: float
-    ) -> tuple[MembershipEvent, ...]:
-        """Learn from an accepted heartbeat."""
+    ) -> tuple[MembershipEvent, ...] | None:
+        """Learn from an accepted heartbeat; ``None`` means that a later one came."""
         row = self.rows[sender]
         if row.peer_sent_s is not None and heartbeat.sent_s < row.peer_sent_s:
-            return ()
+            return None
         row.heard_s = row.evidence_s = now_s
         row.peer_sent_s = heartbeat.sent_s
         self._learn_versions(row, heartbeat.config_version, heartbeat.vm_list_version)
--- a/src/gentianfold/peers/node.py
+++ b/src/gentianfold/peers/node.py
@@ -39,7 +39,6 @@
     from gentianfold.configuration.snapshot import Snapshot
     from gentianfold.configuration.store import ConfigurationStore
     from gentianfold.configuration.vm_list import VmList
-    from gentianfold.peers.incarnation import Incarnation
     from gentianfold.peers.link import PeerLink
 
 REDIAL_S = 3.0
@@ -56,9 +55,9 @@
         ...
 
     def on_heartbeat(
-        self, peer: str, incarnation: Incarnation, payload: bytes, now_s: float
+        self, received: Received, heartbeat: Heartbeat, payload: bytes, now_s: float
     ) -> None:
-        """Learn from the payload of a peer."""
+        """Learn from the payload of a peer; older heartbeats are left out."""
         ...
 
 
@@ -220,12 +219,13 @@
     def _on_heartbeat(
         self, message: Received, heartbeat: Heartbeat, now_s: float
     ) -> None:
-        self._report(self.table.on_heartbeat(message.sender, heartbeat, now_s))
+        events = self.table.on_heartbeat(message.sender, heartbeat, now_s)
+        if events is None:
+            return
+        self._report(events)
         for name, payload in heartbeat.extensions.items():
             if extension := self._extensions.get(name):
-                extension.on_heartbeat(
-                    message.sender, message.incarnation, payload, now_s
-                )
+                extension.on_heartbeat(message, heartbeat, payload, now_s)
 
     def _beat(self, peer: str, contact: _Contact, now_s: float) -> None:
         contact.beat_s = now_s + HEARTBEAT_S * self.random.uniform(0.9, 1.0)
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -5,12 +5,23 @@
 import anyio
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from gentianfold.codes import peers as codes
 from gentianfold.errors import Failure
+from gentianfold.peers.codec import encode_message
 from gentianfold.peers.memory_fleet import MemoryFleet
 from gentianfold.peers.memory_link import MemoryNetwork
-from gentianfold.peers.messages import PROTOCOL, Envelope
+from gentianfold.peers.messages import (
+    PROTOCOL,
+    Answer,
+    Envelope,
+    Heartbeat,
+    Notice,
+    Question,
+    Unsupported,
+)
 
 A, B = "vm-000", "vm-001"
 
@@ -96,8 +107,9 @@
         def compose(self, peer, now_s):
             return f"for {peer}".encode()
 
-        def on_heartbeat(self, peer, incarnation, payload, now_s):
-            seen.append((peer, payload))
+        def on_heartbeat(self, received, heartbeat, payload, now_s):
+            seen.append((received.sender, payload))
+            assert heartbeat.echo_sent_s is not None
 
     for vm in fleet.vms.values():
         vm.node.extend("limits", Extension())
@@ -119,6 +131,52 @@
     assert fleet.vms[B].node.table.live() == {A}
 
 
+class SentTimes:
+    def __init__(self):
+        self.times_s = []
+
+    def compose(self, peer, now_s):
+        return b""
+
+    def on_heartbeat(self, received, heartbeat, payload, now_s):
+        self.times_s.append(heartbeat.sent_s)
+
+
+def test_subsystems_never_see_heartbeats_out_of_order():
+    fleet, seen = fleet_of(2, jitter_s=3.0, doubled=0.3), SentTimes()
+    for vm in fleet.vms.values():
+        vm.node.extend("limits", seen if vm.name == A else SentTimes())
+    fleet.run(60.0)
+    assert len(seen.times_s) > 10 and seen.times_s == sorted(set(seen.times_s))
+
+
+SAMPLES = [
+    Heartbeat(1.0, 0.5, 0.1, 3, 4, b"\x07", False, {"limits": b"x"}),
+    Question(1, "configuration", msgspec.msgpack.encode(("root", 0))),
+    Question(2, "configuration", b"\xc1"),
+    Answer(1, 4009, b"\xff"),
+    Notice("configuration", b""),
+    Unsupported(0),
+]
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.sampled_from(SAMPLES),
+    st.lists(st.tuples(st.integers(0, 80), st.integers(0, 255)), max_size=3),
+)
+def test_mutated_messages_of_a_listed_peer_do_no_harm(body, changes):
+    fleet = MemoryFleet(2)
+    fleet.run(0.5)
+    node, incarnation = fleet.vms[A].node, fleet.vms[B].node.table.incarnation
+    data = bytearray(encode_message(B, incarnation, 1000, body))
+    for place, value in changes:
+        data[place % len(data)] = value
+    node.receive(bytes(data))
+    fleet.run(0.5)
+    assert node.table.rows.keys() == {B} and node.store.version == 0
+
+
 def test_a_peer_that_hears_nothing_is_redialled_with_backoff():
     fleet = fleet_of(2)
     fleet.network.cuts.add((A, B))
