Bound the rate of one peer; judge isolation for each request

Cause: a peer that floods could fill the loop; a process that wakes from a pause may take a request before its next tick and believe that it isn't isolated.

--- a/src/gentianfold/peers/isolation.py
+++ b/src/gentianfold/peers/isolation.py
@@ -37,6 +37,7 @@
     lacks_peers: bool = True
     """Whether this VM relies on the platform and must use ``SHORT_WATCH_S``."""
     _started_s: float | None = attrs.field(default=None, init=False)
+    _ticked_s: float = attrs.field(default=float("-inf"), init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
 
     def needed_acks(self) -> int:
@@ -48,6 +49,7 @@
 
     def on_tick(self, now_s: float, platform_answered_s: float) -> bool:
         """Let time pass; return whether the VM is isolated."""
+        self._ticked_s = now_s
         if self._started_s is None:
             self._started_s = now_s
         acks = len(self.table.acknowledging(now_s, ISOLATION_S))
@@ -55,6 +57,13 @@
         self.isolated = self.lacks_peers and now_s - platform_answered_s > ISOLATION_S
         return self.isolated
 
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether requests that need a key must be refused; ask for each.
+
+        A process that wakes up after a pause may take a request before its next tick.
+        """
+        return self.isolated or now_s - self._ticked_s > ISOLATION_S
+
     def is_ready(self, now_s: float) -> bool:
         """Return whether this VM may serve.
 
@@ -63,7 +72,9 @@
         for ``START_WAIT_S``: if fewer answer by then, their versions decide; if none
         does, the platform's does. Once ready, only isolation ends it.
         """
-        if self.store.snapshot is None or self.store.vm_list is None or self.isolated:
+        if self.store.snapshot is None or self.store.vm_list is None:
+            return False
+        if self.is_isolated(now_s):
             return False
         self._was_ready = self._was_ready or self._knows_enough(now_s)
         return self._was_ready
--- a/src/gentianfold/peers/node.py
+++ b/src/gentianfold/peers/node.py
@@ -45,6 +45,8 @@
 """Least time between two redials of a peer that doesn't hear this VM."""
 REDIAL_LIMIT_S = 15.0
 """Longest time between two redials."""
+MAX_MESSAGES_PER_S = 2000
+"""Messages of one peer in a second above which further ones are dropped."""
 
 
 class HeartbeatExtension(Protocol):
@@ -70,6 +72,15 @@
     redial_gap_s: float = REDIAL_S
     told_unsupported_s: float = float("-inf")
     numbers: Iterator[int] = attrs.field(factory=count)
+    counted_from_s: float = float("-inf")
+    received: int = 0
+
+    def admit(self, now_s: float) -> bool:
+        """Count a message that came in; return whether it is within the rate."""
+        if now_s - self.counted_from_s >= 1.0:
+            self.counted_from_s, self.received = now_s, 0
+        self.received += 1
+        return self.received <= MAX_MESSAGES_PER_S
 
 
 @attrs.define(eq=False)
@@ -195,6 +206,10 @@
 
     def _accept(self, message: Received, now_s: float) -> None:
         peer = message.sender
+        contact = self._contacts.get(peer)
+        if contact is None or not contact.admit(now_s):
+            self.dropped += 1
+            return
         events = self.table.accept(peer, message.incarnation, message.seq, now_s)
         if events is None:
             self.dropped += 1
--- a/tests/peers/test_configuration_spread.py
+++ b/tests/peers/test_configuration_spread.py
@@ -125,6 +125,7 @@
     vm.paused = True
     withdraw(fleet, NAMES[1:])
     fleet.run(ISOLATION_S + PAUSE_S)
+    assert vm.isolation.is_isolated(vm.clock.now_s())
     vm.resume()
     vm.isolation.on_tick(vm.clock.now_s(), vm.platform_answered_s)
     assert serving(fleet) == set()
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -22,6 +22,7 @@
     Question,
     Unsupported,
 )
+from gentianfold.peers.node import MAX_MESSAGES_PER_S
 
 A, B = "vm-000", "vm-001"
 
@@ -190,6 +191,19 @@
     assert (deaf.redials, hearing.redials) == redials
 
 
+def test_a_flood_of_one_peer_is_cut_off():
+    fleet, handled = fleet_of(2), []
+    fleet.vms[A].node.handle("topic", handled.append)
+    for _ in range(MAX_MESSAGES_PER_S + 500):
+        fleet.vms[B].node.tell(A, "topic", b"")
+    fleet.run(0.1)
+    assert MAX_MESSAGES_PER_S - 10 < len(handled) <= MAX_MESSAGES_PER_S
+    fleet.run(2.0)
+    fleet.vms[B].node.tell(A, "topic", b"last")
+    fleet.run(0.1)
+    assert handled[-1].payload == b"last"
+
+
 def test_an_old_incarnation_is_not_listened_to():
     fleet = fleet_of(2)
     old = fleet.vms[B]
