--- a/src/gentianfold/peers/node.py
+++ b/src/gentianfold/peers/node.py
@@ -39,13 +39,14 @@
     from gentianfold.configuration.snapshot import Snapshot
     from gentianfold.configuration.store import ConfigurationStore
     from gentianfold.configuration.vm_list import VmList
-    from gentianfold.peers.incarnation import Incarnation
     from gentianfold.peers.link import PeerLink
 
 REDIAL_S = 3.0
 """Least time between two redials of a peer that doesn't hear this VM."""
 REDIAL_LIMIT_S = 15.0
 """Longest time between two redials."""
+MAX_MESSAGES_PER_S = 2000
+"""Messages of one peer in a second above which further ones are dropped."""
 
 
 class HeartbeatExtension(Protocol):
@@ -56,9 +57,9 @@
         ...
 
     def on_heartbeat(
-        self, peer: str, incarnation: Incarnation, payload: bytes, now_s: float
+        self, received: Received, heartbeat: Heartbeat, payload: bytes, now_s: float
     ) -> None:
-        """Learn from the payload of a peer."""
+        """Learn from the payload of a peer; older heartbeats are left out."""
         ...
 
 
@@ -71,6 +72,15 @@
     redial_gap_s: float = REDIAL_S
     told_unsupported_s: float = float("-inf")
     numbers: Iterator[int] = attrs.field(factory=count)
+    counted_from_s: float = float("-inf")
+    received: int = 0
+
+    def admit(self, now_s: float) -> bool:
+        """Count a message that came in; return whether it is within the rate."""
+        if now_s - self.counted_from_s >= 1.0:
+            self.counted_from_s, self.received = now_s, 0
+        self.received += 1
+        return self.received <= MAX_MESSAGES_PER_S
 
 
 @attrs.define(eq=False)
@@ -188,15 +198,18 @@
         now_s = self.clock.now_s()
         self._report(self.table.on_tick(now_s))
         self.exchange.expire(now_s)
-        for peer, contact in self._contacts.items():
-            if peer not in self.table.neighbours:
-                continue
+        for peer in self.table.neighbours:
+            contact = self._contacts[peer]
             if contact.beat_s <= now_s:
                 self._beat(peer, contact, now_s)
             self._redial_deaf(peer, contact, now_s)
 
     def _accept(self, message: Received, now_s: float) -> None:
         peer = message.sender
+        contact = self._contacts.get(peer)
+        if contact is None or not contact.admit(now_s):
+            self.dropped += 1
+            return
         events = self.table.accept(peer, message.incarnation, message.seq, now_s)
         if events is None:
             self.dropped += 1
@@ -221,12 +234,13 @@
     def _on_heartbeat(
         self, message: Received, heartbeat: Heartbeat, now_s: float
     ) -> None:
-        self._report(self.table.on_heartbeat(message.sender, heartbeat, now_s))
+        events = self.table.on_heartbeat(message.sender, heartbeat, now_s)
+        if events is None:
+            return
+        self._report(events)
         for name, payload in heartbeat.extensions.items():
             if extension := self._extensions.get(name):
-                extension.on_heartbeat(
-                    message.sender, message.incarnation, payload, now_s
-                )
+                extension.on_heartbeat(message, heartbeat, payload, now_s)
 
     def _beat(self, peer: str, contact: _Contact, now_s: float) -> None:
         contact.beat_s = now_s + HEARTBEAT_S * self.random.uniform(0.9, 1.0)
