--- a/src/gentianfold/rules/explanation.py
+++ b/src/gentianfold/rules/explanation.py
@@ -12,10 +12,10 @@
 from gentianfold.rules.formatter import format_methods
 from gentianfold.rules.path_pattern import PathPattern
 from gentianfold.rules.paths import split_path
-from gentianfold.rules.route_table import RouteTable, request_matches
+from gentianfold.rules.route_table import RouteTable, join_headers, request_matches
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from gentianfold.model import Route
     from gentianfold.rules.rule_set import RuleSet
@@ -66,7 +66,7 @@
     others = [route for route in rules.routes if route is not answer]
     matching = [route for route in others if PathPattern.of(route).matches(segments)]
     similar = _similar(others, matching, segments)
-    carried = {(name.lower(), value) for name, value in headers}
+    carried = join_headers(headers)
     near = itertools.chain(
         (
             NearRoute(route, _explain_match(route, answer, method, carried))
@@ -81,7 +81,7 @@
     route: Route,
     answer: Route | Failure,
     method: str,
-    carried: set[tuple[bytes, bytes]],
+    carried: Mapping[bytes, bytes],
 ) -> str:
     """Return why a route whose path matches doesn't answer."""
     if route.methods and method not in route.methods:
@@ -90,7 +90,7 @@
         missing = next(
             header
             for header in route.headers
-            if (header.name, header.value) not in carried
+            if carried.get(header.name) != header.value
         )
         wanted = f"{missing.name.decode()}: {missing.value.decode()}"
         return f"the request lacks the header {wanted!r}"
--- a/src/gentianfold/rules/route_table.py
+++ b/src/gentianfold/rules/route_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,7 +13,7 @@
 from gentianfold.rules.paths import split_path
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from gentianfold.model import Route
 
@@ -63,7 +64,7 @@
         segments = split_path(path)
         if isinstance(segments, Failure):
             return segments
-        carried = {(name.lower(), value) for name, value in headers}
+        carried = join_headers(headers)
         route = _descend(self._root, segments, 0, method, carried)
         return route or Failure(NO_ROUTE, f"no route for {method} {path[:200]}")
 
@@ -78,8 +79,22 @@
             else:
                 node = node.literals.setdefault(segment, _Node())
         routes = node.prefixes if pattern.open_ended else node.exact
-        routes.append(route)
-        routes.sort(key=specificity)
+        bisect.insort(routes, route, key=specificity)
+
+
+def join_headers(headers: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
+    """Return the value of each header by its name in lower case.
+
+    The values of a repeated header are joined by commas, so that a second value can't
+    make a request fit two routes that ask for different ones.
+    """
+    carried: dict[bytes, bytes] = {}
+    for name, value in headers:
+        lower = name.lower()
+        carried[lower] = (
+            b", ".join((carried[lower], value)) if lower in carried else value
+        )
+    return carried
 
 
 def specificity(route: Route) -> tuple[int, bool, str]:
@@ -87,19 +102,17 @@
     return -len(route.headers), not route.methods, route.name
 
 
-def request_matches(
-    route: Route, method: str, carried: set[tuple[bytes, bytes]]
-) -> bool:
+def request_matches(route: Route, method: str, carried: Mapping[bytes, bytes]) -> bool:
     """Tell whether method and headers of a request fit a route.
 
     Args:
         route: The route.
         method: The method in upper case.
-        carried: Names in lower case, and values, of the request's headers.
+        carried: The request's headers, as ``join_headers`` returns them.
     """
     if route.methods and method not in route.methods:
         return False
-    return all((header.name, header.value) in carried for header in route.headers)
+    return all(carried.get(header.name) == header.value for header in route.headers)
 
 
 def _descend(
@@ -107,7 +120,7 @@
     segments: tuple[str, ...],
     depth: int,
     method: str,
-    carried: set[tuple[bytes, bytes]],
+    carried: Mapping[bytes, bytes],
 ) -> Route | None:
     """Find the most specific route at or below a node."""
     if depth == len(segments):
@@ -124,7 +137,7 @@
 
 
 def _first(
-    routes: Iterable[Route], method: str, carried: set[tuple[bytes, bytes]]
+    routes: Iterable[Route], method: str, carried: Mapping[bytes, bytes]
 ) -> Route | None:
     """Return the first route that method and headers fit."""
     matches = (route for route in routes if request_matches(route, method, carried))
--- a/tests/rules/test_route_table.py
+++ b/tests/rules/test_route_table.py
@@ -4,15 +4,16 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gentianfold.codes.requests import NO_ROUTE
-from gentianfold.codes.rules import PATH_REFUSED
+from gentianfold.codes.rules import PATH_REFUSED, UNREACHABLE_RULE
 from gentianfold.errors import Failure
-from gentianfold.model import HeaderMatch, Route
-from gentianfold.rules import PathPattern, RouteTable, parse_rules
+from gentianfold.model import HeaderMatch, Route, Service
+from gentianfold.rules import PathPattern, RouteTable, RuleSet, format_rule, parse_rules
 
 LINES = """\
 service s  # a: b
@@ -38,6 +39,7 @@
     ("GET", "/gloves/red", (APP,), "canary"),
     ("GET", "/gloves/red", (APP, (b"x-b", b"1")), "twice"),
     ("GET", "/gloves/red", ((b"x-app", b"3"),), "red"),
+    ("GET", "/gloves/red", (APP, (b"x-app", b"3")), "red"),
     ("DELETE", "/gloves/red", (), "any"),
     ("POST", "/gloves/red/claim", (), "claim"),
     ("GET", "/gloves/red/claim", (), "lookup"),
@@ -100,6 +102,39 @@
         assert found == best
 
 
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(routes, unique=True, max_size=12))
+def test_every_route_of_an_accepted_text_answers_some_request(shapes):
+    built = [
+        Route(f"r{number}", methods, path, PathPattern.parse(path).kind, "s", wanted)
+        for number, (path, methods, wanted) in enumerate(shapes)
+    ]
+    service = Service("s", comment="a: b")
+    lines = [service, *(attrs.evolve(route, comment="a: b") for route in built)]
+    parsed = parse_rules("\n".join(map(format_rule, lines)), "rules")
+    if not isinstance(parsed, RuleSet):
+        assert {f.code for f in parsed} == {UNREACHABLE_RULE}
+        hidden = {f.location.line for f in parsed}
+    else:
+        hidden = set()
+    table = RouteTable(built)
+    for line, route in enumerate(built, start=2):
+        assert _answers_something(table, route) is (line not in hidden)
+
+
+def _answers_something(table, route):
+    """Tell whether a route answers one of the requests made from its own path."""
+    pattern = PathPattern.of(route)
+    segments = ["z" if part == "*" else part for part in pattern.segments]
+    for extra in range(6 if pattern.open_ended else 1):
+        path = "/" + "/".join(segments + ["z"] * extra)
+        for method in ("GET", "PUT"):
+            carried = tuple((header.name, header.value) for header in route.headers)
+            if table.find(method, path, carried) == route:
+                return True
+    return False
+
+
 def _before(route, other):
     pattern, rival = PathPattern.of(route), PathPattern.of(other)
     if pattern != rival:
--- a/tests/rules/test_rules_fuzz.py
+++ b/tests/rules/test_rules_fuzz.py
@@ -123,6 +123,8 @@
 
 def _assert_result(result):
     if isinstance(result, RuleSet):
+        again = parse_rules(format_rules(result), "again")
+        assert _without_lines(again) == _without_lines(result)
         return
     assert result
     assert all(isinstance(failure, Failure) for failure in result)
