Print keys in the published form; read quoted reasons of decisions

Cause: `key new` printed a line that the configuration's key shards don't read; two definitions of a published key stood side by side.

The keys package uses KeyRecord and KeyState of the configuration, and a test reads the line of `key new` back through a key shard.

--- a/src/gentianfold/cli/check.py
+++ b/src/gentianfold/cli/check.py
@@ -96,7 +96,7 @@
     path: str, keys: KeyTable, customers: set[str]
 ) -> Iterator[Failure]:
     """Yield a fault for each customer with a key that no rule defines."""
-    for name in sorted({entry.customer for entry in keys.entries.values()}):
+    for name in sorted({record.customer for record in keys.records.values()}):
         if name not in customers:
             reason = f"no rule defines customer {name!r}"
             yield Failure(KEY_CUSTOMER_UNKNOWN, reason, location=Location(path, 1))
--- a/src/gentianfold/cli/decisions.py
+++ b/src/gentianfold/cli/decisions.py
@@ -131,12 +131,19 @@
 
 
 def names(text: str, label: str, value: str) -> bool:
-    """Tell whether a line names a value, as ``label=value`` if it has that label."""
-    labelled = re.search(rf"\b{label}=(\S+)", text)
-    if labelled:
-        return labelled[1].rstrip(".,;:") == value
+    """Tell whether a line names a value.
+
+    Args:
+        text: The line.
+        label: What the value is; if the line has ``label=...``, only that counts.
+        value: The value, or words of a value in quotes.
+    """
+    labelled = re.search(rf'\b{label}=(?:"([^"]*)"|(\S+))', text)
+    if labelled and labelled[1] is None:
+        return labelled[2].rstrip(".,;:") == value
+    searched = labelled[1] if labelled else text
     word = rf"(?<![\w.-]){re.escape(value)}(?![\w-]|\.\w)"
-    return re.search(word, text) is not None
+    return re.search(word, searched) is not None
 
 
 def _printable(text: str) -> str:
--- a/src/gentianfold/cli/key.py
+++ b/src/gentianfold/cli/key.py
@@ -11,7 +11,8 @@
 from gentianfold.cli._arguments import JsonFlag
 from gentianfold.cli._output import write_failures, write_json, write_line
 from gentianfold.cli.exit_codes import ExitCode
-from gentianfold.keys import KeyEntry, digest_key, format_entry, new_key, parse_keys
+from gentianfold.configuration.key_table import KeyRecord
+from gentianfold.keys import digest_key, format_record, new_key, parse_keys
 
 
 @cappa.command(name="new", help="Make a key; it is shown this once.")
@@ -29,7 +30,7 @@
     def __call__(self) -> ExitCode:
         """Make the key."""
         key = new_key()
-        line = format_entry(KeyEntry(self.customer, digest_key(key)))
+        line = format_record(KeyRecord(self.customer, digest_key(key)))
         checked = parse_keys(line, "--customer")
         if isinstance(checked, tuple):
             write_failures(checked)
--- a/src/gentianfold/keys/__init__.py
+++ b/src/gentianfold/keys/__init__.py
@@ -7,17 +7,17 @@
     extract_key,
     strip_key_headers,
 )
-from gentianfold.keys.key import digest_key, new_key
+from gentianfold.keys.key import digest_key, is_key, new_key
 from gentianfold.keys.key_table import KeyTable
-from gentianfold.keys.publication import KeyEntry, format_entry, parse_keys
+from gentianfold.keys.publication import format_record, parse_keys
 
 __all__ = [
-    "KeyEntry",
     "KeyTable",
     "check_target",
     "digest_key",
     "extract_key",
-    "format_entry",
+    "format_record",
+    "is_key",
     "new_key",
     "parse_keys",
     "strip_key_headers",
--- a/src/gentianfold/keys/key_table.py
+++ b/src/gentianfold/keys/key_table.py
@@ -7,12 +7,13 @@
 
 import attrs
 
+from gentianfold.configuration.key_table import KeyState
 from gentianfold.keys.key import digest_key, is_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from gentianfold.keys.publication import KeyEntry
+    from gentianfold.configuration.key_table import KeyRecord
 
 
 @attrs.frozen
@@ -25,13 +26,13 @@
     constant time nonetheless.
     """
 
-    entries: dict[str, KeyEntry] = attrs.field(factory=dict)
-    """Published entries by key digest."""
+    records: dict[str, KeyRecord] = attrs.field(factory=dict)
+    """Published records by key digest."""
 
     @classmethod
-    def from_entries(cls, entries: Iterable[KeyEntry]) -> KeyTable:
-        """Build the table of published entries."""
-        return cls({entry.key_sha256: entry for entry in entries})
+    def from_records(cls, records: Iterable[KeyRecord]) -> KeyTable:
+        """Build the table of published records."""
+        return cls({record.digest: record for record in records})
 
     def find_customer(self, key: str) -> str | None:
         """Return the customer that holds ``key``, or ``None`` if nobody does.
@@ -49,7 +50,7 @@
         Whoever holds a request for long keeps the digest in place of the key, and
         looks it up again to see whether the key was withdrawn.
         """
-        entry = self.entries.get(digest)
-        if entry is None or not hmac.compare_digest(entry.key_sha256, digest):
+        record = self.records.get(digest)
+        if record is None or not hmac.compare_digest(record.digest, digest):
             return None
-        return entry.customer
+        return record.customer if record.state is KeyState.GRANTED else None
--- a/src/gentianfold/keys/publication.py
+++ b/src/gentianfold/keys/publication.py
@@ -6,10 +6,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import attrs
 import msgspec
 
 from gentianfold.codes import keys as codes
+from gentianfold.configuration.key_table import KeyRecord, KeyState
 from gentianfold.errors import Code, Failure, Location
 from gentianfold.keys.key_table import KeyTable
 
@@ -23,22 +23,12 @@
 
 _DIGEST = re.compile(r"[0-9a-f]{64}", re.ASCII)
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII)
-_EXAMPLE = '{"customer": "NAME", "key_sha256": "64 hexadecimal digits"}'
+_EXAMPLE = '{"customer":"NAME","digest":"64 hexadecimal digits","state":"granted"}'
 
 
-@attrs.frozen
-class KeyEntry:
-    """A published key."""
-
-    customer: str
-    """Name of the customer that holds it."""
-    key_sha256: str
-    """Its digest in lower-case hexadecimal."""
-
-
-def format_entry(entry: KeyEntry) -> str:
-    """Write an entry as the line to publish."""
-    return msgspec.json.encode(attrs.asdict(entry)).decode()
+def format_record(record: KeyRecord) -> str:
+    """Write a record as the line to publish."""
+    return msgspec.json.encode(record).decode()
 
 
 def parse_keys(text: str, source: str) -> KeyTable | tuple[Failure, ...]:
@@ -57,53 +47,55 @@
         reason = f"the text is larger than {MAX_KEYS_BYTES} bytes"
         return (_failure(codes.KEYS_TOO_LARGE, reason, source, 1),)
     lines = [
-        (number, _parse_entry(line, source, number))
+        (number, _parse_record(line, source, number))
         for number, line in enumerate(text.split("\n"), start=1)
         if line.strip() and not line.lstrip().startswith(("//", "#"))
     ]
-    failures = [entry for _, entry in lines if isinstance(entry, Failure)]
-    entries = [
-        (number, entry) for number, entry in lines if isinstance(entry, KeyEntry)
+    failures = [record for _, record in lines if isinstance(record, Failure)]
+    records = [
+        (number, record) for number, record in lines if isinstance(record, KeyRecord)
     ]
-    failures += _check_entries(entries, source)
+    failures += _check_records(records, source)
     if failures:
         return tuple(failures)
-    return KeyTable.from_entries(entry for _, entry in entries)
+    return KeyTable.from_records(record for _, record in records)
 
 
-def _parse_entry(line: str, source: str, number: int) -> KeyEntry | Failure:
+def _parse_record(line: str, source: str, number: int) -> KeyRecord | Failure:
     """Parse one line."""
     try:
-        entry = msgspec.json.decode(line.encode(errors="replace"), type=KeyEntry)
+        record = msgspec.json.decode(line.encode(errors="replace"), type=KeyRecord)
     except (msgspec.DecodeError, RecursionError):
         # The line isn't quoted: it may hold a key that was published by mistake.
-        reason = f"the line isn't of the form {_EXAMPLE}"
+        reason = f"the line isn't like {_EXAMPLE}"
         return _failure(codes.KEY_LINE_INVALID, reason, source, number)
-    if not _NAME.fullmatch(entry.customer):
+    if not _NAME.fullmatch(record.customer):
         reason = "the customer's name has characters that names don't have"
         return _failure(codes.KEY_LINE_INVALID, reason, source, number)
-    if not _DIGEST.fullmatch(entry.key_sha256):
-        reason = "key_sha256 isn't 64 lower-case hexadecimal digits"
+    if not _DIGEST.fullmatch(record.digest):
+        reason = "digest isn't 64 lower-case hexadecimal digits"
         return _failure(codes.KEY_LINE_INVALID, reason, source, number)
-    return entry
+    return record
 
 
-def _check_entries(
-    entries: list[tuple[int, KeyEntry]], source: str
+def _check_records(
+    records: list[tuple[int, KeyRecord]], source: str
 ) -> Iterator[Failure]:
     """Find keys that stand twice, and customers with too many keys."""
     first_lines: dict[str, int] = {}
     counts: Counter[str] = Counter()
-    for number, entry in entries:
-        first = first_lines.setdefault(entry.key_sha256, number)
+    for number, record in records:
+        first = first_lines.setdefault(record.digest, number)
         if first != number:
             reason = f"the key already stands in line {first}"
             yield _failure(codes.KEY_DUPLICATE, reason, source, number)
             continue
-        counts[entry.customer] += 1
-        if counts[entry.customer] > MAX_KEYS_PER_CUSTOMER:
+        if record.state is KeyState.WITHDRAWN:
+            continue
+        counts[record.customer] += 1
+        if counts[record.customer] > MAX_KEYS_PER_CUSTOMER:
             reason = (
-                f"customer {entry.customer!r} has key {counts[entry.customer]}; "
+                f"customer {record.customer!r} has key {counts[record.customer]}; "
                 f"{MAX_KEYS_PER_CUSTOMER} may be active"
             )
             yield _failure(codes.TOO_MANY_KEYS, reason, source, number)
--- a/tests/cli/test_cli_files.py
+++ b/tests/cli/test_cli_files.py
@@ -9,7 +9,8 @@
 
 from gentianfold.cli.main import run
 from gentianfold.codes import all_codes
-from gentianfold.keys import KeyEntry, KeyTable, digest_key, format_entry, parse_keys
+from gentianfold.configuration.key_table import KeyRecord, parse_key_shard
+from gentianfold.keys import KeyTable, digest_key, format_record, parse_keys
 
 RULES = (
     "service s  # a: b\n"
@@ -51,7 +52,7 @@
 
 def test_check_compares_the_customers_of_keys_and_rules(files, capsys):
     rules = files("rules", "customer a  # b: c\n")
-    lines = [format_entry(KeyEntry(name, digest_key(name))) for name in "ab"]
+    lines = [format_record(KeyRecord(name, digest_key(name))) for name in "ab"]
     known, both = files("known", lines[0]), files("both", "\n".join(lines))
     assert run(["check", "--rules", rules, "--keys", known]) == 0
     assert run(["check", "--rules", rules, "--keys", both]) == 1
@@ -92,6 +93,8 @@
     table = parse_keys(json.dumps(made["publish"]), "keys")
     assert isinstance(table, KeyTable)
     assert table.find_customer(made["key"]) == "stall"
+    shard = parse_key_shard("keys-00", json.dumps(made["publish"]).encode(), 1)
+    assert shard == {digest_key(made["key"]): "stall"}
     assert run(["key", "new", "--customer", "stall"]) == 0
     *_, key, _, line = capsys.readouterr().out.split("\n")[:4]
     assert digest_key(key.strip()) in line
--- a/tests/cli/test_cli_vms.py
+++ b/tests/cli/test_cli_vms.py
@@ -163,6 +163,8 @@
         ("limit: refused stall.b", "stall", False),
         ("place: stall customer=other", "stall", False),
         ("place: customer=stall, first", "stall", True),
+        ('place: x customer="big stall, two"', "stall", True),
+        ('place: x customer="big stall, two"', "x", False),
     ],
 )
 def test_a_line_names_whole_words(text, value, named):
--- a/tests/keys/test_key_table.py
+++ b/tests/keys/test_key_table.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from gentianfold.codes import keys as codes
+from gentianfold.configuration.key_table import KeyRecord, KeyState
 from gentianfold.errors import Failure
 from gentianfold.keys import (
-    KeyEntry,
     KeyTable,
     digest_key,
-    format_entry,
+    format_record,
     new_key,
     parse_keys,
 )
@@ -23,7 +23,7 @@
 
 
 def entry_line(key, customer="stall"):
-    return format_entry(KeyEntry(customer, digest_key(key)))
+    return format_record(KeyRecord(customer, digest_key(key)))
 
 
 def test_a_key_has_its_shape_and_is_published_as_its_digest():
@@ -45,9 +45,17 @@
     assert left.find_by_digest(digest_key(KEY)) is None
 
 
+def test_a_record_in_state_withdrawn_finds_nobody_and_leaves_room_for_others():
+    withdrawn = KeyRecord("stall", digest_key(KEY), KeyState.WITHDRAWN)
+    lines = [format_record(withdrawn), entry_line("a"), entry_line("b")]
+    table = parse_keys("\n".join(lines), "keys")
+    assert table.find_customer(KEY) is None
+    assert table.find_by_digest(digest_key("a")) == "stall"
+
+
 @pytest.mark.parametrize("text", ["", "x", KEY + "x", "gf_\udc80", "\u00e9" * 46])
 def test_a_text_without_the_shape_of_a_key_finds_nobody(text):
-    table = KeyTable.from_entries([KeyEntry("stall", digest_key(text))])
+    table = KeyTable.from_records([KeyRecord("stall", digest_key(text))])
     assert table.find_customer(text) is None
 
 
@@ -58,8 +66,8 @@
         (["[" * 5000], codes.KEY_LINE_INVALID, 1),
         ([KEY], codes.KEY_LINE_INVALID, 1),
         (['{"customer": "a"}'], codes.KEY_LINE_INVALID, 1),
-        (['{"customer": "a b", "key_sha256": ""}'], codes.KEY_LINE_INVALID, 1),
-        (['{"customer": "a", "key_sha256": "00"}'], codes.KEY_LINE_INVALID, 1),
+        (['{"customer": "a b", "digest": ""}'], codes.KEY_LINE_INVALID, 1),
+        (['{"customer": "a", "digest": "00"}'], codes.KEY_LINE_INVALID, 1),
         ([entry_line(KEY), entry_line(KEY, "x")], codes.KEY_DUPLICATE, 2),
         ([entry_line(str(n)) for n in range(3)], codes.TOO_MANY_KEYS, 3),
         (["#" * ((1 << 20) + 1)], codes.KEYS_TOO_LARGE, 1),
