--- a/src/gentianfold/routing/ejection.py
+++ b/src/gentianfold/routing/ejection.py
@@ -42,23 +42,32 @@
     """The VMs whose evidence counts."""
     rng: random.Random
     """Source of jitter."""
+    held: dict[str, UpstreamRow] = attrs.field(factory=dict)
+    """Upstreams without new work until an ejection is confirmed or dropped."""
 
     def judge(self, row: UpstreamRow, now_s: float) -> None:
         """Act on new failures of an upstream."""
         if row.ejected:
             self._fail_trial(row, now_s)
             return
-        service = row.service
-        if not service.service.ejection_enabled:
+        if not row.service.service.ejection_enabled:
             return
-        policy = self.policy
-        observers = min(policy.min_observers, self.observers.vms)
-        zones = min(policy.min_zones, len(self.observers.zones))
-        zone_observers = min(policy.min_observers, self.observers.zone_vms)
+        cause = self._cause(row)
+        if cause is not Cause.NONE:
+            evidence = row.fleet if cause is Cause.FLEET else row.zone
+            self._act(row, evidence, cause, now_s)
+
+    def _cause(self, row: UpstreamRow) -> Cause:
+        """Return which evidence suffices for an ejection."""
+        least = self.policy.min_observers
+        observers = min(least, self.observers.vms)
+        zones = min(self.policy.min_zones, len(self.observers.zones))
         if self._proved(row.fleet, observers, zones):
-            self._act(row, row.fleet, Cause.FLEET, now_s)
-        elif self._proved(row.zone, max(zone_observers, 2), 1):
-            self._act(row, row.zone, Cause.ZONE, now_s)
+            return Cause.FLEET
+        zone_observers = max(2, min(least, self.observers.zone_vms))
+        if self._proved(row.zone, zone_observers, 1):
+            return Cause.ZONE
+        return Cause.NONE
 
     def _proved(self, evidence: Evidence, observers: int, zones: int) -> bool:
         return (
@@ -78,9 +87,31 @@
             self._avoid(row, customer, now_s)
         elif route is not None and _others(route, service.routes_s, now_s):
             self._avoid(row, route, now_s)
+        elif now_s - evidence.first_failure_s < self.policy.confirm_s:
+            self._hold(row, now_s)
         else:
             self.eject(row, cause, now_s)
 
+    def _hold(self, row: UpstreamRow, now_s: float) -> None:
+        """Stop new work until late answers had the time to arrive."""
+        if row.upstream.name not in self.held:
+            self.held[row.upstream.name] = row
+            row.held = True
+            self.resolve(row.service, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Confirm or drop the ejections that were held back."""
+        for name, row in list(self.held.items()):
+            evidence = row.zone if self._cause(row) is Cause.ZONE else row.fleet
+            proved = self._cause(row) is not Cause.NONE
+            if proved and now_s - evidence.first_failure_s < self.policy.confirm_s:
+                continue
+            del self.held[name]
+            row.held = False
+            if proved:
+                self.judge(row, now_s)
+            self.resolve(row.service, now_s)
+
     def _avoid(self, row: UpstreamRow, scope: int, now_s: float) -> None:
         row.avoided[scope] = now_s + self.policy.avoid_s
 
@@ -162,8 +193,8 @@
         service.suspects = [row for row in service.active if row.fleet.score > 0.0]
 
     def _wanted(self, live: list[UpstreamRow], now_s: float) -> list[Removal]:
-        rows = [row for row in live if row.ejected]
-        paused = [r for r in live if not r.ejected and r.paused_until_s > now_s]
+        rows = [row for row in live if row.ejected or row.held]
+        paused = [r for r in live if r.paused_until_s > now_s and r not in rows]
         if paused and self.observers.own.trusted(now_s):
             rows += paused
         return [
--- a/src/gentianfold/routing/evidence.py
+++ b/src/gentianfold/routing/evidence.py
@@ -71,6 +71,8 @@
 
     score: float = 0.0
     """Log-likelihood ratio since the episode began."""
+    first_failure_s: float = -math.inf
+    """Time of the first failure in this episode."""
     last_failure_s: float = -math.inf
     """Time of the last failure."""
     successes: int = 0
@@ -114,6 +116,8 @@
         now_s: float,
     ) -> None:
         """Count one failure, within the share of its observer."""
+        if not self.failures:
+            self.first_failure_s = now_s
         self.last_failure_s = now_s
         seen = self.failures.setdefault(observer, [])
         if len(seen) < max_per_observer:
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -93,6 +93,7 @@
     def retract_failure(self, row: UpstreamRow, source: ObserverRow) -> None:
         """Take back a failure that ended as a late success."""
         weight = row.service.weights.failure
+        row.recent_failures = max(0.0, row.recent_failures - 1.0)
         row.fleet.retract_failure(source.observer, weight)
         if source.observer.zone == self.table.zone:
             row.zone.retract_failure(source.observer, weight)
--- a/src/gentianfold/routing/placement.py
+++ b/src/gentianfold/routing/placement.py
@@ -54,7 +54,7 @@
         if service is None:
             return Failure(UNKNOWN_SERVICE, f"no service {service_name!r}")
         if service.suspects or service.trials:
-            test = self._test(service, exclude, now_s, customer, idempotent)
+            test = self._test(service, exclude, now_s, route, customer, idempotent)
             if test is not None:
                 return test
         return self._two_choices(service, exclude, now_s, route, customer)
@@ -138,6 +138,7 @@
         service: ServiceRow,
         exclude: frozenset[str],
         now_s: float,
+        route: str,
         customer: str,
         idempotent: bool,
     ) -> Choice | None:
@@ -152,7 +153,9 @@
         if self.rng.random() >= service.verify_share:
             return None
         row = service.suspects[int(self.rng.random() * len(service.suspects))]
-        if row.avoided or not self._unclear(row, now_s, customer):
+        if not self._unclear(row, now_s, customer):
+            return None
+        if row.avoided and _avoids(row, route, customer):
             return None
         if not _fits(row, exclude, now_s):
             return None
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -127,7 +127,13 @@
 
     def _forget_removed(self) -> None:
         rows = self.table.rows
-        for held in (self.exchange.news, self.exchange.urgent, self.overdue.busy):
+        tables = (
+            self.exchange.news,
+            self.exchange.urgent,
+            self.overdue.busy,
+            self.ejection.held,
+        )
+        for held in tables:
             gone = [name for name, row in held.items() if rows.get(name) is not row]
             for name in gone:
                 del held[name]
@@ -219,6 +225,7 @@
         """Find overdue attempts, end pauses and recompute weights."""
         for row, attempt in self.overdue.tick(now_s):
             self._fail(row, attempt.scope, now_s)
+        self.ejection.tick(now_s)
         if now_s - self._health_s >= HEALTH_PERIOD_S:
             self._update_health(now_s)
 
--- a/src/gentianfold/routing/upstream_table.py
+++ b/src/gentianfold/routing/upstream_table.py
@@ -124,6 +124,8 @@
     """Failures on this VM since its last success here."""
     paused_until_s: float = -math.inf
     """End of the pause on this VM."""
+    held: bool = False
+    """Whether it gets no new work until an ejection is confirmed or dropped."""
     cause: Cause = Cause.NONE
     """Why it is ejected."""
     ejections: int = 0
@@ -161,7 +163,7 @@
             return HealthState.DRAINING
         if self.removed:
             return HealthState.EJECTED if self.ejected else HealthState.PAUSED
-        if self.ejected or self.paused_until_s > now_s:
+        if self.ejected or self.held or self.paused_until_s > now_s:
             return HealthState.KEPT
         if self.fleet.score > 0.0:
             return HealthState.SUSPECT
