Use upstreams without news first; verify the strongest suspect

Detection waited for the first request at the failed upstream (mean 0.3 s, at most 1.2 s) and for its verification, which stale suspects diluted.

--- a/benchmarks/gray_failures.py
+++ b/benchmarks/gray_failures.py
@@ -25,15 +25,16 @@
     names = [mode.name for mode in gray_modes(SICK, "z1")]
     print(
         f"\n{SITES[site].name}, {placer}, {seeds} seeds\n"
-        "| mode | detected s, median / worst | harmed | harmed late | failed "
+        "| mode | detected s, median / worst | after first harm s | harmed | harmed late | failed "
         "| VMs ejecting | false ejections | least capacity / floor "
-        "| readmitted s, median / worst |\n|---|---|---|---|---|---|---|---|---|"
+        "| readmitted s, median / worst |\n|---|---|---|---|---|---|---|---|---|---|"
     )
     for index in modes:
         results = [run_mode(SITES[site], placer, index, s) for s in range(seeds)]
         median = statistics.median
         print(
             f"| {names[index]} | {summarise([r.detected_s for r in results])} "
+            f"| {summarise([r.reacted_s for r in results])} "
             f"| {median(r.harmed for r in results):.0f} "
             f"| {median(r.harmed_late for r in results):.0f} "
             f"| {median(r.failed for r in results):.0f} "
--- a/src/gentianfold/reports/gray_failures.py
+++ b/src/gentianfold/reports/gray_failures.py
@@ -82,6 +82,8 @@
 
     detected_s: float | None
     """Time from the fault to the last ordinary work; ``None`` if not detected."""
+    reacted_s: float | None
+    """The same, counted from the first attempt that the fault harmed."""
     harmed: int
     """Attempts that the fault harmed."""
     harmed_late: int
@@ -126,8 +128,11 @@
     world.servers[sick].slots = site.slots
     ejecting_vms = watch.most_ejecting
     watch.run(heal_s)
+    stopped_s = detected_s(world, sick, fault_s) if mode.ejectable else None
+    first_s = world.harmed[0][0] - WARM_S if world.harmed else 0.0
     return ModeResult(
-        detected_s(world, sick, fault_s) if mode.ejectable else None,
+        stopped_s,
+        None if stopped_s is None else max(0.0, stopped_s - first_s),
         len(world.harmed),
         sum(time_s > WARM_S + fault_s * 2 / 3 for time_s, _ in world.harmed),
         ejecting_vms,
--- a/src/gentianfold/routing/choice.py
+++ b/src/gentianfold/routing/choice.py
@@ -20,6 +20,8 @@
     """The less loaded of two random candidates."""
     SAME_ZONE = "same zone"
     """Loads were close; one is in the zone of this VM."""
+    NO_NEWS = "no news of it for longest"
+    """Loads were close; no VM used one of them lately."""
     FREE_SLOT = "found by scan"
     """The random candidates were unfit; a scan found one."""
     VERIFY = "verifies a suspect"
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -57,6 +57,7 @@
     ) -> None:
         """Count successes that an observer saw."""
         observer = source.observer
+        row.seen_s = now_s
         row.recent_successes += count
         source.last_success_s[row.upstream.name] = now_s
         weights = row.service.weights
@@ -76,6 +77,7 @@
     ) -> None:
         """Count failures that an observer saw, unless its own path is suspect."""
         observer = source.observer
+        row.seen_s = now_s
         source.last_failure_s[row.upstream.name] = now_s
         if not source.trusted(now_s):
             return
--- a/src/gentianfold/routing/placement.py
+++ b/src/gentianfold/routing/placement.py
@@ -82,17 +82,26 @@
             if first is None:
                 first = row
                 continue
-            return self._better(first, row)
+            return self._better(first, row, now_s)
         return self._scan(service, exclude, now_s, route, customer)
 
-    def _better(self, first: UpstreamRow, second: UpstreamRow) -> Choice:
-        """Prefer the less loaded; the zone decides when loads are close."""
+    def _better(self, first: UpstreamRow, second: UpstreamRow, now_s: float) -> Choice:
+        """Prefer the less loaded; if loads are close, news or the zone decides.
+
+        An upstream that nobody used for a while may have failed unnoticed. Work
+        that goes there first keeps such gaps short.
+        """
         first_load = first.load / first.upstream.slots
         second_load = second.load / second.upstream.slots
+        if abs(first_load - second_load) > self.policy.zone_penalty:
+            row = first if first_load < second_load else second
+            return Choice(row.upstream, Reason.LESS_LOAD)
+        oldest = first if first.seen_s <= second.seen_s else second
+        if oldest.seen_s < now_s - self.policy.fresh_s:
+            return Choice(oldest.upstream, Reason.NO_NEWS)
         if first.same_zone is not second.same_zone:
             near = first if first.same_zone else second
-            if abs(first_load - second_load) <= self.policy.zone_penalty:
-                return Choice(near.upstream, Reason.SAME_ZONE)
+            return Choice(near.upstream, Reason.SAME_ZONE)
         row = first if first_load <= second_load else second
         return Choice(row.upstream, Reason.LESS_LOAD)
 
@@ -152,13 +161,17 @@
             return None
         if self.rng.random() >= service.verify_share:
             return None
-        row = service.suspects[int(self.rng.random() * len(service.suspects))]
-        if not self._unclear(row, now_s, customer):
-            return None
-        if row.avoided and _avoids(row, route, customer):
-            return None
-        if not _fits(row, exclude, now_s):
+        unclear = [
+            row
+            for row in service.suspects
+            if self._unclear(row, now_s, customer)
+            and _fits(row, exclude, now_s)
+            and not (row.avoided and _avoids(row, route, customer))
+        ]
+        if not unclear:
             return None
+        # The strongest suspicion first: it is the soonest to be decided.
+        row = max(unclear, key=lambda r: r.fleet.score)
         return Choice(row.upstream, Reason.VERIFY, trial=True)
 
     def _unclear(self, row: UpstreamRow, now_s: float, customer: str) -> bool:
--- a/src/gentianfold/routing/policy.py
+++ b/src/gentianfold/routing/policy.py
@@ -62,7 +62,9 @@
     overdue_ratio: float = 2.0
     """Age of an overdue attempt relative to the 95th latency percentile."""
     zone_penalty: float = 0.1
-    """Load difference up to which an upstream of another zone loses."""
+    """Load difference up to which zone and news decide between two upstreams."""
+    fresh_s: float = 0.6
+    """Age of the news of an upstream up to which the zone decides."""
     load_max_age_s: float = 3.0
     """Age above which the load that a peer reported is dropped."""
     peer_max_age_s: float = 30.0
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -159,6 +159,7 @@
         """Count an attempt in flight."""
         row = self.table.rows.get(upstream)
         if row is not None:
+            row.seen_s = now_s
             self.overdue.start(row, _scope(route, customer), now_s)
 
     def finished(self, outcome: Outcome, now_s: float) -> None:
@@ -261,6 +262,13 @@
             if active.full_until_s <= now_s
         )
 
+    def path_suspect(self, now_s: float) -> bool:
+        """Return whether most upstreams fail from this VM, so that it may be cut off.
+
+        The platform's balancer should prefer other VMs then.
+        """
+        return not self.observers.own.trusted(now_s)
+
     def connection_budget(self, upstream: str) -> int:
         """Return how many connections this VM may open to an upstream."""
         row = self.table.rows.get(upstream)
--- a/src/gentianfold/routing/upstream_table.py
+++ b/src/gentianfold/routing/upstream_table.py
@@ -85,6 +85,8 @@
     """The attempts in flight, oldest first."""
     remote_load: float = 0.0
     """Attempts of other VMs in flight, as last reported."""
+    seen_s: float = -math.inf
+    """Time of the last news of an attempt by any VM."""
     busy_s: float = 0.0
     """Slot time that attempts took since the last heartbeat."""
     full_until_s: float = -math.inf
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -75,6 +75,8 @@
         fail_from(fleet, upstream.name, [0])
     router = fleet.routers[0]
     router.on_tick(fleet.now_s + 1.0)
+    assert router.path_suspect(fleet.now_s)
+    assert not fleet.routers[1].path_suspect(fleet.now_s)
     assert len(router.table.services["registry"].active) == 6
     assert all(fleet.ejected_by(u.name) == [] for u in fleet.upstreams)
 
@@ -202,6 +204,19 @@
     assert "registry-0" not in names
 
 
+def test_work_goes_first_to_an_upstream_without_news():
+    fleet = Fleet(upstreams=make_upstreams(count=3, zones=1))
+    fleet.advance(5.0)
+    for name in ("registry-0", "registry-1"):
+        fleet.attempt(1, name)
+    fleet.exchange()
+    choices = [
+        fleet.routers[0].choose("registry", NONE, fleet.now_s).upstream.name
+        for _ in range(60)
+    ]
+    assert choices.count("registry-2") > 30
+
+
 def test_load_of_peers_counts_until_it_ages():
     fleet = Fleet()
     for _ in range(6):
