Judge scopes by their share of traffic; keep heartbeats within a budget

'30% times out' was put down to one route or customer for seconds, since all successes spoke for the others. Only the others' share of them does now.

Heartbeats carry the most important news first and at most 4,000 bytes a second to all peers together. Successes are merged before the failure they came with, and at most three of a sketch speak against a suspicion, so that old ones don't end it.

--- a/src/gentianfold/routing/ejection.py
+++ b/src/gentianfold/routing/ejection.py
@@ -18,8 +18,6 @@
     from gentianfold.routing.policy import RoutingPolicy
     from gentianfold.routing.upstream_table import ServiceRow, UpstreamRow
 
-SCOPE_MEMORY_S = 60.0
-"""Time for which a route or customer counts as active."""
 LATE_ANSWER_S = 1.0
 """Time after an ejection in which answers to earlier work may come."""
 TRIAL_BACKOFF_FACTOR = 1.5
@@ -81,11 +79,14 @@
     ) -> None:
         """Eject for all, or keep away the one customer or route that fails."""
         service, proof = row.service, self.policy.scope_score
-        customer = evidence.narrow_scope(evidence.customers, service.weights, proof)
-        route = evidence.narrow_scope(evidence.routes, service.weights, proof)
-        if customer is not None and _others(customer, service.customers_s, now_s):
+        weights = service.weights
+        customer = evidence.narrow_scope(
+            evidence.customers, service.customers, weights, proof
+        )
+        route = evidence.narrow_scope(evidence.routes, service.routes, weights, proof)
+        if customer is not None:
             self._avoid(row, customer, now_s)
-        elif route is not None and _others(route, service.routes_s, now_s):
+        elif route is not None:
             self._avoid(row, route, now_s)
         elif now_s - evidence.first_failure_s < self.policy.confirm_s:
             self._hold(row, now_s)
@@ -206,12 +207,6 @@
         ]
 
 
-def _others(scope: int, seen_s: dict[int, float], now_s: float) -> bool:
-    """Return whether other routes or customers were active lately."""
-    since_s = now_s - SCOPE_MEMORY_S
-    return any(key != scope and time_s >= since_s for key, time_s in seen_s.items())
-
-
 def _badness(row: UpstreamRow) -> float:
     """Rank ejected upstreams above paused ones, then by failure rate."""
     total = row.recent_failures + row.recent_successes
--- a/src/gentianfold/routing/evidence.py
+++ b/src/gentianfold/routing/evidence.py
@@ -14,10 +14,14 @@
     from collections.abc import Iterator
 
     from gentianfold.routing.policy import RoutingPolicy
+    from gentianfold.routing.traffic import TrafficMix
 
 UNSCOPED = 0
 """Scope of failures that don't depend on route or customer."""
 
+MAX_NARROW_SHARE = 0.95
+"""Share of traffic above which a scope stands for the whole service."""
+
 
 def scope_key(text: str) -> int:
     """Return a 16-bit key of a route or customer name, never ``UNSCOPED``."""
@@ -137,19 +141,25 @@
             self.clear()
 
     def narrow_scope(
-        self, failed: Counter[int], weights: EvidenceWeights, proof: float
+        self,
+        failed: Counter[int],
+        traffic: TrafficMix,
+        weights: EvidenceWeights,
+        proof: float,
     ) -> int | None:
         """Return the one customer or route that explains the failures, if any.
 
-        It explains them unless the failures of the others, against the successes,
-        tell of a fault by themselves.
+        It explains them unless it accounts for nearly all traffic, or the failures
+        of the others, against their share of the successes, prove a fault too.
         """
         scope, count = failed.most_common(1)[0]
-        others = failed.total() - count
-        rest = others * weights.failure + self.successes * weights.success
-        if scope == UNSCOPED or rest >= proof:
+        share = traffic.share(scope)
+        if scope == UNSCOPED or share > MAX_NARROW_SHARE:
             return None
-        return scope
+        others = failed.total() - count
+        successes = self.successes * (1.0 - share)
+        rest = others * weights.failure + successes * weights.success
+        return None if rest >= proof else scope
 
     def clear(self) -> None:
         """Start over."""
--- a/src/gentianfold/routing/exchange.py
+++ b/src/gentianfold/routing/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from heapq import nlargest
 from itertools import chain, islice, repeat
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,8 @@
     from gentianfold.routing.policy import RoutingPolicy
     from gentianfold.routing.upstream_table import UpstreamRow, UpstreamTable
 
+ITEM_BYTES = 24
+"""Size of one item on the wire, nearly always."""
 MAX_COUNT_STEP = 10_000
 """Largest change of a counter that one sketch may report."""
 
@@ -53,19 +56,32 @@
     """Time of the last heartbeat."""
 
     def heartbeat_payload(self, now_s: float) -> bytes:
-        """Encode all news; upstreams left out for size follow next time."""
+        """Encode the news; upstreams left out for size follow later.
+
+        Empty if there are none: a peer then only learns that this VM is alive.
+        """
         interval_s = max(now_s - self.heartbeat_s, 0.05)
         self.heartbeat_s = now_s
         for name, row in self.table.rows.items():
             if row.in_flight:
                 self.news[name] = row
-        rows = list(islice(self.news.values(), self.policy.max_sketch_items))
+        rows = self._most_important()
         items = [self._item(row, now_s, interval_s) for row in rows]
         for row in rows:
             self.news.pop(row.upstream.name)
             self.urgent.pop(row.upstream.name, None)
             row.busy_s = 0.0
-        return self._encode(True, items)
+        return self._encode(True, items) if items else b""
+
+    def _most_important(self) -> list[UpstreamRow]:
+        """Return the upstreams whose news fit into the budget for all peers."""
+        policy = self.policy
+        peers = max(1, len(self.observers.rows))
+        fitting = int(policy.peer_bytes_per_s / peers / ITEM_BYTES)
+        limit = min(policy.max_sketch_items, fitting)
+        if len(self.news) <= limit:
+            return list(self.news.values())
+        return nlargest(limit, self.news.values(), key=_importance)
 
     def urgent_payload(self, now_s: float) -> bytes | None:
         """Encode the news that can't wait, if there is any."""
@@ -112,6 +128,9 @@
         """Merge the sketch of another VM."""
         if vm == self.observers.own.observer.vm:
             return None
+        if not payload:
+            self.clear_loads(self.observers.hear(vm, zone, now_s))
+            return None
         sketch = decode(payload, self.policy.max_sketch_bytes)
         if isinstance(sketch, Failure):
             return sketch
@@ -140,13 +159,14 @@
             successes, failures = item.successes - last[0], item.failures - last[1]
         if max(abs(successes), abs(failures)) > MAX_COUNT_STEP:
             return
+        # The successes came before the failure that a sketch is sent for.
+        if successes > 0:
+            self.health.add_successes(row, source, successes, now_s)
         if failures < 0:
             self.health.retract_failure(row, source)
         elif failures > 0:
             scopes = _scopes(item.scopes, failures)
             self.health.add_failures(row, source, scopes, now_s)
-        if successes > 0:
-            self.health.add_successes(row, source, successes, now_s)
         if item.latencies > 0:
             sum_s = item.latency / LATENCY_SCALE
             self.health.add_latencies(row, sum_s, item.latencies)
@@ -169,6 +189,11 @@
                 self.observers.forget(vm)
 
 
+def _importance(row: UpstreamRow) -> tuple[int, float]:
+    """Rank unsent failures first, then suspects, then load."""
+    return len(row.failed_scopes) * 2 + (row.fleet.score > 0.0), row.busy_s
+
+
 def _scopes(scopes: tuple[tuple[int, int], ...], count: int) -> Iterable[Scope]:
     """Return one scope for each failure; repeat the last if some are missing."""
     known = [Scope(*scope) for scope in scopes] or [Scope()]
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -63,10 +63,11 @@
         row.recent_successes += count
         source.last_success_s[row.upstream.name] = now_s
         weights = row.service.weights
-        row.fleet.add_successes(count, weights)
+        fresh = min(count, self.policy.max_successes_per_sketch)
+        row.fleet.add_successes(fresh, weights)
         in_zone = observer.zone == self.table.zone
         if in_zone:
-            row.zone.add_successes(count, weights)
+            row.zone.add_successes(fresh, weights)
         if row.ejected and (in_zone or row.cause.name == "FLEET"):
             self.ejection.credit_trial(row, count, now_s)
 
--- a/src/gentianfold/routing/policy.py
+++ b/src/gentianfold/routing/policy.py
@@ -31,6 +31,8 @@
     """Half-life of counts that set weights and baselines."""
     confirm_s: float = 1.0
     """Time from the first failure to an ejection; a short pause ends in it."""
+    max_successes_per_sketch: int = 3
+    """Successes of one sketch that count against a suspicion; older ones don't."""
     episode_s: float = 20.0
     """Time without a failure after which an episode is over."""
     local_pause_s: float = 2.0
@@ -71,6 +73,8 @@
     """Silence after which a peer is forgotten."""
     max_sketch_bytes: int = 4096
     """Largest encoded sketch."""
+    peer_bytes_per_s: float = 4000.0
+    """Heartbeat bytes a second that a VM sends to all its peers together."""
     max_sketch_items: int = 100
     """Most upstreams in one sketch."""
     min_subset: int = 8
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -172,8 +172,8 @@
         attempt = self.overdue.finish(row, scope, start_s)
         row.busy_s += now_s - max(start_s, self.exchange.heartbeat_s)
         service = row.service
-        service.routes_s[scope.route] = now_s
-        service.customers_s[scope.customer] = now_s
+        service.routes.record(scope.route)
+        service.customers.record(scope.customer)
         self.exchange.news[outcome.upstream] = row
         counted = attempt is not None and attempt.overdue
         if outcome.kind is OutcomeKind.OK:
--- a/src/gentianfold/routing/upstream_table.py
+++ b/src/gentianfold/routing/upstream_table.py
@@ -12,6 +12,7 @@
 from gentianfold.model import UpstreamState
 from gentianfold.routing.evidence import Evidence, EvidenceWeights, Scope
 from gentianfold.routing.latency import LatencyHistogram
+from gentianfold.routing.traffic import TrafficMix
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -208,10 +209,10 @@
     """Weights of outcomes against that baseline."""
     verify_share: float = 0.0
     """Share of idempotent requests that verify a suspect."""
-    routes_s: dict[int, float] = attrs.field(factory=dict)
-    """When each route was last seen."""
-    customers_s: dict[int, float] = attrs.field(factory=dict)
-    """When each customer was last seen."""
+    routes: TrafficMix = attrs.field(factory=TrafficMix)
+    """Shares of routes on this VM."""
+    customers: TrafficMix = attrs.field(factory=TrafficMix)
+    """Shares of customers on this VM."""
 
 
 @attrs.define(eq=False)
--- a/tests/routing/test_sketch.py
+++ b/tests/routing/test_sketch.py
@@ -5,6 +5,7 @@
 
 from gentianfold.codes.routing import SKETCH_MALFORMED, SKETCH_TOO_LARGE
 from gentianfold.errors import Failure
+from gentianfold.routing.outcome import OutcomeKind
 from gentianfold.routing.sketch import Sketch, SketchItem, decode, encode
 
 from .fleet import Fleet, make_upstreams
@@ -53,3 +54,22 @@
     for payload in (first, first, third, third):
         fleet.spread(sender, payload)
     assert fleet.row(1, "registry-0").recent_successes == 3
+
+
+def test_heartbeats_of_large_fleets_keep_within_their_budget():
+    fleet = Fleet(vms=2, upstreams=make_upstreams(count=100))
+    sender = fleet.routers[0]
+    for index in range(2, 40):
+        fleet.routers[0].on_heartbeat(f"vm{index}", "z0", b"", fleet.now_s)
+    for upstream in fleet.upstreams:
+        fleet.attempt(0, upstream.name)
+    fleet.attempt(0, "registry-99", OutcomeKind.ERROR)
+    payload = sender.heartbeat_payload(fleet.now_s)
+    assert len(payload) * 39 <= sender.policy.peer_bytes_per_s * 1.1
+    fleet.spread(sender, payload)
+    assert fleet.row(1, "registry-99").recent_failures == 1
+    for index in range(40, 600):
+        fleet.routers[0].on_heartbeat(f"vm{index}", "z0", b"", fleet.now_s)
+    assert sender.heartbeat_payload(fleet.now_s) == b""
+    fleet.attempt(0, "registry-98", OutcomeKind.ERROR)
+    assert sender.urgent_payload(fleet.now_s)
