--- a/benchmarks/gray_failures.py
+++ b/benchmarks/gray_failures.py
@@ -25,15 +25,16 @@
     names = [mode.name for mode in gray_modes(SICK, "z1")]
     print(
         f"\n{SITES[site].name}, {placer}, {seeds} seeds\n"
-        "| mode | detected s, median / worst | harmed | harmed late | failed "
+        "| mode | detected s, median / worst | after first harm s | harmed | harmed late | failed "
         "| VMs ejecting | false ejections | least capacity / floor "
-        "| readmitted s, median / worst |\n|---|---|---|---|---|---|---|---|---|"
+        "| readmitted s, median / worst |\n|---|---|---|---|---|---|---|---|---|---|"
     )
     for index in modes:
         results = [run_mode(SITES[site], placer, index, s) for s in range(seeds)]
         median = statistics.median
         print(
             f"| {names[index]} | {summarise([r.detected_s for r in results])} "
+            f"| {summarise([r.reacted_s for r in results])} "
             f"| {median(r.harmed for r in results):.0f} "
             f"| {median(r.harmed_late for r in results):.0f} "
             f"| {median(r.failed for r in results):.0f} "
@@ -48,13 +49,13 @@
 def print_noise(site: str, placer: str, seed: int, duration_s: float) -> None:
     """Print the false ejections under noise, and under noise with bursts."""
     for name, noise in (("noise", Noise()), ("bursts", Noise(burst_period_s=120.0))):
-        count, _, world = run_noise(SITES[site], placer, noise, seed, duration_s)
+        count, held, world = run_noise(SITES[site], placer, noise, seed, duration_s)
         exchange = world.exchange
         sent = exchange.sent_bytes / duration_s / len(world.placers) if exchange else 0
         urgent = exchange.urgent_payloads / duration_s if exchange else 0
         print(
             f"{SITES[site].name}, {placer}, {name}, {duration_s:.0f} s: "
-            f"{count} false ejections, {dict(world.results)}, "
+            f"{count} false ejections, {held} s held, {dict(world.results)}, "
             f"{sent:.0f} payload bytes/s a VM, {urgent:.2f} urgent payloads/s",
             flush=True,
         )
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from heapq import nsmallest
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,10 +24,18 @@
         UpstreamTable,
     )
 
+PERIOD_S = 1.0
+"""Time between recomputations of a service."""
+ROWS_PER_S = 400.0
+"""Upstreams a second above which quiet services are recomputed less often."""
+MAX_DUE = 16
+"""Services recomputed in one tick."""
 VERIFY_RATE_PER_S = 15.0
 """Requests that verify a suspect, over all VMs."""
 PRIOR_REQUESTS = 50.0
 """Weight of the least baseline against what was seen."""
+FAILING_EXCESS = 0.1
+"""Failure rate above the baseline at which an upstream is still verified."""
 MIN_LATENCIES = 8.0
 """Latencies of an upstream from which it is compared."""
 MIN_OVERDUE_SAMPLES = 20.0
@@ -57,13 +66,15 @@
     ) -> None:
         """Count successes that an observer saw."""
         observer = source.observer
+        row.seen_s = now_s
         row.recent_successes += count
         source.last_success_s[row.upstream.name] = now_s
         weights = row.service.weights
-        row.fleet.add_successes(count, weights)
+        fresh = min(count, self.policy.max_successes_per_sketch)
+        row.fleet.add_successes(fresh, weights)
         in_zone = observer.zone == self.table.zone
         if in_zone:
-            row.zone.add_successes(count, weights)
+            row.zone.add_successes(fresh, weights)
         if row.ejected and (in_zone or row.cause.name == "FLEET"):
             self.ejection.credit_trial(row, count, now_s)
 
@@ -76,6 +87,7 @@
     ) -> None:
         """Count failures that an observer saw, unless its own path is suspect."""
         observer = source.observer
+        row.seen_s = now_s
         source.last_failure_s[row.upstream.name] = now_s
         if not source.trusted(now_s):
             return
@@ -93,6 +105,7 @@
     def retract_failure(self, row: UpstreamRow, source: ObserverRow) -> None:
         """Take back a failure that ended as a late success."""
         weight = row.service.weights.failure
+        row.recent_failures = max(0.0, row.recent_failures - 1.0)
         row.fleet.retract_failure(source.observer, weight)
         if source.observer.zone == self.table.zone:
             row.zone.retract_failure(source.observer, weight)
@@ -120,19 +133,37 @@
         row.recent_latency_s += sum_s
         row.recent_latencies += count
 
-    def tick(self, elapsed_s: float, now_s: float) -> None:
-        """Decay counts and recompute baselines, weights and deadlines."""
+    def tick(self, now_s: float) -> None:
+        """Recompute the services that are due, a few at a time.
+
+        Where something is going on they are due each second, else less often the
+        more upstreams there are.
+        """
+        period_s = max(PERIOD_S, len(self.table.rows) / ROWS_PER_S)
+        due = [
+            service
+            for service in self.table.services.values()
+            if now_s - service.ticked_s
+            >= (PERIOD_S if service.unsettled else period_s) - 1e-6
+        ]
+        for service in nsmallest(MAX_DUE, due, key=lambda s: s.ticked_s):
+            self.update(service, now_s)
+
+    def update(self, service: ServiceRow, now_s: float) -> None:
+        """Decay counts and recompute baseline, weights and deadlines."""
+        elapsed_s = now_s - service.ticked_s
+        service.ticked_s = now_s
         decay = 0.5 ** (elapsed_s / self.policy.evidence_half_life_s)
-        for service in self.table.services.values():
-            for row in service.rows:
-                row.recent_successes *= decay
-                row.recent_failures *= decay
-                row.recent_latency_s *= decay
-                row.recent_latencies *= decay
-                self._end_episode(row, now_s)
-            self._update_service(service)
-            self._update_overdue(service)
-            self._update_weights(service, now_s)
+        for row in service.rows:
+            row.recent_successes *= decay
+            row.recent_failures *= decay
+            row.recent_latency_s *= decay
+            row.recent_latencies *= decay
+            self._end_episode(row, now_s)
+        self._update_service(service)
+        self._update_overdue(service)
+        self._update_weights(service, now_s)
+        self.ejection.resolve(service, now_s)
 
     def _end_episode(self, row: UpstreamRow, now_s: float) -> None:
         for evidence in (row.fleet, row.zone):
@@ -184,6 +215,7 @@
         total = row.recent_failures + row.recent_successes
         rate = row.recent_failures / (total + 2.0)
         excess = max(0.0, rate - 2 * row.service.baseline_rate)
+        row.failing = excess > FAILING_EXCESS
         weight = max(0.0, 1.0 - 3.0 * excess)
         if row.probe_failed:
             weight *= 0.8
--- a/src/gentianfold/routing/placement.py
+++ b/src/gentianfold/routing/placement.py
@@ -54,7 +54,7 @@
         if service is None:
             return Failure(UNKNOWN_SERVICE, f"no service {service_name!r}")
         if service.suspects or service.trials:
-            test = self._test(service, exclude, now_s, customer, idempotent)
+            test = self._test(service, exclude, now_s, route, customer, idempotent)
             if test is not None:
                 return test
         return self._two_choices(service, exclude, now_s, route, customer)
@@ -82,17 +82,26 @@
             if first is None:
                 first = row
                 continue
-            return self._better(first, row)
+            return self._better(first, row, now_s)
         return self._scan(service, exclude, now_s, route, customer)
 
-    def _better(self, first: UpstreamRow, second: UpstreamRow) -> Choice:
-        """Prefer the less loaded; the zone decides when loads are close."""
+    def _better(self, first: UpstreamRow, second: UpstreamRow, now_s: float) -> Choice:
+        """Prefer the less loaded; if loads are close, news or the zone decides.
+
+        An upstream that nobody used for a while may have failed unnoticed. Work
+        that goes there first keeps such gaps short.
+        """
         first_load = first.load / first.upstream.slots
         second_load = second.load / second.upstream.slots
+        if abs(first_load - second_load) > self.policy.zone_penalty:
+            row = first if first_load < second_load else second
+            return Choice(row.upstream, Reason.LESS_LOAD)
+        oldest = first if first.seen_s <= second.seen_s else second
+        if oldest.seen_s < now_s - self.policy.fresh_s:
+            return Choice(oldest.upstream, Reason.NO_NEWS)
         if first.same_zone is not second.same_zone:
             near = first if first.same_zone else second
-            if abs(first_load - second_load) <= self.policy.zone_penalty:
-                return Choice(near.upstream, Reason.SAME_ZONE)
+            return Choice(near.upstream, Reason.SAME_ZONE)
         row = first if first_load <= second_load else second
         return Choice(row.upstream, Reason.LESS_LOAD)
 
@@ -138,6 +147,7 @@
         service: ServiceRow,
         exclude: frozenset[str],
         now_s: float,
+        route: str,
         customer: str,
         idempotent: bool,
     ) -> Choice | None:
@@ -151,22 +161,30 @@
             return None
         if self.rng.random() >= service.verify_share:
             return None
-        row = service.suspects[int(self.rng.random() * len(service.suspects))]
-        if row.avoided or not self._unclear(row, now_s, customer):
-            return None
-        if not _fits(row, exclude, now_s):
+        unclear = [
+            row
+            for row in service.suspects
+            if self._unclear(row, now_s, customer)
+            and _fits(row, exclude, now_s)
+            and not (row.avoided and _avoids(row, route, customer))
+        ]
+        if not unclear:
             return None
+        # The strongest suspicion first: it is the soonest to be decided.
+        row = max(unclear, key=lambda r: r.fleet.score)
         return Choice(row.upstream, Reason.VERIFY, trial=True)
 
     def _unclear(self, row: UpstreamRow, now_s: float, customer: str) -> bool:
         """Return whether this customer's request can tell more of a suspect."""
         evidence = row.fleet
-        if evidence.score <= 0.0 or row.removed:
-            return False
-        if now_s - evidence.last_failure_s > self.policy.verify_s:
-            return False
         # The customer that failed alone can't tell whether others fail too.
-        return evidence.customers.keys() != {scope_key(customer)}
+        if row.removed or evidence.customers.keys() == {scope_key(customer)}:
+            return False
+        # A low weight leaves too little work to decide by.
+        if row.failing and row.weight < 1.0:
+            return True
+        recent = now_s - evidence.last_failure_s <= self.policy.verify_s
+        return recent and evidence.score > 0.0
 
 
 def _fits(row: UpstreamRow, exclude: frozenset[str], now_s: float) -> bool:
--- a/src/gentianfold/routing/policy.py
+++ b/src/gentianfold/routing/policy.py
@@ -29,6 +29,10 @@
     """Zones that those VMs must span, if the fleet spans as many."""
     evidence_half_life_s: float = 10.0
     """Half-life of counts that set weights and baselines."""
+    confirm_s: float = 1.0
+    """Time from the first failure to an ejection; a short pause ends in it."""
+    max_successes_per_sketch: int = 3
+    """Successes of one sketch that count against a suspicion; older ones don't."""
     episode_s: float = 20.0
     """Time without a failure after which an episode is over."""
     local_pause_s: float = 2.0
@@ -60,13 +64,17 @@
     overdue_ratio: float = 2.0
     """Age of an overdue attempt relative to the 95th latency percentile."""
     zone_penalty: float = 0.1
-    """Load difference up to which an upstream of another zone loses."""
+    """Load difference up to which zone and news decide between two upstreams."""
+    fresh_s: float = 0.6
+    """Age of the news of an upstream up to which the zone decides."""
     load_max_age_s: float = 3.0
     """Age above which the load that a peer reported is dropped."""
     peer_max_age_s: float = 30.0
     """Silence after which a peer is forgotten."""
     max_sketch_bytes: int = 4096
     """Largest encoded sketch."""
+    peer_bytes_per_s: float = 4000.0
+    """Heartbeat bytes a second that a VM sends to all its peers together."""
     max_sketch_items: int = 100
     """Most upstreams in one sketch."""
     min_subset: int = 8
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -28,8 +28,8 @@
     from gentianfold.routing.outcome import Outcome
     from gentianfold.routing.upstream_table import UpstreamRow
 
-HEALTH_PERIOD_S = 1.0
-"""Time between recomputations of weights and baselines."""
+PEER_CHECK_PERIOD_S = 1.0
+"""Time between searches for silent peers."""
 SHED_PAUSE_S = 0.25
 """Time for which an upstream counts as full after it shed load."""
 
@@ -90,7 +90,7 @@
         self.placement = PlacementSystem(self.policy, self.table, rng)
         self._fleet_vms = 1
         self._group_sizes: dict[str, int] = {}
-        self._health_s = 0.0
+        self._peers_checked_s = 0.0
         self._snapshot_seen = False
 
     def on_snapshot(
@@ -123,11 +123,18 @@
                 row.weight = self.policy.min_weight
         self._snapshot_seen = True
         self._forget_removed()
-        self._update_health(now_s)
+        for service in self.table.services.values():
+            self.health.update(service, now_s)
 
     def _forget_removed(self) -> None:
         rows = self.table.rows
-        for held in (self.exchange.news, self.exchange.urgent, self.overdue.busy):
+        tables = (
+            self.exchange.news,
+            self.exchange.urgent,
+            self.overdue.busy,
+            self.ejection.held,
+        )
+        for held in tables:
             gone = [name for name, row in held.items() if rows.get(name) is not row]
             for name in gone:
                 del held[name]
@@ -153,6 +160,7 @@
         """Count an attempt in flight."""
         row = self.table.rows.get(upstream)
         if row is not None:
+            row.seen_s = now_s
             self.overdue.start(row, _scope(route, customer), now_s)
 
     def finished(self, outcome: Outcome, now_s: float) -> None:
@@ -165,8 +173,8 @@
         attempt = self.overdue.finish(row, scope, start_s)
         row.busy_s += now_s - max(start_s, self.exchange.heartbeat_s)
         service = row.service
-        service.routes_s[scope.route] = now_s
-        service.customers_s[scope.customer] = now_s
+        service.routes.record(scope.route)
+        service.customers.record(scope.customer)
         self.exchange.news[outcome.upstream] = row
         counted = attempt is not None and attempt.overdue
         if outcome.kind is OutcomeKind.OK:
@@ -219,15 +227,11 @@
         """Find overdue attempts, end pauses and recompute weights."""
         for row, attempt in self.overdue.tick(now_s):
             self._fail(row, attempt.scope, now_s)
-        if now_s - self._health_s >= HEALTH_PERIOD_S:
-            self._update_health(now_s)
-
-    def _update_health(self, now_s: float) -> None:
-        self.exchange.tick(now_s)
-        self.health.tick(now_s - self._health_s, now_s)
-        self._health_s = now_s
-        for service in self.table.services.values():
-            self.ejection.resolve(service, now_s)
+        self.ejection.tick(now_s)
+        self.health.tick(now_s)
+        if now_s - self._peers_checked_s >= PEER_CHECK_PERIOD_S:
+            self._peers_checked_s = now_s
+            self.exchange.tick(now_s)
 
     def heartbeat_payload(self, now_s: float) -> bytes:
         """Return the sketch for all peers, once a second."""
@@ -254,6 +258,13 @@
             if active.full_until_s <= now_s
         )
 
+    def path_suspect(self, now_s: float) -> bool:
+        """Return whether most upstreams fail from this VM, so that it may be cut off.
+
+        The platform's balancer should prefer other VMs then.
+        """
+        return not self.observers.own.trusted(now_s)
+
     def connection_budget(self, upstream: str) -> int:
         """Return how many connections this VM may open to an upstream."""
         row = self.table.rows.get(upstream)
--- a/src/gentianfold/routing/upstream_table.py
+++ b/src/gentianfold/routing/upstream_table.py
@@ -12,6 +12,7 @@
 from gentianfold.model import UpstreamState
 from gentianfold.routing.evidence import Evidence, EvidenceWeights, Scope
 from gentianfold.routing.latency import LatencyHistogram
+from gentianfold.routing.traffic import TrafficMix
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -85,6 +86,8 @@
     """The attempts in flight, oldest first."""
     remote_load: float = 0.0
     """Attempts of other VMs in flight, as last reported."""
+    seen_s: float = -math.inf
+    """Time of the last news of an attempt by any VM."""
     busy_s: float = 0.0
     """Slot time that attempts took since the last heartbeat."""
     full_until_s: float = -math.inf
@@ -117,6 +120,8 @@
     """Decayed sum of latencies over all observers."""
     recent_latencies: float = 0.0
     """Decayed number of latencies over all observers."""
+    failing: bool = False
+    """Whether its failure rate is well above that of the service."""
     probe_failed: bool = False
     """Whether the last health probe failed."""
 
@@ -124,6 +129,8 @@
     """Failures on this VM since its last success here."""
     paused_until_s: float = -math.inf
     """End of the pause on this VM."""
+    held: bool = False
+    """Whether it gets no new work until an ejection is confirmed or dropped."""
     cause: Cause = Cause.NONE
     """Why it is ejected."""
     ejections: int = 0
@@ -161,7 +168,7 @@
             return HealthState.DRAINING
         if self.removed:
             return HealthState.EJECTED if self.ejected else HealthState.PAUSED
-        if self.ejected or self.paused_until_s > now_s:
+        if self.ejected or self.held or self.paused_until_s > now_s:
             return HealthState.KEPT
         if self.fleet.score > 0.0:
             return HealthState.SUSPECT
@@ -186,8 +193,10 @@
     """Ejected upstreams."""
     active_slots: int = 0
     """Slots of the active upstreams."""
-    active_load: float = 0.0
-    """Estimated slots in use at the active upstreams at the last tick."""
+    unsettled: bool = True
+    """Whether some upstream isn't fully in service."""
+    ticked_s: float = -math.inf
+    """Time of the last recomputation of its health."""
     latency: LatencyHistogram = attrs.field(factory=LatencyHistogram)
     """Latencies of successes on this VM."""
     route_latency: dict[int, LatencyHistogram] = attrs.field(factory=dict)
@@ -202,10 +211,10 @@
     """Weights of outcomes against that baseline."""
     verify_share: float = 0.0
     """Share of idempotent requests that verify a suspect."""
-    routes_s: dict[int, float] = attrs.field(factory=dict)
-    """When each route was last seen."""
-    customers_s: dict[int, float] = attrs.field(factory=dict)
-    """When each customer was last seen."""
+    routes: TrafficMix = attrs.field(factory=TrafficMix)
+    """Shares of routes on this VM."""
+    customers: TrafficMix = attrs.field(factory=TrafficMix)
+    """Shares of customers on this VM."""
 
 
 @attrs.define(eq=False)
