--- a/src/gentianfold/limits/limiter.py
+++ b/src/gentianfold/limits/limiter.py
@@ -67,6 +67,7 @@
         now_s: Time on this VM's clock, suspended time included.
         share_policy: Proofs that possession of share slots rests on.
         lot_policy: Sizes of lots.
+        giver: Decides which home gets which pledge.
     """
 
     def __init__(
@@ -76,13 +77,14 @@
         now_s: float,
         share_policy: SharePolicy | None = None,
         lot_policy: LotPolicy | None = None,
+        giver: PledgeGiver | None = None,
     ) -> None:
         self.own_vm = own_vm
         self.views = ViewTable()
         self.shares = ShareTable(
             own_vm, PeerTable(incarnation), now_s, share_policy or StrictSharePolicy()
         )
-        self.giver = PledgeGiver()
+        self.giver = giver or PledgeGiver()
         self.home_table = HomeTable(
             PledgeTable(own_vm, self.views),
             now_s + lot_end_s(LOT_LIFETIME_S),
--- a/src/gentianfold/limits/share_table.py
+++ b/src/gentianfold/limits/share_table.py
@@ -51,6 +51,10 @@
         """Tell whether a listed peer surely has no use of a slot any more."""
         ...
 
+    def older_lists_closed(self, history: ListHistory) -> bool:
+        """Tell whether no VM uses slots under an older list any more."""
+        ...
+
 
 class StrictSharePolicy:
     """The proofs that keep possession exclusive."""
@@ -69,6 +73,10 @@
             and slot not in heartbeat.releasing
         )
 
+    def older_lists_closed(self, history: ListHistory) -> bool:
+        """Tell whether no VM uses slots under an older list any more."""
+        return not history.open_lists
+
 
 @attrs.define
 class ShareTable:
@@ -256,7 +264,7 @@
         missing = self.owned - self.held.keys() - self.releasing.keys()
         if not missing or self.young or self.stopping or not self.established:
             return
-        if self.history.open_lists:
+        if not self.policy.older_lists_closed(self.history):
             return
         rows = [self.peers.confirmed(vm) for vm in self.others]
         if None in rows:
--- a/src/gentianfold/reports/limits_fleet.py
+++ b/src/gentianfold/reports/limits_fleet.py
@@ -4,7 +4,7 @@
 
 import heapq
 import itertools
-import random
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,9 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from gentianfold.errors import Failure
-    from gentianfold.limits.lot_policy import LotPolicy
     from gentianfold.limits.messages import Message
-    from gentianfold.limits.share_table import SharePolicy
     from gentianfold.model import RateLimit
 
 
@@ -85,10 +83,8 @@
     """Part of the messages that is lost."""
     duplication: float = 0.0
     """Part of the messages that arrives twice."""
-    share_policy: SharePolicy | None = None
-    """Policy of new limiters."""
-    lot_policy: LotPolicy | None = None
-    """Policy of new limiters."""
+    build: Callable[[str, int, float], Limiter] = Limiter
+    """Makes a limiter from VM name, incarnation and clock time."""
     connected: Callable[[str, str], bool] = lambda sender, receiver: True
     """Tells whether messages pass from one VM to another."""
     now_s: float = 0.0
@@ -106,24 +102,19 @@
     _events: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
     _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     _waiting: dict[tuple[str, int], tuple[str, float]] = attrs.field(factory=dict)
-    _random: random.Random = attrs.field(init=False)
+    random: Random = attrs.field(init=False)
+    """Source of all chance."""
 
     def __attrs_post_init__(self) -> None:
-        self._random = random.Random(self.seed)
+        self.random = Random(self.seed)
 
     def start(self, name: str, zone: int = 0, clock_rate: float = 1.0) -> SimulatedVM:
         """Start a process on a VM, a new one or one whose process is gone."""
         old = self.vms.get(name)
-        offset_s = old.offset_s if old else self._random.uniform(0.0, 1e6)
+        offset_s = old.offset_s if old else self.random.uniform(0.0, 1e6)
         clock_rate = old.clock_rate if old else clock_rate
-        incarnation = self._random.getrandbits(62) + 1
-        limiter = Limiter(
-            name,
-            incarnation,
-            offset_s + self.now_s * clock_rate,
-            self.share_policy,
-            self.lot_policy,
-        )
+        incarnation = self.random.getrandbits(62) + 1
+        limiter = self.build(name, incarnation, offset_s + self.now_s * clock_rate)
         vm = SimulatedVM(name, zone, offset_s, clock_rate, limiter)
         self.vms[name] = vm
         self._plan_tick(vm)
@@ -200,11 +191,11 @@
         self._count(message)
         if receiver not in self.vms or not self.connected(sender, receiver):
             return
-        if self.loss and self._random.random() < self.loss:
+        if self.loss and self.random.random() < self.loss:
             return
-        copies = 1 + (self.duplication > 0 and self._random.random() < self.duplication)
+        copies = 1 + (self.duplication > 0 and self.random.random() < self.duplication)
         for _ in range(copies):
-            delay_s = self.delay_s + self._random.random() * self.jitter_s
+            delay_s = self.delay_s + self.random.random() * self.jitter_s
             self.at(
                 self.now_s + delay_s,
                 lambda: self._deliver(sender, receiver, message),
