--- a/benchmarks/forward_latency.py
+++ b/benchmarks/forward_latency.py
@@ -16,6 +16,7 @@
 import sys
 import time
 from contextlib import ExitStack
+from typing import cast
 
 from hdrh.histogram import HdrHistogram
 
@@ -36,8 +37,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        # The transports of uvloop don't inherit from those of asyncio.
+        self.transport = cast("asyncio.Transport", transport)
 
     def data_received(self, data: bytes) -> None:
         """Resolve the future when the answer is whole."""
@@ -48,10 +49,12 @@
         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
         if len(body) < length:
             return
-        assert head.startswith(b"HTTP/1.1 200"), head
         self._received = b""
         assert self.answer is not None
-        self.answer.set_result(time.perf_counter())
+        if head.startswith(b"HTTP/1.1 200"):
+            self.answer.set_result(time.perf_counter())
+        else:
+            self.answer.set_exception(RuntimeError(repr(head)))
 
 
 async def send(
--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -154,3 +154,72 @@
     RunState.UNKNOWN,
     Retry.IF_IDEMPOTENT,
 )
+IDEMPOTENCY_KEY_MISSING = define_code(
+    7019,
+    "idempotency-key-missing",
+    "The route needs an Idempotency-Key header and the request carries none.",
+    "Send a key that is new for each action and the same for each repeat of it.",
+    400,
+    RunState.NOT_RUN,
+)
+IDEMPOTENCY_KEY_REUSED = define_code(
+    7020,
+    "idempotency-key-reused",
+    "The idempotency key was used with another request body.",
+    "Send a new key for a new action.",
+    422,
+    RunState.NOT_RUN,
+)
+KEYED_IN_PROGRESS = define_code(
+    7021,
+    "keyed-in-progress",
+    "A request with this idempotency key is being run.",
+    "Repeat it later with the same key to get its answer.",
+    409,
+    RunState.UNKNOWN,
+    Retry.LATER,
+)
+KEYED_OUTCOME_UNKNOWN = define_code(
+    7022,
+    "keyed-outcome-unknown",
+    "A request with this idempotency key was sent, and its answer is not known.",
+    "Look up whether it took effect; the key is not run again.",
+    409,
+    RunState.UNKNOWN,
+)
+KEY_HOME_IN_DOUBT = define_code(
+    7023,
+    "key-home-in-doubt",
+    "The VM that admits this idempotency key can't be reached or told.",
+    "Repeat it later with the same key.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+COPIES_MISSING = define_code(
+    7024,
+    "copies-missing",
+    "Too few VMs took a copy of the record of this idempotency key in time.",
+    "Repeat it later with the same key.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+LEDGER_FULL = define_code(
+    7025,
+    "ledger-full",
+    "This VM holds as many idempotency keys as it may.",
+    "Repeat it later with the same key; operators add VMs.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+RECORDS_LOST = define_code(
+    7026,
+    "records-lost",
+    "Records of earlier idempotency keys may be lost; none is run until they expire.",
+    "Repeat it later with the same key.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
--- a/src/gentianfold/requests/_transport_stream.py
+++ b/src/gentianfold/requests/_transport_stream.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import httpcore
 
@@ -55,9 +55,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that find silent links."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        connection_socket = transport.get_extra_info("socket")
+        # The transports of uvloop don't inherit from those of asyncio.
+        self._transport = cast("asyncio.Transport", transport)
+        connection_socket = self._transport.get_extra_info("socket")
         if connection_socket is not None:
             set_socket_options(connection_socket)
 
--- a/src/gentianfold/standins/_upstream_protocol.py
+++ b/src/gentianfold/standins/_upstream_protocol.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import attrs
 import httptools
@@ -44,8 +44,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        # The transports of uvloop don't inherit from those of asyncio.
+        self.transport = cast("asyncio.Transport", transport)
         self._server.record.connections_count += 1
         self._server.connections.add(self)
 
