--- a/src/gentianfold/codes/daemon.py
+++ b/src/gentianfold/codes/daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianfold.errors import define_code
+from gentianfold.errors import Retry, RunState, define_code
 
 ADDRESS_UNUSABLE = define_code(
     1201,
@@ -22,3 +22,12 @@
     "The load tool does not run this plan.",
     "Name loopback addresses, and a rate and length within the tool's bounds.",
 )
+INTERNAL_ERROR = define_code(
+    7901,
+    "internal-error",
+    "The VM failed in a way that no part expected.",
+    "Look up whether the request took effect; operators read the log of the VM.",
+    500,
+    RunState.UNKNOWN,
+    Retry.IF_IDEMPOTENT,
+)
--- a/src/gentianfold/daemon/caller_app.py
+++ b/src/gentianfold/daemon/caller_app.py
@@ -9,10 +9,10 @@
 import attrs
 from loguru import logger
 
+from gentianfold.codes.daemon import INTERNAL_ERROR
 from gentianfold.codes.requests import (
     CALLER_GONE,
     IDEMPOTENCY_KEY_MISSING,
-    INTERNAL_ERROR,
     NOT_READY,
 )
 from gentianfold.daemon.answers import send_failure
--- a/src/gentianfold/standins/_upstream_protocol.py
+++ b/src/gentianfold/standins/_upstream_protocol.py
@@ -44,9 +44,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
-        # uvloop's transports are no subclasses of asyncio's.
-        transport = cast("asyncio.Transport", transport)
-        self.transport = transport
+        # The transports of uvloop don't inherit from those of asyncio.
+        self.transport = cast("asyncio.Transport", transport)
         self._server.record.connections_count += 1
         self._server.connections.add(self)
 
--- a/tests/daemon/test_entry_vm.py
+++ b/tests/daemon/test_entry_vm.py
@@ -41,7 +41,7 @@
             ("GET", "/gloves/held", [], 401, 7002),
             ("GET", "/gloves/held", [("x-api-key", "gf_no")], 401, 7003),
             ("GET", "/nothing", [bearer], 404, 7001),
-            ("POST", "/claims", [bearer], 400, 7020),
+            ("POST", "/claims", [bearer], 400, 7019),
             ("POST", "/claims", [bearer, key], 200, None),
         ]
         for method, path, headers, status, number in table:
