Run keyed requests at most once over the fleet

Cause: the ledger of idempotency keys was not wired, so that each VM ran each repeat. The gate opens a ticket, waits for the home of the key, forwards only with a record that is safe, and stores the answer before the caller sees it.

--- a/src/gentianfold/codes/daemon.py
+++ b/src/gentianfold/codes/daemon.py
@@ -31,3 +31,17 @@
     RunState.UNKNOWN,
     Retry.IF_IDEMPOTENT,
 )
+KEYED_BODY_TOO_LARGE = define_code(
+    7902,
+    "keyed-body-too-large",
+    "A request with an idempotency key has a body too large to be compared.",
+    "Send a smaller body with the key, or a reference to the content.",
+    413,
+    RunState.NOT_RUN,
+)
+ONCE_MESSAGE_MALFORMED = define_code(
+    7903,
+    "once-message-malformed",
+    "A message of another VM's ledger could not be decoded.",
+    "Check that all VMs run the same version.",
+)
--- a/src/gentianfold/configuration/fleet.py
+++ b/src/gentianfold/configuration/fleet.py
@@ -17,3 +17,8 @@
     """Fraction of the listed VMs that must acknowledge a VM's slots."""
     isolation_acks: int | None = None
     """Direct peers that keep a VM from being isolated; ``None`` for a sixth of them."""
+    clean_start: bool = False
+    """Whether no fleet ran here lately, so that no record of a key can be missing.
+
+    Published for the first installation only, and taken back afterwards.
+    """
--- a/src/gentianfold/daemon/caller_app.py
+++ b/src/gentianfold/daemon/caller_app.py
@@ -49,7 +49,15 @@
         ...
 
 
-class Runner(Protocol):
+class Isolation(Protocol):
+    """Tells whether this VM could hear of a withdrawn key."""
+
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether requests that need a key must be refused."""
+        ...
+
+
+class RequestRunner(Protocol):
     """Runs an admitted request and delivers its answer."""
 
     async def run(
@@ -69,9 +77,11 @@
     """The rules and keys in force."""
     state: VmState
     """Whether this VM may serve."""
+    isolation: Isolation
+    """Whether keys may be trusted; asked for each request, also after a pause."""
     admission: Admission
     """The limits over the fleet."""
-    runner: Runner
+    runner: RequestRunner
     """Queueing, placement and forwarding."""
     decisions: DecisionLog
     """Where decisions are logged."""
@@ -169,7 +179,7 @@
         key = extract_key(context.scope["headers"])
         if isinstance(key, Failure):
             return key
-        if self.state.isolated:
+        if self.isolation.is_isolated(context.accepted_s):
             reason = "this VM can't hear of withdrawn keys"
             return Failure(NOT_READY, reason, 1.0)
         identity = self.view.identify(key)
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -17,6 +17,8 @@
 from gentianfold.daemon.limit_gate import LimitGate
 from gentianfold.daemon.link_key_setup import link_keys_of
 from gentianfold.daemon.metrics import Metrics
+from gentianfold.daemon.once_fleet import FleetRoster, ShareAuthority
+from gentianfold.daemon.once_gate import OnceGate
 from gentianfold.daemon.operator_app import OperatorApp
 from gentianfold.daemon.planned_stop import PlannedStop
 from gentianfold.daemon.published_view import PublishedView
@@ -32,11 +34,15 @@
 from gentianfold.peers.isolation import IsolationDetector
 from gentianfold.peers.membership import MembershipTable
 from gentianfold.peers.node import PeerNode
+from gentianfold.peers.runner import PeerRunner
 from gentianfold.peers.zmq_link import ZmqLink
 from gentianfold.platform.follower import PlatformFollower
 from gentianfold.platform.http_client import HttpPlatformClient
 from gentianfold.requests.connections import Connections
 from gentianfold.requests.forwarder import Forwarder
+from gentianfold.requests.once.interfaces import LedgerOptions
+from gentianfold.requests.once.ledger import OnceLedger
+from gentianfold.requests.once.records import Member
 from gentianfold.routing.router import Router
 from gentianfold.rules import parse_rules
 
@@ -45,6 +51,7 @@
 
     from gentianfold.configuration.snapshot import Snapshot
     from gentianfold.configuration.vm_list import VmList
+    from gentianfold.daemon.runner import Runner
     from gentianfold.settings import Settings
 
 TICK_S = 0.05
@@ -87,6 +94,9 @@
         self.link = ZmqLink(link_keys_of(settings.peer_keys), self.node.receive)
         self.spread = ConfigurationSpread(self.node, self.store, self.clock, rng)
         self.isolation = IsolationDetector(self.members, self.store)
+        self.peers = PeerRunner(
+            self.node, self.spread, self.isolation, self.follower, self.clock
+        )
 
     def _wire_decisions(self) -> None:
         """Wire the decision layers: limits and routing."""
@@ -111,17 +121,32 @@
             strip_key_headers,
             on_placed=PlacementLog(self.decisions, self.clock).placed,
         )
+        self._wire_once(ForwardRunner(self.forwarder))
         self.caller_app = CallerApp(
             self.settings.vm,
             self.view,
             self.state,
+            self.isolation,
             self.limit_gate,
-            ForwardRunner(self.forwarder),
+            self.once_gate,
             self.decisions,
             self.metrics,
             self.clock,
         )
 
+    def _wire_once(self, inner: Runner) -> None:
+        """Wire the ledger of idempotency keys before the runner of requests."""
+        settings = self.settings
+        options = LedgerOptions()
+        me = Member(settings.vm, self.members.incarnation.nonce, settings.zone)
+        self.roster = FleetRoster(
+            me, self.members, self.store, options.retention_s, self.clock.now_s()
+        )
+        self.ledger = OnceLedger(
+            me, ShareAuthority(self.limiter), self.roster, options=options
+        )
+        self.once_gate = OnceGate(self.ledger, inner, self.node, self.clock)
+
     def _wire_ports(self) -> None:
         """Wire the caller port and the operator port."""
         settings = self.settings
@@ -227,11 +252,12 @@
         sweep_due_s = 0.0
         while True:
             now_s = self.clock.now_s()
-            self.node.tick()
-            self.spread.tick()
+            self.peers.tick()
             self._update_state(now_s)
             self.limit_gate.tick()
             self.routing.tick()
+            self.roster.tick(now_s)
+            self.once_gate.tick()
             self.decisions.flush()
             if now_s >= sweep_due_s:
                 sweep_due_s = now_s + SWEEP_S
@@ -248,7 +274,6 @@
         return waited or (shares.usable(now_s) and holds)
 
     def _update_state(self, now_s: float) -> None:
-        isolated = self.isolation.on_tick(now_s, self.follower.answered_s)
         ready = self.isolation.is_ready(now_s) and self._may_admit(now_s)
         if ready and not self.state.configured:
             self.state.configured = True
@@ -257,7 +282,4 @@
                 self.settings.vm,
                 self.store.version,
             )
-        if self.state.configured and isolated != self.state.isolated:
-            state = "isolated" if isolated else "no longer isolated"
-            logger.warning("daemon: VM {} is {}", self.settings.vm, state)
-        self.state.isolated = isolated
+        self.state.isolated = self.isolation.is_isolated(now_s)
--- a/src/gentianfold/demo/local_fleet.py
+++ b/src/gentianfold/demo/local_fleet.py
@@ -10,6 +10,7 @@
 import anyio
 import attrs
 
+from gentianfold.configuration.fleet import FleetOptions
 from gentianfold.configuration.publication import publish_configuration
 from gentianfold.configuration.vm_list import (
     VM_LIST_NAME,
@@ -79,6 +80,7 @@
             rules_text=rules,
             upstreams=[server.upstream for server in self.upstreams],
             keys=key_records(self.keys),
+            fleet=FleetOptions(clean_start=True),
         )
 
     async def _start_upstreams(self, stack: AsyncExitStack) -> None:
