--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -223,3 +223,29 @@
     RunState.NOT_RUN,
     Retry.LATER,
 )
+QUEUE_FULL = define_code(
+    7027,
+    "queue-full",
+    "Too many requests wait for the service, and this customer has the most of them.",
+    "Retry after the time in `Retry-After`, or send fewer requests at once.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+QUEUE_DEADLINE = define_code(
+    7028,
+    "queue-deadline",
+    "The request would wait longer for the service than its deadline allows.",
+    "Retry after the time in `Retry-After`.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+WITHDRAWN_WHILE_WAITING = define_code(
+    7029,
+    "withdrawn-while-waiting",
+    "The key was withdrawn while the request waited for the service.",
+    "Ask the operators for a key.",
+    401,
+    RunState.NOT_RUN,
+)
