Queue requests fairly by customer when slots are scarce

Cause: a request that found all slots taken was refused at once, whoever sent it. It waits now in the fair queue of its service, until its deadline; a withdrawn key reaches waiting requests too.

--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -22,6 +22,7 @@
 from gentianfold.daemon.operator_app import OperatorApp
 from gentianfold.daemon.planned_stop import PlannedStop
 from gentianfold.daemon.published_view import PublishedView
+from gentianfold.daemon.queue_runner import QueueRunner
 from gentianfold.daemon.routing_exchange import RoutingExchange
 from gentianfold.daemon.runner import ForwardRunner, PlacementLog
 from gentianfold.daemon.status import VmReport
@@ -121,7 +122,10 @@
             strip_key_headers,
             on_placed=PlacementLog(self.decisions, self.clock).placed,
         )
-        self._wire_once(ForwardRunner(self.forwarder))
+        self.queue = QueueRunner(
+            ForwardRunner(self.forwarder), self.router, self.view, self.clock
+        )
+        self._wire_once(self.queue)
         self.caller_app = CallerApp(
             self.settings.vm,
             self.view,
@@ -226,6 +230,7 @@
         """Put a new configuration in force in every part."""
         now_s = self.clock.now_s()
         self.view.adopt(snapshot)
+        self.queue.drop_withdrawn()
         self.limiter.limits_version = snapshot.version
         self.limiter.on_off(snapshot.fleet.retired, now_s)
         self._place_over(snapshot, now_s)
@@ -258,6 +263,7 @@
             self.routing.tick()
             self.roster.tick(now_s)
             self.once_gate.tick()
+            self.queue.tick()
             self.decisions.flush()
             if now_s >= sweep_due_s:
                 sweep_due_s = now_s + SWEEP_S
--- a/src/gentianfold/daemon/status.py
+++ b/src/gentianfold/daemon/status.py
@@ -45,6 +45,7 @@
             "uptime_s": round(now_s - self._started_s, 1),
             "time_unix_s": round(time.time(), 3),
             "open_requests": vm.caller_app.open_requests,
+            "waiting": vm.queue.waiting_counts(),
             "peers": self._peers(),
             "upstreams": self._upstreams(now_s),
             "customers": self._customers(),
