--- a/src/gentianfold/standins/platform_server.py
+++ b/src/gentianfold/standins/platform_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import socket
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,8 @@
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
         listener.listen(1024)
+        # A watch that is cut off when the platform stops is no error.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         config = uvicorn.Config(
             platform, lifespan="off", log_config=None, access_log=False, ws="none"
         )
