Write the decision log in one call a tick

Cause: 240 requests a second wrote 24 log lines each 50 ms tick, 40 us a line, a 1 ms stall of the only thread.

--- a/src/gentianfold/daemon/decision.py
+++ b/src/gentianfold/daemon/decision.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import attrs
 
 
@@ -27,6 +29,8 @@
     """Number of the result code; 0 for none."""
     elapsed_ms: float = 0.0
     """Milliseconds since the request was accepted."""
+    at_unix_s: float = attrs.field(factory=time.time)
+    """When it was decided, by the wall clock."""
 
     def line(self) -> str:
         """Return the log line of the decision."""
--- a/src/gentianfold/daemon/decision_log.py
+++ b/src/gentianfold/daemon/decision_log.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
+from functools import lru_cache
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -58,5 +60,20 @@
         if not self.write_lines:
             return
         start = max(0, len(self._rows) - pending)
-        for row in islice(self._rows, start, None):
-            logger.info(row.line())
+        # One call for all lines: the logger costs far more than the formatting.
+        lines = (
+            f"{_time_text(row.at_unix_s)} INFO    {row.line()}\n"
+            for row in islice(self._rows, start, None)
+        )
+        logger.opt(raw=True).info("".join(lines))
+
+
+def _time_text(at_unix_s: float) -> str:
+    """Return a time as the log writes it, in UTC."""
+    second = int(at_unix_s)
+    return f"{_second_text(second)}.{int((at_unix_s - second) * 1000):03}+0000"
+
+
+@lru_cache(maxsize=4)
+def _second_text(unix_s: int) -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(unix_s))
