Number messages per sender; relay known rows only; one bound for values

Cause: numbers began anew when a peer left the list and came back, so the other side took what followed for replays; relayed rows were chosen among all places of the list, so a starting fleet relayed almost nothing; the bound of values stood thrice.

Conclusion: a restarted peer is relayed from its first heartbeat on.

--- a/src/gentianfold/configuration/root.py
+++ b/src/gentianfold/configuration/root.py
@@ -12,8 +12,8 @@
 
 ROOT_NAME = "config"
 """Name of the root value."""
-MAX_SHARD_BYTES = 1_000_000
-"""Largest shard; the platform holds no larger value."""
+MAX_VALUE_BYTES = 1_000_000
+"""Largest value that the platform holds."""
 MAX_SHARDS = 1024
 """Most shards that a root may name."""
 
@@ -69,8 +69,8 @@
         return _malformed(f"{len(root.shards)} shards, over {MAX_SHARDS}")
     if len(names) != len(root.shards):
         return _malformed("two shards have the same name")
-    if any(not 0 <= shard.size <= MAX_SHARD_BYTES for shard in root.shards):
-        return _malformed(f"a shard is larger than {MAX_SHARD_BYTES} bytes")
+    if any(not 0 <= shard.size <= MAX_VALUE_BYTES for shard in root.shards):
+        return _malformed(f"a shard is larger than {MAX_VALUE_BYTES} bytes")
     if root.key_shards not in {1 << bits for bits in range(9)}:
         return _malformed(f"key_shards {root.key_shards} is no power of two to 256")
     return None
--- a/src/gentianfold/peers/configuration_spread.py
+++ b/src/gentianfold/peers/configuration_spread.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from gentianfold.codes.peers import CONTENT_ABSENT, MESSAGE_MALFORMED
+from gentianfold.configuration.root import MAX_VALUE_BYTES
 from gentianfold.errors import Failure
 from gentianfold.peers.membership import SUSPECT_S
 
@@ -64,8 +65,6 @@
 _QUESTIONS = msgspec.msgpack.Decoder(ContentQuestion)
 _PARTS = msgspec.msgpack.Decoder(ContentPart)
 _FAULTS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-MAX_CONTENT_BYTES = 1_000_000
-"""Largest content, as on the platform."""
 
 
 @attrs.define
@@ -210,6 +209,6 @@
         part = _PARTS.decode(answer)
     except _FAULTS as error:
         return Failure(MESSAGE_MALFORMED, str(error))
-    if part.size > MAX_CONTENT_BYTES or (part.size and not part.data):
+    if part.size > MAX_VALUE_BYTES or (part.size and not part.data):
         return Failure(MESSAGE_MALFORMED, "a part is out of bounds")
     return part
--- a/src/gentianfold/peers/membership.py
+++ b/src/gentianfold/peers/membership.py
@@ -62,7 +62,7 @@
     _order: tuple[str, ...] = attrs.field(default=(), init=False)
     _born_s: float | None = attrs.field(default=None, init=False)
     _ticked_s: float | None = attrs.field(default=None, init=False)
-    _relay_from: int = attrs.field(default=0, init=False)
+    _relay_queue: list[int] = attrs.field(factory=list, init=False)
     _judged_s: float = attrs.field(default=NEVER_S, init=False)
     _hears: tuple[float, bytes] = attrs.field(default=(NEVER_S, b""), init=False)
 
@@ -74,6 +74,7 @@
         listed = {vm.name: vm for vm in vm_list.vms if vm.name != self.own}
         self._order = tuple(sorted(vm.name for vm in vm_list.vms))
         self._hears = NEVER_S, b""
+        self._relay_queue = []
         self.neighbours = choose_neighbours(self.own, self._order)
         rows = {name: self.rows.get(name) or PeerRow(vm) for name, vm in listed.items()}
         for name, row in rows.items():
@@ -228,10 +229,15 @@
     def _choose_relayed(self, peer: str, now_s: float) -> tuple[RelayedRow, ...]:
         if len(self.neighbours) + 1 >= len(self._order):
             return ()
-        size = len(self._order)
-        places = [(self._relay_from + i) % size for i in range(RELAYED_ROWS)]
-        self._relay_from = (self._relay_from + RELAYED_ROWS) % size
-        named = ((place, self.rows.get(self._order[place])) for place in places)
+        if not self._relay_queue:
+            self._relay_queue = [
+                place
+                for place, name in enumerate(self._order)
+                if name in self.rows and self._is_relayable(self.rows[name], now_s)
+            ]
+        chosen = self._relay_queue[:RELAYED_ROWS]
+        del self._relay_queue[:RELAYED_ROWS]
+        named = ((place, self.rows[self._order[place]]) for place in chosen)
         return tuple(
             RelayedRow(
                 place,
@@ -242,10 +248,13 @@
                 row.vm_list_version,
             )
             for place, row in named
-            if row and row.incarnation and row.vm.name != peer
-            if now_s - row.evidence_s < RELAYED_SUSPECT_S
+            if row.incarnation and row.vm.name != peer
+            if self._is_relayable(row, now_s)
         )
 
+    def _is_relayable(self, row: PeerRow, now_s: float) -> bool:
+        return now_s - row.evidence_s < RELAYED_SUSPECT_S
+
     def _restart(self, row: PeerRow, incarnation: Incarnation) -> None:
         row.incarnation, row.window = incarnation, ReplayWindow()
         row.heard_s = row.evidence_s = row.acknowledged_s = NEVER_S
--- a/src/gentianfold/peers/messages.py
+++ b/src/gentianfold/peers/messages.py
@@ -110,6 +110,6 @@
     nonce: int
     """Random part of the sender's incarnation."""
     seq: int
-    """Grows by one with each message of the sender to the receiver."""
+    """Grows with each message of the sender, to whomever."""
     body: msgspec.Raw
     """The message; read only if the version is known."""
--- a/src/gentianfold/peers/node.py
+++ b/src/gentianfold/peers/node.py
@@ -71,7 +71,6 @@
     redial_s: float
     redial_gap_s: float = REDIAL_S
     told_unsupported_s: float = float("-inf")
-    numbers: Iterator[int] = attrs.field(factory=count)
     counted_from_s: float = float("-inf")
     received: int = 0
 
@@ -105,6 +104,7 @@
     """Questions and answers."""
     _extensions: dict[str, HeartbeatExtension] = attrs.field(factory=dict, init=False)
     _contacts: dict[str, _Contact] = attrs.field(factory=dict, init=False)
+    _numbers: Iterator[int] = attrs.field(factory=count, init=False)
     _observers: list[Callable[[MembershipEvent], None]] = attrs.field(
         factory=list, init=False
     )
@@ -138,7 +138,7 @@
         if contact is None or self.link is None:
             return False
         self._connect(peer)
-        seq = next(contact.numbers)
+        seq = next(self._numbers)
         data = encode_message(self.table.own, self.table.incarnation, seq, body)
         if isinstance(data, Failure):
             logger.error("peers: a message for {} was dropped: {}", peer, data)
--- a/src/gentianfold/platform/client.py
+++ b/src/gentianfold/platform/client.py
@@ -8,9 +8,6 @@
 
 from gentianfold.errors import Failure
 
-MAX_VALUE_BYTES = 1_000_000
-"""Largest value that the service holds."""
-
 
 @attrs.frozen
 class Value:
--- a/src/gentianfold/platform/http_client.py
+++ b/src/gentianfold/platform/http_client.py
@@ -14,8 +14,9 @@
     VALUE_NOT_FOUND,
     VALUE_TOO_LARGE,
 )
+from gentianfold.configuration.root import MAX_VALUE_BYTES
 from gentianfold.errors import Failure
-from gentianfold.platform.client import MAX_VALUE_BYTES, Value
+from gentianfold.platform.client import Value
 
 if TYPE_CHECKING:
     from types import TracebackType
--- a/src/gentianfold/standins/platform.py
+++ b/src/gentianfold/standins/platform.py
@@ -10,13 +10,14 @@
 import anyio
 import attrs
 
+from gentianfold.configuration.root import MAX_VALUE_BYTES
+from gentianfold.platform.watch_schedule import CallKind
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, MutableMapping
 
     Message = MutableMapping[str, Any]
 
-MAX_VALUE_BYTES = 1_000_000
-"""Largest value that the service holds."""
 MAX_WATCH_S = 60.0
 """Longest time that a watch may wait."""
 VERSION_HEADER = b"x-value-version"
@@ -36,15 +37,6 @@
     """Accepts calls and never answers."""
 
 
-class CallKind(enum.Enum):
-    """What a call asked for."""
-
-    READ = "read"
-    """The value as it is."""
-    WATCH = "watch"
-    """The next version of a value; a waiting watch is one call."""
-
-
 @attrs.frozen
 class _Answer:
     """The answer to one call."""
@@ -61,7 +53,7 @@
     mode: PlatformMode = PlatformMode.UP
     """How it answers; set with ``set_mode``."""
     calls: Counter[CallKind] = attrs.field(factory=Counter)
-    """Calls by kind."""
+    """Calls by kind; a waiting watch is one call."""
     _values: dict[str, list[bytes]] = attrs.field(factory=dict, init=False)
     _pins: dict[str | None, dict[str, int]] = attrs.field(factory=dict, init=False)
     _changed: anyio.Event = attrs.field(factory=anyio.Event, init=False)
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -9,6 +9,7 @@
 from gentianfold.peers.membership import (
     GONE_S,
     PAUSE_S,
+    RELAYED_ROWS,
     SUSPECT_S,
     MembershipTable,
 )
@@ -114,6 +115,20 @@
     assert table.accept("x", OLD, 1, 1.0) is None
 
 
+def test_a_restarted_peer_is_not_relayed_before_its_first_heartbeat():
+    table = MembershipTable("vm-0", Incarnation(1, 9))
+    table.adopt_vm_list(vm_list(names=[f"vm-{number}" for number in range(100)]))
+    table.on_tick(0.0)
+    first, *others = sorted(table.neighbours)
+    for name in others:
+        table.accept(name, OLD, 0, 1.0)
+        table.on_heartbeat(name, Heartbeat(1.0, None, 0.0, 1, 1, b""), 1.0)
+    assert len(table.compose(first, 1.0).relayed) == RELAYED_ROWS
+    for name in others:
+        table.accept(name, NEW, 0, 1.0)
+    assert table.compose(first, 1.0).relayed == ()
+
+
 @pytest.mark.parametrize("size", [1, 2, FULL_MESH_VMS, 65, 160, 550])
 def test_neighbours_are_few_mutual_and_reach_the_whole_fleet(size):
     names = [f"vm-{number}" for number in range(size)]
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from gentianfold.codes import peers as codes
+from gentianfold.configuration.vm_list import VmList, encode_vm_list, parse_vm_list
 from gentianfold.errors import Failure
 from gentianfold.peers.codec import encode_message
 from gentianfold.peers.memory_fleet import MemoryFleet
@@ -204,6 +205,18 @@
     assert handled[-1].payload == b"last"
 
 
+def test_a_peer_that_was_off_the_list_for_a_while_is_heard_again():
+    fleet = fleet_of(2)
+    fleet.run(30.0)
+    listed = parse_vm_list(fleet.values["vms"])
+    store = fleet.vms[A].store
+    store.offer_vm_list(encode_vm_list(VmList(2, listed.vms[:1])))
+    store.offer_vm_list(encode_vm_list(VmList(3, listed.vms)))
+    fleet.run(5.0)
+    assert fleet.vms[B].node.table.live() == {A}
+    assert fleet.vms[A].node.table.live() == {B}
+
+
 def test_an_old_incarnation_is_not_listened_to():
     fleet = fleet_of(2)
     old = fleet.vms[B]
