Start the numbers of questions at random

Cause: a restarted process numbered its questions from one again, so a late answer to its predecessor could answer its own question.

Figures: the new test failed before (the earlier answer was taken) and passes after.

Conclusion: answers can't cross from one incarnation to the next.

--- a/src/gentianfold/peers/exchange.py
+++ b/src/gentianfold/peers/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable
 from itertools import count
 from typing import TYPE_CHECKING, TypeAlias
@@ -60,7 +61,10 @@
     """Sends a message to a peer."""
     _handlers: dict[str, RequestHandler] = attrs.field(factory=dict, init=False)
     _pending: dict[int, _Pending] = attrs.field(factory=dict, init=False)
-    _numbers: Iterator[int] = attrs.field(factory=lambda: count(1), init=False)
+    # A restarted process must not take an answer to its predecessor for its own.
+    _numbers: Iterator[int] = attrs.field(
+        factory=lambda: count(secrets.randbits(62)), init=False
+    )
 
     def handle(self, topic: str, handler: RequestHandler) -> None:
         """Let ``handler`` take the questions and notices of a topic."""
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -84,6 +84,22 @@
     assert failure.code is codes.PEER_TIMEOUT
 
 
+def test_an_answer_to_an_earlier_incarnation_answers_nothing():
+    fleet, held, answers = fleet_of(2), [], []
+    fleet.vms[B].node.handle("late", held.append)
+    for _ in range(2):
+        node = fleet.vms[A].node
+        node.request(B, "late", b"", 5.0, answers.append)
+        fleet.run(0.2)
+        if len(held) == 1:
+            fleet.start(A)
+            fleet.run(1.5)
+    held[0].reply(b"to the earlier one")
+    held[1].reply(b"to the later one")
+    fleet.run(0.2)
+    assert answers == [b"to the later one"]
+
+
 @pytest.mark.anyio
 async def test_asking_an_unknown_peer_fails_at_once():
     fleet = fleet_of(2)
