--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from gentianfold.codes import peers as codes
+from gentianfold.configuration.vm_list import VmList, encode_vm_list, parse_vm_list
 from gentianfold.errors import Failure
 from gentianfold.peers.codec import encode_message
 from gentianfold.peers.memory_fleet import MemoryFleet
@@ -83,6 +84,22 @@
     assert failure.code is codes.PEER_TIMEOUT
 
 
+def test_an_answer_to_an_earlier_incarnation_answers_nothing():
+    fleet, held, answers = fleet_of(2), [], []
+    fleet.vms[B].node.handle("late", held.append)
+    for _ in range(2):
+        node = fleet.vms[A].node
+        node.request(B, "late", b"", 5.0, answers.append)
+        fleet.run(0.2)
+        if len(held) == 1:
+            fleet.start(A)
+            fleet.run(1.5)
+    held[0].reply(b"to the earlier one")
+    held[1].reply(b"to the later one")
+    fleet.run(0.2)
+    assert answers == [b"to the later one"]
+
+
 @pytest.mark.anyio
 async def test_asking_an_unknown_peer_fails_at_once():
     fleet = fleet_of(2)
@@ -204,6 +221,18 @@
     assert handled[-1].payload == b"last"
 
 
+def test_a_peer_that_was_off_the_list_for_a_while_is_heard_again():
+    fleet = fleet_of(2)
+    fleet.run(30.0)
+    listed = parse_vm_list(fleet.values["vms"])
+    store = fleet.vms[A].store
+    store.offer_vm_list(encode_vm_list(VmList(2, listed.vms[:1])))
+    store.offer_vm_list(encode_vm_list(VmList(3, listed.vms)))
+    fleet.run(5.0)
+    assert fleet.vms[B].node.table.live() == {A}
+    assert fleet.vms[A].node.table.live() == {B}
+
+
 def test_an_old_incarnation_is_not_listened_to():
     fleet = fleet_of(2)
     old = fleet.vms[B]
