--- a/src/gentianfold/limits/admission_system.py
+++ b/src/gentianfold/limits/admission_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -32,6 +33,9 @@
 DETOUR_S = 1.0
 """Time for which another home is asked after one without a share."""
 
+SWEEP_S = 0.02
+"""Shortest time between two looks for lots that go back."""
+
 RETURN_PART = 0.6
 """Part of a lot's lifetime after which unspent tokens go back."""
 
@@ -76,12 +80,16 @@
     """Requests that wait, the oldest first."""
     _asks: dict[int, LotRow] = attrs.field(factory=dict)
     _with_lots: dict[bytes, LotRow] = attrs.field(factory=dict)
+    _next_return_s: float = math.inf
     _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
 
     @property
-    def has_lots(self) -> bool:
-        """Tell whether any lot is held."""
-        return bool(self._with_lots)
+    def next_due_s(self) -> float:
+        """Return when a request has waited too long or a lot goes back."""
+        if not self.tickets:
+            return self._next_return_s
+        ticket = next(iter(self.tickets.values()))
+        return min(ticket.deadline_s, self._next_return_s)
 
     def admit(
         self,
@@ -91,7 +99,8 @@
     ) -> Admission:
         """Admit a request, or have it wait for tokens."""
         rows = tuple(
-            self.table.row(customer, name, limit, now_s) for name, limit in limits
+            self.table.row(customer, name, limit, self.limits_version, now_s)
+            for name, limit in limits
         )
         for row in rows:
             self.table.drop_ended(row, now_s)
@@ -123,6 +132,8 @@
 
     def step(self, now_s: float) -> None:
         """Refuse what waited too long and give unspent tokens back."""
+        if now_s < self.next_due_s:
+            return
         late = itertools.takewhile(
             lambda ticket: ticket.deadline_s <= now_s, list(self.tickets.values())
         )
@@ -148,6 +159,7 @@
         )
         row.lots.append(lot)
         self._with_lots[row.key] = row
+        self._next_return_s = min(self._next_return_s, return_s)
         self._serve(row, now_s)
 
     def _serve(self, row: LotRow, now_s: float) -> None:
@@ -201,7 +213,7 @@
                 max(0, row.stock - row.tokens),
                 row.limit.rate_per_s,
                 row.limit.burst,
-                self.limits_version,
+                row.limits_version,
                 self.table.reports(row, home),
             ),
         )
@@ -252,11 +264,21 @@
             del self._asks.pop(number).pending[number]
 
     def _return_lots(self, now_s: float) -> None:
+        if now_s < self._next_return_s:
+            return
         reports: dict[str, list[tuple[bytes, LotReport]]] = {}
         for key, row in list(self._with_lots.items()):
             for home, report in self.table.returns(row, now_s):
                 reports.setdefault(home, []).append((key, report))
             if not row.lots:
                 del self._with_lots[key]
+        self._next_return_s = min(
+            (
+                max(lot.return_s, now_s + SWEEP_S)
+                for row in self._with_lots.values()
+                for lot in row.lots
+            ),
+            default=math.inf,
+        )
         for home, lots in reports.items():
             self.send(home, Report(tuple(lots)))
--- a/src/gentianfold/limits/home_system.py
+++ b/src/gentianfold/limits/home_system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -59,12 +60,18 @@
             if row and row.queue:
                 self._serve(row, now_s)
 
+    @property
+    def next_due_s(self) -> float:
+        """Return when an ask that waits can be answered."""
+        return min(self.table.waiting.values(), default=math.inf)
+
     def step(self, now_s: float) -> None:
         """Serve the asks that wait."""
-        if not self.table.waiting:
+        due = [key for key, due_s in self.table.waiting.items() if due_s <= now_s]
+        if not due:
             return
         self.table.lapse(now_s)
-        for key in list(self.table.waiting):
+        for key in due:
             row = self.table.rows[key]
             self.table.settle(row, now_s)
             self._serve(row, now_s)
@@ -79,10 +86,14 @@
                 self._refuse(row, head.vm, head.ask_id)
             else:
                 break
-        if row.queue:
-            self.table.waiting.add(row.key)
-        else:
-            self.table.waiting.discard(row.key)
+        if not row.queue:
+            self.table.waiting.pop(row.key, None)
+            return
+        wait_s = self.table.next_token_s(row)
+        deadline_s = row.queue[0].deadline_s
+        self.table.waiting[row.key] = (
+            deadline_s if wait_s is None else min(deadline_s, now_s + wait_s)
+        )
 
     def _answer(
         self, row: Bucket, vm: str, ask_id: int, need: int, want: int, now_s: float
@@ -107,7 +118,7 @@
             return 0.0
         first_s = self.table.next_token_s(row)
         if first_s is None:
-            return float("inf")
+            return math.inf
         ahead = sum(ask.need for ask in row.queue)
         share = self.table.pledges.share(row.home_slot)
         return first_s + ahead / (row.limit.rate_per_s * share)
--- a/src/gentianfold/limits/home_table.py
+++ b/src/gentianfold/limits/home_table.py
@@ -97,8 +97,8 @@
     """Sizes and lifetimes of lots."""
     rows: dict[bytes, Bucket] = attrs.field(factory=dict)
     """The buckets in use."""
-    waiting: set[bytes] = attrs.field(factory=set)
-    """Buckets whose queue is not empty."""
+    waiting: dict[bytes, float] = attrs.field(factory=dict)
+    """Buckets whose queue is not empty, and when to look at it again."""
 
     def bucket(
         self, key: bytes, limit: RateLimit, limits_version: int, now_s: float
--- a/src/gentianfold/limits/limiter.py
+++ b/src/gentianfold/limits/limiter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -45,12 +44,6 @@
 STEP_S = 0.2
 """Time between two looks at membership and shares in a small fleet."""
 
-QUEUE_STEP_S = 0.002
-"""Time between two looks at asks that wait for a refill."""
-
-SWEEP_S = 0.02
-"""Time between two looks at requests that wait and lots that go back."""
-
 EXPIRE_S = 5.0
 """Time between two looks for idle rows."""
 
@@ -98,9 +91,7 @@
         self._outbox: list[tuple[str, Message]] = []
         self._loopback: deque[Message] = deque()
         self._step_due_s = now_s
-        self._sweep_due_s = now_s
         self._expire_due_s = now_s
-        self._queue_seen_s = now_s
         self._fallback_homes = self.views.of(frozenset())
 
     @property
@@ -147,12 +138,12 @@
 
     def next_due_s(self) -> float:
         """Return when ``on_tick`` has work, unless a message comes first."""
-        busy = self.admission.tickets or self.admission.has_lots
-        sweep_s = self._sweep_due_s if busy else math.inf
-        queue_s = (
-            self._queue_seen_s + QUEUE_STEP_S if self.home_table.waiting else math.inf
+        return min(
+            self._step_due_s,
+            self.heartbeats.next_due_s,
+            self.home.next_due_s,
+            self.admission.next_due_s,
         )
-        return min(self._step_due_s, self.heartbeats.next_due_s, sweep_s, queue_s)
 
     def on_tick(self, now_s: float) -> None:
         """Do what is due by now."""
@@ -160,11 +151,8 @@
         if now_s >= self._step_due_s:
             self._step_due_s = now_s + STEP_S * self.shares.timing.heartbeat_s
             self._step(now_s)
-        self._queue_seen_s = now_s
         self.home.step(now_s)
-        if now_s >= self._sweep_due_s:
-            self._sweep_due_s = now_s + SWEEP_S
-            self.admission.step(now_s)
+        self.admission.step(now_s)
         if now_s >= self._expire_due_s:
             self._expire_due_s = now_s + EXPIRE_S
             self.admission.expire(now_s)
--- a/src/gentianfold/limits/lot_table.py
+++ b/src/gentianfold/limits/lot_table.py
@@ -71,6 +71,8 @@
     """Home slot that the key falls into."""
     limit: RateLimit
     """Limit of the latest request."""
+    limits_version: int
+    """Configuration version that the limit comes from."""
     used_s: float
     """Time of the latest request."""
     demand_per_s: float = 0.0
@@ -115,17 +117,23 @@
     """The same rows by digest."""
 
     def row(
-        self, customer: str, limit_name: str, limit: RateLimit, now_s: float
+        self,
+        customer: str,
+        limit_name: str,
+        limit: RateLimit,
+        limits_version: int,
+        now_s: float,
     ) -> LotRow:
         """Return the row of a bucket and count a request for it."""
         row = self.rows.get((customer, limit_name))
         if row is None:
             key = xxh3_64_digest(f"{customer}\0{limit_name}".encode())
-            row = LotRow(key, slot_of_key(key, HOME_SLOTS), limit, now_s)
+            slot = slot_of_key(key, HOME_SLOTS)
+            row = LotRow(key, slot, limit, limits_version, now_s)
             self.rows[customer, limit_name] = self.by_key[key] = row
         decay = math.exp((row.used_s - now_s) / DEMAND_WINDOW_S)
         row.demand_per_s = row.demand_per_s * decay + 1.0 / DEMAND_WINDOW_S
-        row.limit = limit
+        row.limit, row.limits_version = limit, limits_version
         row.used_s = now_s
         return row
 
--- a/src/gentianfold/limits/timing.py
+++ b/src/gentianfold/limits/timing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from gentianfold.clock import MAX_CLOCK_RATE_ERROR
@@ -31,11 +33,12 @@
     pledge_s: float
     """Time from a home's ping to the end of the pledge that answers it."""
 
-    @classmethod
-    def for_size(cls, vm_count: int) -> Timing:
+    @staticmethod
+    @functools.lru_cache(maxsize=64)
+    def for_size(vm_count: int) -> Timing:
         """Return the durations for a list of ``vm_count`` VMs."""
         scale = max(1.0, vm_count / HEARTBEATS_PER_SECOND)
-        return cls(
+        return Timing(
             heartbeat_s=scale,
             silent_s=2.4 * scale,
             suspect_s=1.5 * scale,
