Forget the load of upstreams and VMs that are replaced

An upstream that left and joined again under its name kept loads of the peers on record, and a VM that came back in another zone left its load behind: the sum of remote loads was wrong until the peers were silent for 3 s. The state machine covers both the load of peers and rejoining now. A VM that suspects its own path sends no urgent news.

--- a/src/gentianfold/routing/exchange.py
+++ b/src/gentianfold/routing/exchange.py
@@ -128,6 +128,7 @@
         """Merge the sketch of another VM."""
         if vm == self.observers.own.observer.vm:
             return None
+        self._forget_moved(vm, zone)
         if not payload:
             self.clear_loads(self.observers.hear(vm, zone, now_s))
             return None
@@ -171,6 +172,18 @@
             sum_s = item.latency / LATENCY_SCALE
             self.health.add_latencies(row, sum_s, item.latencies)
 
+    def _forget_moved(self, vm: str, zone: str) -> None:
+        """Start over with a VM that came back in another zone."""
+        source = self.observers.rows.get(vm)
+        if source is not None and source.observer.zone != zone:
+            self.clear_loads(source)
+            self.observers.forget(vm)
+
+    def forget_upstream(self, key: int) -> None:
+        """Drop the load that was reported for an upstream that is new now."""
+        for source in self.observers.rows.values():
+            source.loads.pop(key, None)
+
     def clear_loads(self, source: ObserverRow) -> None:
         """Drop the load that a VM reported."""
         for key, load in source.loads.items():
--- a/src/gentianfold/routing/observer_table.py
+++ b/src/gentianfold/routing/observer_table.py
@@ -73,7 +73,7 @@
     def hear(self, vm: str, zone: str, now_s: float) -> ObserverRow:
         """Return the row of a VM that was heard now."""
         row = self.rows.get(vm)
-        if row is None or row.observer.zone != zone:
+        if row is None:
             row = ObserverRow(Observer(vm, zone))
             self.rows[vm] = row
             self._count_zones()
--- a/src/gentianfold/routing/router.py
+++ b/src/gentianfold/routing/router.py
@@ -117,11 +117,12 @@
             self._group_sizes[upstream.service] = size + 1
         used = choose_subset(self.vm, listed, self._fleet_vms, self.policy.min_subset)
         added = self.table.replace(services, used)
-        if self._snapshot_seen:
-            for row in added:
+        for row in added:
+            self.exchange.forget_upstream(row.key)
+            if self._snapshot_seen:
                 row.warm_until_s = now_s + self.policy.warm_up_s
                 row.weight = self.policy.min_weight
-        self._snapshot_seen = True
+        self._snapshot_seen = self._snapshot_seen or bool(listed)
         self._forget_removed()
         for service in self.table.services.values():
             self.health.update(service, now_s)
@@ -210,8 +211,9 @@
         row.failures += 1
         row.failed_scopes.append(scope)
         self.exchange.news[row.upstream.name] = row
-        self.exchange.urgent[row.upstream.name] = row
         self.health.add_failures(row, self.observers.own, [scope], now_s)
+        if self.observers.own.trusted(now_s):
+            self.exchange.urgent[row.upstream.name] = row
         self.health.pause(row, now_s)
 
     def on_probe(self, upstream: str, healthy: bool) -> None:
--- a/tests/routing/test_router_machine.py
+++ b/tests/routing/test_router_machine.py
@@ -119,6 +119,21 @@
         for router in self.routers:
             router.on_probe(f"u{index}", healthy)
 
+    @rule(vm=VMS, index=UPSTREAMS, count=st.integers(1, 3))
+    def work_seen_by_all(self, vm, index, count):
+        name, router = f"u{index}", self.routers[vm]
+        for _ in range(count if name in router.table.rows else 0):
+            router.started(name, self.now_s - 1.0, route="a", customer="a")
+            self.running.append((vm, name, self.now_s - 1.0, "a"))
+        self.heartbeat(vm)
+
+    @rule(vm=VMS, index=UPSTREAMS)
+    def rejoin(self, vm, index):
+        if index in self.published:
+            self.work_seen_by_all(vm, index, 1)
+            self.leave(index)
+            self.join(index)
+
     @rule(index=UPSTREAMS)
     def join(self, index):
         self.published.setdefault(index, self._upstream(index))
