Keep services with few upstreams within the connection budget

benchmarks/routing_subsets.py at 550 VMs and 5,700 upstreams: the last service has 2 upstreams, and all 550 VMs used both, 550 connections where 330 are allowed. The subset shrinks below its wanted least now: at most 287 connections. At 22 upstreams 200 VMs share one on average, 228 at most, one connection each.

--- a/src/gentianfold/routing/subset.py
+++ b/src/gentianfold/routing/subset.py
@@ -17,18 +17,23 @@
 """Standard deviations above the mean that budgets leave room for."""
 
 
-def subset_size(upstreams: int, vms: int, least: int, spare_fraction: float) -> int:
+def subset_size(upstream: Upstream, upstreams: int, vms: int, least: int) -> int:
     """Return how many upstreams of a service each VM connects to.
 
     Args:
+        upstream: The server of the service that accepts the fewest connections.
         upstreams: Upstreams of the service.
         vms: VMs of the fleet.
-        least: Least number of upstreams, for choice and for failures.
-        spare_fraction: Connections for each slot over all VMs, at most 1 needed.
+        least: Wanted number of upstreams, for choice and for failures.
     """
-    if spare_fraction >= 1.0 or vms <= 1:
+    needed = vms * upstream.slots
+    if needed <= upstream.max_connections:
         return upstreams
-    return min(upstreams, max(least, math.ceil(upstreams * spare_fraction)))
+    fitting = math.ceil(upstreams * upstream.max_connections / needed)
+    size = min(upstreams, max(least, fitting))
+    while size > 1 and _sharers(size, upstreams, vms) > upstream.max_connections:
+        size -= 1
+    return size
 
 
 def choose_subset(
@@ -44,9 +49,8 @@
         by_service[upstream.service].append(upstream)
     chosen: list[Upstream] = []
     for group in by_service.values():
-        needed = vms * max(upstream.slots for upstream in group)
-        accepted = min(upstream.max_connections for upstream in group)
-        size = subset_size(len(group), vms, least, accepted / needed)
+        strictest = min(group, key=lambda u: u.max_connections / u.slots)
+        size = subset_size(strictest, len(group), vms, least)
         if size < len(group):
             group = sorted(group, key=lambda u: _rank(vm, u.name))[:size]
         chosen.extend(group)
@@ -54,22 +58,19 @@
 
 
 def connection_budget(upstream: Upstream, upstreams: int, vms: int, least: int) -> int:
-    """Return how many connections one VM may open to an upstream.
+    """Return how many connections one VM may open to an upstream."""
+    size = subset_size(upstream, upstreams, vms, least)
+    each = int(upstream.max_connections / _sharers(size, upstreams, vms))
+    return max(1, min(upstream.slots, each))
 
-    The number of VMs that share the upstream is binomial; the budget leaves room
-    for the ones above the mean.
-    """
-    spare_fraction = upstream.max_connections / max(1, vms * upstream.slots)
-    size = subset_size(upstreams, vms, least, spare_fraction)
+
+def _sharers(size: int, upstreams: int, vms: int) -> float:
+    """Return how many VMs share an upstream; their number is binomial."""
     if size >= upstreams:
-        sharers = float(vms)
-    else:
-        share = size / upstreams
-        sigma = math.sqrt(vms * share * (1.0 - share))
-        sharers = vms * share + IMBALANCE_SIGMAS * sigma
-    return max(
-        1, min(upstream.slots, int(upstream.max_connections / max(1.0, sharers)))
-    )
+        return float(vms)
+    share = size / upstreams
+    sigma = math.sqrt(vms * share * (1.0 - share))
+    return vms * share + IMBALANCE_SIGMAS * sigma
 
 
 def _rank(vm: str, upstream: str) -> int:
