--- a/benchmarks/process_fleet.py
+++ b/benchmarks/process_fleet.py
@@ -143,6 +143,9 @@
                 for vm in self.vms:
                     await vm.wait_ready()
                 yield self
+            except TimeoutError:
+                print(self.vms[0].log.read_text()[-2000:], file=sys.stderr)
+                raise
             finally:
                 with anyio.CancelScope(shield=True):
                     async with anyio.create_task_group() as stops:
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -174,6 +174,7 @@
         request_id = request.header(REQUEST_ID_HEADER).decode()
         key = request.header(IDEMPOTENCY_KEY_HEADER).decode() or request_id
         self.record.runs[key] += 1
+        self.record.bodies[request.body.decode("latin-1")] += 1
         behaviour = self.behaviour
         if behaviour.hang:
             await asyncio.Event().wait()
--- a/src/gentianfold/standins/upstream_behaviour.py
+++ b/src/gentianfold/standins/upstream_behaviour.py
@@ -55,6 +55,8 @@
 
     runs: Counter[str] = attrs.field(factory=Counter)
     """Runs by idempotency key, or by request id where there is none."""
+    bodies: Counter[str] = attrs.field(factory=Counter)
+    """Runs by request body."""
     requests_count: int = 0
     """Requests that arrived, health checks not counted."""
     connections_count: int = 0
