--- a/benchmarks/daemon_faults.py
+++ b/benchmarks/daemon_faults.py
@@ -41,6 +41,7 @@
 CASE_S = 12.0
 FAULT_AT_S = 3.0
 CALLER_TIMEOUT_S = 4.0
+CALLER_CONNECTIONS = 1000
 
 
 @attrs.define
@@ -138,11 +139,12 @@
 
 
 async def kill_two(fleet: ProcessFleet, callers: Callers) -> None:
-    """Kill two VMs and start one of them again."""
+    """Kill two VMs, start one again, and take the other from the VM list."""
     for vm in fleet.vms[:2]:
         callers.avoided.add(vm.name)
         vm.signal(signal.SIGKILL)
     await anyio.sleep(2.0)
+    fleet.publish_vms(without=fleet.vms[1].name)
     fleet.vms[0].start()
     await fleet.vms[0].wait_ready()
     callers.avoided.discard(fleet.vms[0].name)
@@ -240,7 +242,10 @@
     for server in upstreams:
         server.behaviour.latency_s = 0.01
     fleet = ProcessFleet(6, RULES, ("large", "small"), upstreams=upstreams)
-    async with fleet.running(), httpcore.AsyncConnectionPool() as pool:
+    async with (
+        fleet.running(),
+        httpcore.AsyncConnectionPool(max_connections=CALLER_CONNECTIONS) as pool,
+    ):
         await anyio.sleep(2.0)
         callers = Callers(fleet, pool)
         async with anyio.create_task_group() as tasks:
--- a/benchmarks/process_fleet.py
+++ b/benchmarks/process_fleet.py
@@ -169,10 +169,14 @@
             fleet=FleetOptions(clean_start=True),
         )
 
-    def publish_vms(self) -> None:
-        """Publish the VM list."""
+    def publish_vms(self, without: str = "") -> None:
+        """Publish the VM list, less one VM."""
         self.list_version += 1
-        vms = tuple(Vm(vm.name, "127.0.0.1", vm.peer_port, vm.zone) for vm in self.vms)
+        vms = tuple(
+            Vm(vm.name, "127.0.0.1", vm.peer_port, vm.zone)
+            for vm in self.vms
+            if vm.name != without
+        )
         self.platform.publish(
             VM_LIST_NAME, encode_vm_list(VmList(self.list_version, vms))
         )
--- a/src/gentianfold/daemon/once_fleet.py
+++ b/src/gentianfold/daemon/once_fleet.py
@@ -9,7 +9,7 @@
 
 from gentianfold.limits.share_table import OwnSlot
 from gentianfold.peers.membership import SUSPECT_S
-from gentianfold.requests.once.records import Member
+from gentianfold.requests.once.records import UNHEARD, Member
 
 if TYPE_CHECKING:
     from gentianfold.configuration.store import ConfigurationStore
@@ -18,9 +18,6 @@
     from gentianfold.limits.share_table import RemoteOwner
     from gentianfold.peers.membership import MembershipTable
 
-UNHEARD = 0
-"""Incarnation of a listed VM that was never heard."""
-
 
 @attrs.frozen
 class OwnedKeySlot:
--- a/src/gentianfold/daemon/published_view.py
+++ b/src/gentianfold/daemon/published_view.py
@@ -7,7 +7,7 @@
 from gentianfold.codes.requests import KEY_MISSING, KEY_UNKNOWN
 from gentianfold.configuration.snapshot import Snapshot
 from gentianfold.errors import Failure
-from gentianfold.keys import digest_key
+from gentianfold.keys import digest_key, is_key
 from gentianfold.model import Customer
 from gentianfold.rules import RouteTable, RuleSet
 
@@ -46,6 +46,10 @@
         """Return the customer that holds a key."""
         if key is None:
             return Failure(KEY_MISSING)
+        # A text of another shape could reach an upstream in some other header,
+        # since what is stripped there is found by the shape.
+        if not is_key(key):
+            return Failure(KEY_UNKNOWN)
         return self.identify_digest(digest_key(key))
 
     def identify_digest(self, key_digest: str) -> Identity | Failure:
--- a/src/gentianfold/requests/once/_collection.py
+++ b/src/gentianfold/requests/once/_collection.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from gentianfold.requests.once.records import UNHEARD
+
 if TYPE_CHECKING:
     from gentianfold.requests.once.interfaces import LedgerOptions
     from gentianfold.requests.once.messages import Admit, Collected
@@ -36,9 +38,16 @@
     def add(self, answer: Collected) -> list[Member]:
         """Note an answer and return the members that only it knows of."""
         self.answered.add(answer.holder)
-        self.missing.discard(answer.holder)
+        # The VM was heard now; its earlier incarnations come from the other answers.
+        unheard = attrs.evolve(answer.holder, incarnation=UNHEARD)
+        self.missing -= {answer.holder, unheard}
         self.history_s = max(self.history_s, answer.history_s)
-        unknown = set(answer.members) - self.answered - self.missing
+        names = {member.vm for member in self.answered}
+        unknown = {
+            member
+            for member in set(answer.members) - self.answered - self.missing
+            if member.incarnation != UNHEARD or member.vm not in names
+        }
         self.missing |= unknown
         return sorted(unknown, key=lambda member: (member.vm, member.incarnation))
 
--- a/src/gentianfold/requests/once/records.py
+++ b/src/gentianfold/requests/once/records.py
@@ -11,6 +11,10 @@
     from collections.abc import Collection
 
 
+UNHEARD = 0
+"""Incarnation of a listed VM that was never heard, whichever it may be."""
+
+
 @attrs.frozen
 class Member:
     """One incarnation of a VM; a restarted VM is another member."""
