Relay the newest evidence first in large fleets

Cause: rows were relayed in turn whatever their age, so in a fleet of 550 most of what was relayed was old already.

Figures (benchmarks/gossip.py, 35 s after the start, one VM's view, one run each): 550 VMs, median age of what is known of peers 21.8 s before, 5.8 s after, worst 34.8 s both; 160 VMs, median 3.8 s before, 4.8 s after, worst 8.8 s and 7.8 s; 8.5 kB/s on the wire and 0.44% of a core a node at 550, without encryption.

Conclusion: better at 550, slightly worse at 160. The worst age at 550 is above the 30 s after which a relayed peer is suspect; that is open.

--- a/src/gentianfold/peers/membership.py
+++ b/src/gentianfold/peers/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import cycle, islice
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,7 +22,7 @@
 from gentianfold.peers.replay_window import ReplayWindow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
     from gentianfold.configuration.vm_list import VmList
 
@@ -37,6 +38,8 @@
 """Gap between own ticks that counts as a pause of this process."""
 RELAYED_ROWS = 8
 """Relayed rows in one heartbeat."""
+GOLDEN_RATIO = 0.618034
+"""Share of the relayed rows by which their start moves on each second."""
 
 
 @attrs.define(eq=False)
@@ -62,7 +65,9 @@
     _order: tuple[str, ...] = attrs.field(default=(), init=False)
     _born_s: float | None = attrs.field(default=None, init=False)
     _ticked_s: float | None = attrs.field(default=None, init=False)
-    _relay_queue: list[int] = attrs.field(factory=list, init=False)
+    _relay_cycle: Iterator[int] = attrs.field(factory=lambda: iter(()), init=False)
+    _relay_turn: int = attrs.field(default=0, init=False)
+    _relayed_s: float = attrs.field(default=NEVER_S, init=False)
     _judged_s: float = attrs.field(default=NEVER_S, init=False)
     _hears: tuple[float, bytes] = attrs.field(default=(NEVER_S, b""), init=False)
 
@@ -74,7 +79,7 @@
         listed = {vm.name: vm for vm in vm_list.vms if vm.name != self.own}
         self._order = tuple(sorted(vm.name for vm in vm_list.vms))
         self._hears = NEVER_S, b""
-        self._relay_queue = []
+        self._relayed_s = NEVER_S
         self.neighbours = choose_neighbours(self.own, self._order)
         rows = {name: self.rows.get(name) or PeerRow(vm) for name, vm in listed.items()}
         for name, row in rows.items():
@@ -229,14 +234,9 @@
     def _choose_relayed(self, peer: str, now_s: float) -> tuple[RelayedRow, ...]:
         if len(self.neighbours) + 1 >= len(self._order):
             return ()
-        if not self._relay_queue:
-            self._relay_queue = [
-                place
-                for place, name in enumerate(self._order)
-                if name in self.rows and self._is_relayable(self.rows[name], now_s)
-            ]
-        chosen = self._relay_queue[:RELAYED_ROWS]
-        del self._relay_queue[:RELAYED_ROWS]
+        if now_s - self._relayed_s >= HEARTBEAT_S:
+            self._choose_candidates(now_s)
+        chosen = list(islice(self._relay_cycle, RELAYED_ROWS))
         named = ((place, self.rows[self._order[place]]) for place in chosen)
         return tuple(
             RelayedRow(
@@ -252,6 +252,18 @@
             if self._is_relayable(row, now_s)
         )
 
+    def _choose_candidates(self, now_s: float) -> None:
+        # The newest evidence is relayed, since the fewest VMs have it yet; each
+        # second, another neighbour gets the newest of all.
+        self._relayed_s = now_s
+        rows = ((i, self.rows.get(name)) for i, name in enumerate(self._order))
+        known = sorted((now_s - row.evidence_s, i) for i, row in rows if row)
+        fresh = [i for age_s, i in known if age_s < RELAYED_SUSPECT_S]
+        fresh = fresh[: RELAYED_ROWS * len(self.neighbours)]
+        self._relay_turn += 1
+        start = int(self._relay_turn * GOLDEN_RATIO % 1 * len(fresh))
+        self._relay_cycle = cycle(fresh[start:] + fresh[:start])
+
     def _is_relayable(self, row: PeerRow, now_s: float) -> bool:
         return now_s - row.evidence_s < RELAYED_SUSPECT_S
 
