--- a/src/gentianfold/limits/admission_system.py
+++ b/src/gentianfold/limits/admission_system.py
@@ -150,10 +150,11 @@
         self, row: LotRow, ask: PendingAsk, grant: Grant, now_s: float
     ) -> None:
         # The lifetime counts from before the home granted: it ends here first.
-        end_s = ask.sent_s + grant.lifetime_s
+        lifetime_s = 1e-3 * grant.time_ms
+        end_s = ask.sent_s + lifetime_s
         if now_s >= end_s:
             return
-        return_s = ask.sent_s + RETURN_PART * grant.lifetime_s
+        return_s = ask.sent_s + RETURN_PART * lifetime_s
         lot = HeldLot(
             grant.ask_id, ask.home, grant.tokens, end_s, return_s, grant.report_at_once
         )
@@ -211,8 +212,8 @@
                 row.key,
                 need,
                 max(0, row.stock - row.tokens),
-                row.limit.rate_per_s,
-                row.limit.burst,
+                _compact(row.limit.rate_per_s),
+                _compact(row.limit.burst),
                 row.limits_version,
                 self.table.reports(row, home),
             ),
@@ -227,7 +228,7 @@
         if elsewhere and detour + 1 < len(homes):
             row.detour, row.detour_until_s = detour + 1, now_s + DETOUR_S
             return
-        failure = Failure(CODES.get(grant.code, OVER_RATE), "", grant.lifetime_s)
+        failure = Failure(CODES.get(grant.code, OVER_RATE), "", 1e-3 * grant.time_ms)
         for number in list(itertools.islice(row.waiting, ask.need)):
             self._fail(self.tickets[number], failure)
 
@@ -282,3 +283,8 @@
         )
         for home, lots in reports.items():
             self.send(home, Report(tuple(lots)))
+
+
+def _compact(value: float) -> float:
+    """Return whole numbers as integers, which take fewer bytes on the wire."""
+    return int(value) if value == int(value) else value
--- a/src/gentianfold/limits/home_system.py
+++ b/src/gentianfold/limits/home_system.py
@@ -105,10 +105,11 @@
         if need and not offer.tokens:
             return False
         if offer.tokens:
-            self.table.issue(row, vm, ask_id, offer.tokens, offer.lifetime_s, now_s)
+            lifetime_s = 1e-3 * offer.lifetime_ms
+            self.table.issue(row, vm, ask_id, offer.tokens, lifetime_s, now_s)
         self.send(
             vm,
-            Grant(ask_id, offer.tokens, offer.lifetime_s, 0, offer.report_at_once),
+            Grant(ask_id, offer.tokens, offer.lifetime_ms, 0, offer.report_at_once),
         )
         return True
 
@@ -125,7 +126,7 @@
 
     def _refuse(self, row: Bucket, vm: str, ask_id: int) -> None:
         code, retry_after_s = self._cause(row)
-        self.send(vm, Grant(ask_id, 0, retry_after_s, code.number))
+        self.send(vm, Grant(ask_id, 0, math.ceil(1e3 * retry_after_s), code.number))
 
     def _cause(self, row: Bucket) -> tuple[Code, float]:
         share = self.table.pledges.share(row.home_slot)
--- a/src/gentianfold/limits/lot_policy.py
+++ b/src/gentianfold/limits/lot_policy.py
@@ -25,7 +25,7 @@
 
     tokens: int
     """Tokens of the lot; 0 for none."""
-    lifetime_s: float
+    lifetime_ms: int
     """Time in which they may be spent."""
     report_at_once: bool
     """Whether the home wants to know of each spent token without delay."""
@@ -64,5 +64,5 @@
         spare = math.floor((level - needed - 0.5 * burst) / 8.0)
         extra = min(want, max(0, spare)) if lifetime_s >= SINGLE_USE_S else 0
         if extra:
-            return Offer(needed + extra, lifetime_s, False)
-        return Offer(needed, SINGLE_USE_S, lifetime_s < SINGLE_USE_S)
+            return Offer(needed + extra, math.floor(1e3 * lifetime_s), False)
+        return Offer(needed, round(1e3 * SINGLE_USE_S), lifetime_s < SINGLE_USE_S)
--- a/src/gentianfold/limits/messages.py
+++ b/src/gentianfold/limits/messages.py
@@ -114,7 +114,7 @@
     """Identifies the ask, and the lot."""
     tokens: int
     """Tokens of the lot; 0 for a refusal."""
-    lifetime_s: float
+    time_ms: int
     """Time from the ask in which the tokens may be spent; for a refusal, the
     time after which a retry may succeed."""
     code: int = 0
