--- a/src/gentianfold/routing/ejection.py
+++ b/src/gentianfold/routing/ejection.py
@@ -57,22 +57,20 @@
 
     def _cause(self, row: UpstreamRow) -> Cause:
         """Return which evidence suffices for an ejection."""
-        least = self.policy.min_observers
-        observers = min(least, self.observers.vms)
-        zones = min(self.policy.min_zones, len(self.observers.zones))
-        if self._proved(row.fleet, observers, zones):
-            return Cause.FLEET
-        zone_observers = max(2, min(least, self.observers.zone_vms))
-        if self._proved(row.zone, zone_observers, 1):
+        policy = self.policy
+        needed = min(policy.min_observers, self.observers.vms)
+        if self._proved(row.fleet, policy.ejection_score, needed):
+            weights, proof = row.service.weights, policy.scope_score
+            one_zone = len(self.observers.zones) == 1
+            if one_zone or row.fleet.proved_beyond_zone(weights, proof):
+                return Cause.FLEET
+        needed = max(2, min(policy.min_observers, self.observers.zone_vms))
+        if self._proved(row.zone, policy.zone_ejection_score, needed):
             return Cause.ZONE
         return Cause.NONE
 
-    def _proved(self, evidence: Evidence, observers: int, zones: int) -> bool:
-        return (
-            evidence.score >= self.policy.ejection_score
-            and len(evidence.failures) >= observers
-            and evidence.zones >= zones
-        )
+    def _proved(self, evidence: Evidence, score: float, observers: int) -> bool:
+        return evidence.score >= score and len(evidence.failures) >= observers
 
     def _act(
         self, row: UpstreamRow, evidence: Evidence, cause: Cause, now_s: float
--- a/src/gentianfold/routing/evidence.py
+++ b/src/gentianfold/routing/evidence.py
@@ -79,16 +79,11 @@
     """Time of the first failure in this episode."""
     last_failure_s: float = -math.inf
     """Time of the last failure."""
-    successes: int = 0
-    """Successes in this episode."""
+    successes: Counter[str] = attrs.field(factory=Counter)
+    """Successes in this episode by zone of the observer."""
     failures: dict[Observer, list[Scope]] = attrs.field(factory=dict)
     """Scopes of the failures in this episode by observer."""
 
-    @property
-    def zones(self) -> int:
-        """Number of zones from which failures were seen."""
-        return len({observer.zone for observer in self.failures})
-
     @property
     def customers(self) -> Counter[int]:
         """Failures by customer."""
@@ -102,11 +97,11 @@
     def _scopes(self) -> Iterator[Scope]:
         return chain.from_iterable(self.failures.values())
 
-    def add_successes(self, count: int, weights: EvidenceWeights) -> None:
+    def add_successes(self, zone: str, count: int, weights: EvidenceWeights) -> None:
         """Count successes; end the episode once they outweigh the failures."""
         if self.score <= 0.0:
             return
-        self.successes += count
+        self.successes[zone] += count
         self.score += count * weights.success
         if self.score <= 0.0:
             self.clear()
@@ -157,12 +152,22 @@
         if scope == UNSCOPED or share > MAX_NARROW_SHARE:
             return None
         others = failed.total() - count
-        successes = self.successes * (1.0 - share)
+        successes = self.successes.total() * (1.0 - share)
         rest = others * weights.failure + successes * weights.success
         return None if rest >= proof else scope
 
+    def proved_beyond_zone(self, weights: EvidenceWeights, proof: float) -> bool:
+        """Return whether the zones other than the worst one prove a fault too."""
+        failures: Counter[str] = Counter()
+        for observer, scopes in self.failures.items():
+            failures[observer.zone] += len(scopes)
+        zone, count = failures.most_common(1)[0]
+        others = failures.total() - count
+        successes = self.successes.total() - self.successes[zone]
+        return others * weights.failure + successes * weights.success >= proof
+
     def clear(self) -> None:
         """Start over."""
         self.score = 0.0
-        self.successes = 0
+        self.successes.clear()
         self.failures.clear()
--- a/src/gentianfold/routing/exchange.py
+++ b/src/gentianfold/routing/exchange.py
@@ -28,6 +28,8 @@
     from gentianfold.routing.policy import RoutingPolicy
     from gentianfold.routing.upstream_table import UpstreamRow, UpstreamTable
 
+HEARTBEAT_S = 1.0
+"""Time that the news of a heartbeat spans."""
 ITEM_BYTES = 24
 """Size of one item on the wire, nearly always."""
 MAX_COUNT_STEP = 10_000
@@ -144,11 +146,18 @@
         for item in sketch.items:
             row = self.table.by_key.get(item.key)
             if row is not None:
-                self._merge(row, source, item, now_s)
+                self._merge(
+                    row, source, item, now_s, HEARTBEAT_S if sketch.whole else 0.0
+                )
         return None
 
     def _merge(
-        self, row: UpstreamRow, source: ObserverRow, item: SketchItem, now_s: float
+        self,
+        row: UpstreamRow,
+        source: ObserverRow,
+        item: SketchItem,
+        now_s: float,
+        age_s: float,
     ) -> None:
         last = source.counts.get(item.key)
         source.counts[item.key] = (item.successes, item.failures)
@@ -162,7 +171,7 @@
             return
         # The successes came before the failure that a sketch is sent for.
         if successes > 0:
-            self.health.add_successes(row, source, successes, now_s)
+            self.health.add_successes(row, source, successes, now_s, age_s)
         if failures < 0:
             self.health.retract_failure(row, source)
         elif failures > 0:
--- a/src/gentianfold/routing/health.py
+++ b/src/gentianfold/routing/health.py
@@ -10,6 +10,7 @@
 
 from gentianfold.routing.evidence import EvidenceWeights
 from gentianfold.routing.latency import LatencyHistogram
+from gentianfold.routing.upstream_table import Cause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -62,20 +63,27 @@
     """Acts on the evidence."""
 
     def add_successes(
-        self, row: UpstreamRow, source: ObserverRow, count: int, now_s: float
+        self,
+        row: UpstreamRow,
+        source: ObserverRow,
+        count: int,
+        now_s: float,
+        age_s: float = 0.0,
     ) -> None:
-        """Count successes that an observer saw."""
+        """Count successes that an observer saw within the last ``age_s`` seconds."""
         observer = source.observer
         row.seen_s = now_s
         row.recent_successes += count
         source.last_success_s[row.upstream.name] = now_s
         weights = row.service.weights
         fresh = min(count, self.policy.max_successes_per_sketch)
-        row.fleet.add_successes(fresh, weights)
         in_zone = observer.zone == self.table.zone
-        if in_zone:
-            row.zone.add_successes(fresh, weights)
-        if row.ejected and (in_zone or row.cause.name == "FLEET"):
+        # Successes from before the first failure don't speak against it.
+        if now_s - row.fleet.first_failure_s >= age_s:
+            row.fleet.add_successes(observer.zone, fresh, weights)
+        if in_zone and now_s - row.zone.first_failure_s >= age_s:
+            row.zone.add_successes(observer.zone, fresh, weights)
+        if row.ejected and (in_zone or row.cause is Cause.FLEET):
             self.ejection.credit_trial(row, count, now_s)
 
     def add_failures(
--- a/src/gentianfold/routing/policy.py
+++ b/src/gentianfold/routing/policy.py
@@ -17,16 +17,16 @@
     """Failure rate of a service above which no upstream is an outlier."""
     ejection_score: float = 11.0
     """Log-likelihood ratio at which an upstream is ejected."""
+    zone_ejection_score: float = 16.0
+    """The same for the VMs of a zone, by evidence of that zone alone."""
     scope_score: float = 3.5
-    """Log-likelihood ratio that other customers and routes must show."""
+    """Log-likelihood ratio that other customers, routes and zones must show."""
     avoid_s: float = 12.0
     """Time for which a failing customer or route is kept away."""
     max_failures_per_observer: int = 2
     """Failures of one VM that count in one episode."""
     min_observers: int = 3
     """VMs that must have seen failures, if the fleet has as many."""
-    min_zones: int = 2
-    """Zones that those VMs must span, if the fleet spans as many."""
     evidence_half_life_s: float = 10.0
     """Half-life of counts that set weights and baselines."""
     confirm_s: float = 1.0
