Match header names and values once a request

Cause: two regular expressions for each header were the largest cost of checking a head.

Ten headers, timeit, load average 14 on 10 cores: 13.8 to 9.5 us a head.

Conclusion: one match over the joined names and one over the joined values; empty names are looked for apart.

--- a/src/gentianfold/requests/request_head.py
+++ b/src/gentianfold/requests/request_head.py
@@ -57,16 +57,15 @@
 
 
 def _check_fields(headers: Sequence[tuple[bytes, bytes]]) -> Failure | None:
-    hosts = 0
+    names = [name for name, _ in headers]
+    # One match over all names costs less than one for each; an empty one hides in it.
+    if not all(names) or not TOKEN.fullmatch(b"".join(names)):
+        return Failure(REQUEST_MALFORMED, "a field name is not a token")
+    if FORBIDDEN_IN_VALUE.search(b"".join([value for _, value in headers])):
+        return Failure(REQUEST_MALFORMED, "a field value holds a control character")
+    hosts = names.count(b"host")
     for name, value in headers:
-        if not TOKEN.fullmatch(name):
-            return Failure(REQUEST_MALFORMED, f"the field name {name!r} is not a token")
-        if FORBIDDEN_IN_VALUE.search(value):
-            field = name.decode("ascii")
-            return Failure(REQUEST_MALFORMED, f"{field} holds a control character")
-        if name == b"host":
-            hosts += 1
-        elif name == b"upgrade":
+        if name == b"upgrade":
             return Failure(UPGRADE_REFUSED, "the request has an Upgrade header")
         elif name == b"expect" and value.lower() != b"100-continue":
             return Failure(EXPECTATION_REFUSED)
