--- a/src/gentianfold/daemon/once_fleet.py
+++ b/src/gentianfold/daemon/once_fleet.py
@@ -9,6 +9,7 @@
 
 from gentianfold.limits.share_table import OwnSlot
 from gentianfold.peers.membership import SUSPECT_S
+from gentianfold.peers.peer_row import PeerState
 from gentianfold.requests.once.records import UNHEARD, Member
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
     from gentianfold.peers.membership import MembershipTable
 
 
+MAX_DEPARTED = 1000
+"""Members that left of which a VM remembers that they did."""
+
+
 @attrs.frozen
 class OwnedKeySlot:
     """A share slot that this VM possesses."""
@@ -61,6 +66,7 @@
     start_s: float
     """When this VM began to listen."""
     _seen_s: dict[Member, float] = attrs.field(factory=dict)
+    _departed: dict[Member, None] = attrs.field(factory=dict)
 
     def tick(self, now_s: float) -> None:
         """Note who is heard, and forget who went long ago."""
@@ -73,13 +79,22 @@
         }
 
     def live(self, now_s: float) -> list[Member]:
-        """Return the members that are heard, this one included."""
+        """Return the members that are heard and stay, this one included."""
         heard = (
             Member(name, row.incarnation.nonce, row.vm.zone)
             for name, row in self.table.rows.items()
-            if row.incarnation is not None and row.is_heard(now_s, SUSPECT_S)
+            if row.incarnation is not None
+            and row.is_heard(now_s, SUSPECT_S)
+            and row.state is not PeerState.LEAVING
         )
-        return [self.me, *heard]
+        return [self.me, *(one for one in heard if one not in self._departed)]
+
+    def depart(self, member: Member) -> None:
+        """Forget a member on which no record depends any more."""
+        self._departed[member] = None
+        self._seen_s.pop(member, None)
+        for oldest in list(self._departed)[:-MAX_DEPARTED]:
+            del self._departed[oldest]
 
     def recent(self, now_s: float) -> set[Member]:
         """Return all members that may hold records, listed but unheard VMs too."""
--- a/src/gentianfold/daemon/once_gate.py
+++ b/src/gentianfold/daemon/once_gate.py
@@ -112,6 +112,10 @@
         try:
             self._do(effects)
             return await future
+        except asyncio.CancelledError:
+            # Nobody will run it: the key is free for a repeat.
+            self._finish(ticket, RunResult.NOT_RUN, None)
+            raise
         finally:
             del self._waiting[ticket]
 
--- a/src/gentianfold/daemon/planned_stop.py
+++ b/src/gentianfold/daemon/planned_stop.py
@@ -64,7 +64,9 @@
 
     async def _hand_over(self) -> None:
         vm = self._vm
+        vm.ledger.stop()
         vm.limiter.on_stop(vm.clock.now_s())
         vm.limit_gate.tick()
-        while not vm.limiter.stopped():
+        while not (vm.limiter.stopped() and vm.ledger.stopped()):
+            vm.once_gate.tick()
             await anyio.sleep(POLL_S)
--- a/src/gentianfold/requests/once/_record_table.py
+++ b/src/gentianfold/requests/once/_record_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,7 @@
     _records: dict[Name, dict[str, Record]] = attrs.field(factory=dict)
     _slots: dict[int, set[Name]] = attrs.field(factory=dict)
     _count: int = 0
+    _ages: list[tuple[float, Name, str]] = attrs.field(factory=list)
 
     def __len__(self) -> int:
         return self._count
@@ -59,7 +61,9 @@
     def put(self, record: Record) -> None:
         """Add or replace a record."""
         records = self._records.setdefault(record.name, {})
-        self._count += record.admission not in records
+        if record.admission not in records:
+            self._count += 1
+            self._watch_age(record)
         records[record.admission] = record
         self._slots.setdefault(record.slot, set()).add(record.name)
 
@@ -84,15 +88,27 @@
             for record in itertools.chain.from_iterable(records)
         )
 
+    def all(self) -> list[Record]:
+        """Return every record."""
+        return [one for records in self._records.values() for one in records.values()]
+
     def expire(self, now_s: float) -> None:
         """Forget records that are older than the retention period."""
         oldest_s = now_s - self.retention_s
-        records = itertools.chain.from_iterable(
-            records.values() for records in self._records.values()
-        )
-        expired = [record for record in records if record.created_at_s <= oldest_s]
-        for record in expired:
-            self._remove(record)
+        while self._ages and self._ages[0][0] <= oldest_s:
+            _, name, admission = heapq.heappop(self._ages)
+            record = self.find(*name, admission)
+            if record is None:
+                continue
+            if record.created_at_s <= oldest_s:
+                self._remove(record)
+            else:
+                # Another VM's copy of it turned out to be younger.
+                self._watch_age(record)
+
+    def _watch_age(self, record: Record) -> None:
+        entry = (record.created_at_s, record.name, record.admission)
+        heapq.heappush(self._ages, entry)
 
     def _remove(self, record: Record) -> None:
         records = self._records[record.name]
--- a/src/gentianfold/requests/once/codec.py
+++ b/src/gentianfold/requests/once/codec.py
@@ -13,6 +13,7 @@
     Collected,
     CopyHeld,
     CopyRecord,
+    Departed,
     DropCopy,
     Finish,
     Message,
@@ -27,6 +28,7 @@
     DropCopy,
     Collect,
     Collected,
+    Departed,
 )
 """Kinds of messages; the first byte on the wire is the position here."""
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
--- a/src/gentianfold/requests/once/home.py
+++ b/src/gentianfold/requests/once/home.py
@@ -60,6 +60,7 @@
         self._options = options
         self._collections: dict[int, Collection] = {}
         self._pending: dict[tuple[str, bytes], Pending] = {}
+        self._stopping = False
         self._rounds = 0
         self._admissions = 0
 
@@ -79,6 +80,10 @@
         collection.waiting.append((vm, request))
         return [*sends, *self._close(owned.slot, collection, now_s)]
 
+    def stop(self) -> None:
+        """Admit nothing more: copies must not be counted on a VM that leaves."""
+        self._stopping = True
+
     def collected(self, answer: Collected, now_s: float) -> list[Send]:
         """Add the records that another VM holds."""
         collection = self._collections.get(answer.slot)
@@ -140,7 +145,7 @@
 
     def _owned(self, customer: str, key: bytes, now_s: float) -> OwnedSlot | None:
         found = self._authority.authority(slot_key(customer, key), now_s)
-        if isinstance(found, Failure) or hasattr(found, "vm"):
+        if self._stopping or isinstance(found, Failure) or hasattr(found, "vm"):
             return None
         return found
 
--- a/src/gentianfold/requests/once/interfaces.py
+++ b/src/gentianfold/requests/once/interfaces.py
@@ -61,6 +61,10 @@
         """Return all members known from the last retention period."""
         ...
 
+    def depart(self, member: Member) -> None:
+        """Forget a member on which no record depends any more."""
+        ...
+
     def history_s(self, now_s: float) -> float:
         """Return how far back ``recent`` is known to be whole."""
         ...
--- a/src/gentianfold/requests/once/ledger.py
+++ b/src/gentianfold/requests/once/ledger.py
@@ -13,6 +13,7 @@
 from gentianfold.codes.requests import KEY_HOME_IN_DOUBT
 from gentianfold.errors import Failure
 from gentianfold.requests.once._record_table import RecordTable
+from gentianfold.requests.once.handover import Handover
 from gentianfold.requests.once.home import KeyHome, slot_key
 from gentianfold.requests.once.interfaces import LedgerOptions, Send
 from gentianfold.requests.once.messages import (
@@ -22,6 +23,7 @@
     Collected,
     CopyHeld,
     CopyRecord,
+    Departed,
     DropCopy,
     Finish,
     Message,
@@ -62,9 +64,11 @@
         self._authority = authority
         self._roster = roster
         self._table = RecordTable(self.options.retention_s, self.options.max_records)
+        self._rule = rule or CopyRule()
         self._tickets = TicketTable(me, self.options)
+        self._handover: Handover | None = None
         self._home = KeyHome(
-            me, self._table, authority, roster, rule or CopyRule(), self.options
+            me, self._table, authority, roster, self._rule, self.options
         )
 
     def __len__(self) -> int:
@@ -127,11 +131,27 @@
         """Act on time that passed; call it several times a second."""
         self._table.expire(now_s)
         effects = self._route(self._home.tick(now_s), now_s)
+        if self._handover is not None:
+            effects += self._route(self._handover.step(now_s), now_s)
         for ticket in self._tickets.give_up(now_s):
             effects.append(Decided(ticket.name, in_doubt()))
             effects += self._tell_home(ticket, RunResult.NOT_RUN, None, now_s)
         return effects
 
+    def stop(self) -> None:
+        """Begin a planned stop; later calls of ``tick`` hand the records over.
+
+        Requests of this VM are over by then. It takes no copies any more, since
+        nobody would count on it for them once it has told that it leaves.
+        """
+        if self._handover is None:
+            self._home.stop()
+            self._handover = Handover(self.me, self._table, self._roster, self._rule)
+
+    def stopped(self) -> bool:
+        """Return whether no record depends on this VM any more."""
+        return self._handover is not None and self._handover.finished
+
     def _home_vm(self, customer: str, key: bytes, now_s: float) -> str | None:
         found = self._authority.authority(slot_key(customer, key), now_s)
         if isinstance(found, Failure):
@@ -177,7 +197,12 @@
                 return [*self._home.finish(message, now_s)]
             case CopyRecord():
                 return self._hold(vm, message, now_s)
+            case Departed():
+                self._roster.depart(message.member)
+                return []
             case CopyHeld():
+                if self._handover is not None:
+                    self._handover.copy_held(message)
                 return [*self._home.copy_held(message, now_s)]
             case DropCopy():
                 self._table.drop(message.customer, message.key, message.admission)
@@ -203,6 +228,8 @@
 
     def _hold(self, vm: str, message: CopyRecord, now_s: float) -> list[Effect]:
         record = message.record
+        if self._handover is not None:
+            return []
         known = self._table.find(*record.name, record.admission)
         if known is None and self._table.is_full():
             return []
--- a/src/gentianfold/requests/once/messages.py
+++ b/src/gentianfold/requests/once/messages.py
@@ -155,7 +155,23 @@
     """How far back it knows of all members."""
 
 
+@attrs.frozen
+class Departed:
+    """Says that a member leaves, and that no record depends on it any more."""
+
+    member: Member
+    """The member that leaves."""
+
+
 Message = (
-    Admit | AdmitReply | Finish | CopyRecord | CopyHeld | DropCopy | Collect | Collected
+    Admit
+    | AdmitReply
+    | Finish
+    | CopyRecord
+    | CopyHeld
+    | DropCopy
+    | Collect
+    | Collected
+    | Departed
 )
 """Any message about idempotency keys."""
--- a/tests/requests/once/ledger_world.py
+++ b/tests/requests/once/ledger_world.py
@@ -52,12 +52,16 @@
 
     world: LedgerWorld
     started_at_s: float
+    departed: set[Member] = attrs.field(factory=set)
+
+    def depart(self, member):
+        self.departed.add(member)
 
     def live(self, now_s):
         return [ledger.me for ledger in self.world.ledgers.values()]
 
     def recent(self, now_s):
-        return list(self.world.members)
+        return [one for one in self.world.members if one not in self.departed]
 
     def history_s(self, now_s):
         return self.started_at_s + now_s
@@ -108,6 +112,16 @@
         self.permits = [one for one in self.permits if one.ledger is not gone]
         self.running = [one for one in self.running if one.ledger is not gone]
 
+    def stop(self, vm: str) -> None:
+        """Stop a VM as planned, if the others take its records in time."""
+        ledger = self.ledgers[vm]
+        ledger.stop()
+        for _ in range(6):
+            self.now_s += 0.25
+            self.tick(vm)
+            self.settle()
+        self.crash(vm)
+
     def apply(self, vm: str, effects) -> None:
         for effect in effects:
             if isinstance(effect, Send):
--- a/tests/requests/once/test_ledger_machine.py
+++ b/tests/requests/once/test_ledger_machine.py
@@ -96,6 +96,16 @@
     def crash(self, vm):
         self.world.crash(vm)
 
+    @rule(leaving=one_of_each_zone)
+    def stop_and_move(self, leaving):
+        for vm in leaving:
+            if vm in self.world.ledgers:
+                self.world.stop(vm)
+        left = sorted(self.world.ledgers)
+        if left:
+            self.world.own(left[0])
+            self.world.believe(left[0])
+
     @rule(gone=one_of_each_zone)
     def crash_and_move(self, gone):
         for vm in gone:
