Let the latency benchmark outlive connections that the server closed

Cause: one run on uvloop did not end within 40 s. The load kept connections for longer than the 5 s after which uvicorn closes idle ones, and waited on a closed one for ever. That this was the cause is read from the code, not caught in the act.

Conclusion: closed connections are skipped, and one lost in use fails the run.

--- a/benchmarks/forward_latency.py
+++ b/benchmarks/forward_latency.py
@@ -34,12 +34,19 @@
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[float] | None = None
         self._received = b""
+        self.is_lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         # The transports of uvloop don't inherit from those of asyncio.
         self.transport = cast("asyncio.Transport", transport)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request that waits, if any."""
+        self.is_lost = True
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(ConnectionError("closed before the answer"))
+
     def data_received(self, data: bytes) -> None:
         """Resolve the future when the answer is whole."""
         self._received += data
@@ -62,6 +69,9 @@
 ) -> None:
     """Send one request on an idle connection and record its latency."""
     loop = asyncio.get_running_loop()
+    while idle and idle[-1].is_lost:
+        # The server closes connections that were idle for some seconds.
+        idle.pop()
     if idle:
         connection = idle.pop()
     else:
