--- a/benchmarks/forward_latency.py
+++ b/benchmarks/forward_latency.py
@@ -65,7 +65,11 @@
 
 
 async def send(
-    idle: list[LoadConnection], port: int, number: int, histogram: HdrHistogram
+    idle: list[LoadConnection],
+    port: int,
+    number: int,
+    histogram: HdrHistogram,
+    request: bytes,
 ) -> None:
     """Send one request on an idle connection and record its latency."""
     loop = asyncio.get_running_loop()
@@ -79,7 +83,7 @@
     connection.answer = loop.create_future()
     assert connection.transport is not None
     started_s = time.perf_counter()
-    connection.transport.write(REQUEST % number)
+    connection.transport.write(request % number)
     ended_s = await connection.answer
     histogram.record_value(max(1, int((ended_s - started_s) * 1e6)))
     idle.append(connection)
@@ -102,7 +106,11 @@
 
 
 async def offer(
-    port: int, duration_s: float, seed: int, histogram: HdrHistogram
+    port: int,
+    duration_s: float,
+    seed: int,
+    histogram: HdrHistogram,
+    request: bytes = REQUEST,
 ) -> None:
     """Send requests at Poisson times for a while."""
     gaps = random.Random(seed)
@@ -114,7 +122,7 @@
     while next_s < end_s:
         await asyncio.sleep(max(0.0, next_s - time.perf_counter()))
         number += 1
-        task = asyncio.create_task(send(idle, port, number, histogram))
+        task = asyncio.create_task(send(idle, port, number, histogram, request))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         next_s += gaps.expovariate(RATE_PER_S)
--- a/benchmarks/forward_vm.py
+++ b/benchmarks/forward_vm.py
@@ -18,6 +18,7 @@
 from gentianfold.requests.forwarder import Forwarder
 from gentianfold.requests.proxy_request import ProxyRequest
 from gentianfold.requests.request_head import check_request_head
+from gentianfold.routing.choice import Choice, Reason
 
 if TYPE_CHECKING:
     from gentianfold.routing.outcome import Outcome
@@ -27,13 +28,15 @@
     """Chooses the only upstream."""
 
     def __init__(self, upstream: Upstream) -> None:
-        self._upstream = upstream
+        self._choice = Choice(upstream, Reason.ONLY_ONE)
 
-    def choose(self, service: str, exclude: frozenset[str], now_s: float) -> Upstream:
+    def choose(
+        self, service: str, exclude: frozenset[str], now_s: float, **scope: Any
+    ) -> Choice:
         """Return the upstream."""
-        return self._upstream
+        return self._choice
 
-    def started(self, upstream: str, now_s: float) -> None:
+    def started(self, upstream: str, now_s: float, **scope: str) -> None:
         """Do nothing."""
 
     def finished(self, outcome: Outcome, now_s: float) -> None:
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -57,6 +57,8 @@
 
 TICK_S = 0.05
 """Time between two runs of the systems over their tables (seconds)."""
+QUEUE_TICK_S = 0.005
+"""Time between two looks for free slots while requests wait (seconds)."""
 SHARE_WAIT_S = 10.0
 """Longest time that a starting VM waits for its share slots (seconds)."""
 SWEEP_S = 1.0
@@ -116,7 +118,7 @@
             self.clock, ssl_context=upstream_tls(tls) if tls else None
         )
         self.forwarder = Forwarder(
-            self.router,
+            self.routing,
             self.connections,
             self.clock,
             strip_key_headers,
@@ -190,6 +192,7 @@
             self.node.attach(self.link)
             tasks.start_soon(self.follower.run)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._tick_queue)
             tasks.start_soon(self.caller_server.serve)
             tasks.start_soon(self.operator_server.serve)
             self._log_start()
@@ -263,13 +266,19 @@
             self.routing.tick()
             self.roster.tick(now_s)
             self.once_gate.tick()
-            self.queue.tick()
             self.decisions.flush()
             if now_s >= sweep_due_s:
                 sweep_due_s = now_s + SWEEP_S
                 self.connections.sweep(frozenset(self.router.table.rows))
             await anyio.sleep(TICK_S)
 
+    async def _tick_queue(self) -> None:
+        """Hand out slots that other VMs freed, which happens without notice."""
+        while True:
+            self.queue.tick()
+            waits = any(self.queue.waiting_counts().values())
+            await anyio.sleep(QUEUE_TICK_S if waits else TICK_S)
+
     def _may_admit(self, now_s: float) -> bool:
         """Tell whether the limits work, or were waited for long enough."""
         if self._start_s is None:
--- a/src/gentianfold/daemon/routing_exchange.py
+++ b/src/gentianfold/daemon/routing_exchange.py
@@ -9,8 +9,11 @@
 
 if TYPE_CHECKING:
     from gentianfold.clock import Clock
+    from gentianfold.errors import Failure
     from gentianfold.peers.exchange import PeerRequest
     from gentianfold.peers.node import PeerNode
+    from gentianfold.routing.choice import Choice
+    from gentianfold.routing.outcome import Outcome
     from gentianfold.routing.router import Router
 
 TOPIC = "routing"
@@ -21,7 +24,7 @@
 
 @attrs.define(eq=False)
 class RoutingExchange:
-    """Sends a sketch each second, and urgent news at the next tick."""
+    """Places attempts; sends a sketch each second, and urgent news at once."""
 
     router: Router
     """Makes and merges sketches."""
@@ -46,6 +49,39 @@
         if urgent is not None:
             self._send(urgent)
 
+    def choose(
+        self,
+        service: str,
+        exclude: frozenset[str],
+        now_s: float,
+        *,
+        route: str = "",
+        customer: str = "",
+        idempotent: bool = True,
+    ) -> Choice | Failure:
+        """Choose the upstream for one attempt, none of ``exclude``."""
+        return self.router.choose(
+            service,
+            exclude,
+            now_s,
+            route=route,
+            customer=customer,
+            idempotent=idempotent,
+        )
+
+    def started(
+        self, upstream: str, now_s: float, *, route: str = "", customer: str = ""
+    ) -> None:
+        """Count an attempt in flight."""
+        self.router.started(upstream, now_s, route=route, customer=customer)
+
+    def finished(self, outcome: Outcome, now_s: float) -> None:
+        """Learn from an outcome, and tell the peers at once if it can't wait."""
+        self.router.finished(outcome, now_s)
+        urgent = self.router.urgent_payload(now_s)
+        if urgent is not None:
+            self._send(urgent)
+
     def _send(self, payload: bytes) -> None:
         for peer in self.node.table.neighbours:
             self.node.tell(peer, TOPIC, payload)
