Try every single fault at the steps of requests and exchanges

Cause: faults were tested part by part; no table said which fault at which step was tried against which promise.

--- a/src/gentianfold/cli/main.py
+++ b/src/gentianfold/cli/main.py
@@ -18,6 +18,7 @@
 from gentianfold.cli.explain import Explain
 from gentianfold.cli.key import Key
 from gentianfold.cli.load import Load
+from gentianfold.cli.report import Report
 from gentianfold.cli.status import Status
 from gentianfold.cli.top import Top
 
@@ -37,6 +38,7 @@
     | Drain
     | Demo
     | Load
+    | Report
 )
 
 
--- /dev/null
+++ b/src/gentianfold/cli/report.py
@@ -0,0 +1,38 @@
+"""The command that runs the project's own reports."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import attrs
+import cappa
+from loguru import logger
+
+from gentianfold.cli._output import write_line
+from gentianfold.cli.exit_codes import ExitCode
+from gentianfold.reports._matrix_benches import all_benches
+from gentianfold.reports._matrix_markdown import format_markdown, format_summary
+from gentianfold.reports.fault_matrix import SEEDS, run_matrix
+
+
+@cappa.command(name="report", help="Run a report on the decision code.")
+@attrs.frozen(kw_only=True)
+class Report:
+    """Runs a report."""
+
+    name: Annotated[Literal["fault-matrix"], cappa.Arg(help="The report to run.")]
+    """Name of the report."""
+    full: Annotated[
+        bool, cappa.Arg(long=True, help="Try pairs too, and write the whole page.")
+    ] = False
+    """Whether to try pairs of faults and write Markdown."""
+
+    def __call__(self) -> ExitCode:
+        """Run the report; a violation is a finding."""
+        logger.disable("gentianfold")
+        matrix = run_matrix(all_benches(), SEEDS, 2 if self.full else 1)
+        if self.full:
+            write_line(format_markdown(matrix).rstrip("\n"))
+        else:
+            write_line(format_summary(matrix))
+        return ExitCode.FINDINGS if matrix.violations else ExitCode.OK
