Refuse keyed requests on a VM that knows it lacks a version; split large rules

Cause, found by the fault matrix: a VM that woke after a pause, or heard of a newer version without getting it, went on with a withdrawn key; a starting VM's wait for peers began before it knew its VM list. After a pause a VM proves again that it knows enough; one that lacks a version of its peers for 5 s counts as isolated. Cause, found by benchmarks/target_memory.py: 43,000 customers make a rules text of 2 MB, over the platform's 1 MB a value, so that the target's configuration could not be published.

--- a/benchmarks/daemon_faults.py
+++ b/benchmarks/daemon_faults.py
@@ -124,6 +124,9 @@
             if content["body_sha256"] != digest:
                 self.tally.faults.append(f"{name} got the answer of another request")
             return "200"
+        if "error" not in content:
+            self.tally.unsure.add(name)
+            return f"{answer.status} of the upstream"
         said = (
             self.tally.not_run if content["request"] == "not run" else self.tally.unsure
         )
--- a/src/gentianfold/codes/rules.py
+++ b/src/gentianfold/codes/rules.py
@@ -7,7 +7,7 @@
 RULES_TOO_LARGE = define_code(
     2001,
     "rules-too-large",
-    "The rules text is larger than the configuration service holds.",
+    "The rules text is larger than a VM reads.",
     "Remove rules that nothing needs any more.",
 )
 CONTROL_CHARACTER = define_code(
--- a/src/gentianfold/configuration/assembly.py
+++ b/src/gentianfold/configuration/assembly.py
@@ -15,7 +15,7 @@
 )
 from gentianfold.configuration.fleet import FleetOptions
 from gentianfold.configuration.key_table import KeyTable, parse_key_shard
-from gentianfold.configuration.root import ROOT_NAME, Root
+from gentianfold.configuration.root import ROOT_NAME, Root, digest_of
 from gentianfold.configuration.snapshot import Snapshot
 from gentianfold.errors import Failure, Location
 from gentianfold.model import Service, Upstream
@@ -24,7 +24,7 @@
 """Parses the text of the rules, given the text and the name of its source."""
 
 RULES_NAME = "rules"
-"""Shard with the operators' rules."""
+"""First shard of the operators' rules; ``rules-001`` and so on go on with the text."""
 UPSTREAMS_NAME = "upstreams"
 """Shard with the upstream servers."""
 FLEET_NAME = "fleet"
@@ -45,11 +45,10 @@
         self, root: Root, shards: Mapping[str, bytes]
     ) -> Snapshot | tuple[Failure, ...]:
         """Build the snapshot of ``root`` from its shards by name."""
+        parts = [(ref.name, ref.digest, shards[ref.name]) for ref in root.shards]
         parsed = {
-            (ref.name, ref.digest, root.key_shards): self._parse(
-                root, ref.name, ref.digest, shards[ref.name]
-            )
-            for ref in root.shards
+            (name, digest, root.key_shards): self._parse(root, name, digest, data)
+            for name, digest, data in join_rules(parts)
         }
         by_name = {key[0]: value for key, value in parsed.items()}
         failures = _collect_failures(by_name)
@@ -84,6 +83,22 @@
         return self.parse_rules(text, RULES_NAME)
 
 
+def join_rules(
+    parts: list[tuple[str, str, bytes]],
+) -> list[tuple[str, str, bytes]]:
+    """Join the shards of the rules into one, so that line numbers are the file's.
+
+    Args:
+        parts: Name, digest and bytes of each shard.
+    """
+    rules = sorted(part for part in parts if part[0].split("-")[0] == RULES_NAME)
+    if len(rules) < 2:
+        return parts
+    text = b"".join(data for _, _, data in rules)
+    others = [part for part in parts if part not in rules]
+    return [(RULES_NAME, digest_of(text), text), *others]
+
+
 def _collect_failures(parsed: Mapping[str, object]) -> tuple[Failure, ...]:
     absent = tuple(
         Failure(SHARD_ABSENT, f"no shard {name}", location=Location(ROOT_NAME, 1))
--- a/src/gentianfold/configuration/publication.py
+++ b/src/gentianfold/configuration/publication.py
@@ -28,6 +28,9 @@
 
     from gentianfold.model import Upstream
 
+RULES_SHARD_BYTES = 500_000
+"""Size above which the rules are split into further shards."""
+
 
 def publish_configuration(
     publish: Callable[[str, bytes], object],
@@ -78,9 +81,23 @@
     count = key_shard_count(len(records))
     grouped = groupby(records, key=lambda record: key_shard_name(record.digest, count))
     shards = {
-        RULES_NAME: rules_text.encode(),
+        **split_rules(rules_text),
         UPSTREAMS_NAME: msgspec.json.encode(tuple(upstreams)),
         FLEET_NAME: msgspec.json.encode(fleet or FleetOptions()),
     }
     shards |= {name: encode_key_shard(group) for name, group in grouped}
     return shards, count
+
+
+def split_rules(text: str) -> dict[str, bytes]:
+    """Split the text of the rules at line ends into shards of bounded size."""
+    parts: list[list[bytes]] = [[]]
+    size = 0
+    for line in text.encode().splitlines(keepends=True):
+        if size + len(line) > RULES_SHARD_BYTES and parts[-1]:
+            parts.append([])
+            size = 0
+        parts[-1].append(line)
+        size += len(line)
+    names = [RULES_NAME, *(f"{RULES_NAME}-{n:03}" for n in range(1, len(parts)))]
+    return {name: b"".join(lines) for name, lines in zip(names, parts, strict=True)}
--- a/src/gentianfold/daemon/status.py
+++ b/src/gentianfold/daemon/status.py
@@ -73,10 +73,13 @@
         ]
 
     def _upstreams(self, now_s: float) -> list[dict[str, Any]]:
+        snapshot = self._vm.store.snapshot
+        listed = snapshot.upstreams if snapshot else {}
         return [
             {
                 "name": row.upstream,
                 "service": row.service,
+                "zone": listed[row.upstream].zone if row.upstream in listed else None,
                 "state": row.state.value,
                 "weight": row.weight,
                 "in_flight": row.in_flight,
--- a/src/gentianfold/peers/isolation.py
+++ b/src/gentianfold/peers/isolation.py
@@ -15,15 +15,18 @@
 SHORT_WATCH_S = 2.0
 """Time of a watch of a VM that needs the platform to hear of withdrawn keys."""
 START_WAIT_S = 5.0
-"""Time for which a starting VM waits for peers."""
+"""Time for which a starting VM that knows its VM list waits for peers."""
+BEHIND_S = 5.0
+"""Time for which a VM may lack a version that it hears peers have."""
 
 
 @attrs.define(eq=False)
 class IsolationDetector:
     """Tells whether this VM could hear of a withdrawn key; pure.
 
-    A VM is isolated when within ``ISOLATION_S`` the platform didn't answer and fewer
-    than ``needed_acks`` peers acknowledged it. A VM that peers hear but that doesn't
+    A VM is isolated when it lacks a version that peers have for ``BEHIND_S``, since it
+    then knows that it misses something, or when within ``ISOLATION_S`` the platform
+    didn't answer and fewer than ``needed_acks`` peers acknowledged it. A VM that peers hear but that doesn't
     hear them is not acknowledged either: acknowledgements come in heartbeats of the
     peer. A VM without enough peers must watch the platform in short turns.
     """
@@ -38,6 +41,7 @@
     """Whether this VM relies on the platform and must use ``SHORT_WATCH_S``."""
     _started_s: float | None = attrs.field(default=None, init=False)
     _ticked_s: float = attrs.field(default=float("-inf"), init=False)
+    _behind_since_s: float | None = attrs.field(default=None, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
 
     def needed_acks(self) -> int:
@@ -49,12 +53,17 @@
 
     def on_tick(self, now_s: float, platform_answered_s: float) -> bool:
         """Let time pass; return whether the VM is isolated."""
+        if now_s - self._ticked_s > ISOLATION_S:
+            # After a pause, what this VM knows may be as old as after a start.
+            self._was_ready = False
+            self._started_s = None
         self._ticked_s = now_s
-        if self._started_s is None:
+        if self._started_s is None and self.store.vm_list is not None:
             self._started_s = now_s
         acks = len(self.table.acknowledging(now_s, ISOLATION_S))
         self.lacks_peers = acks < self.needed_acks()
-        self.isolated = self.lacks_peers and now_s - platform_answered_s > ISOLATION_S
+        unheard = self.lacks_peers and now_s - platform_answered_s > ISOLATION_S
+        self.isolated = unheard or self._is_behind(now_s)
         return self.isolated
 
     def is_isolated(self, now_s: float) -> bool:
@@ -62,7 +71,8 @@
 
         A process that wakes up after a pause may take a request before its next tick.
         """
-        return self.isolated or now_s - self._ticked_s > ISOLATION_S
+        stale = now_s - self._ticked_s > ISOLATION_S
+        return self.isolated or stale or not self._was_ready
 
     def is_ready(self, now_s: float) -> bool:
         """Return whether this VM may serve.
@@ -74,17 +84,32 @@
         """
         if self.store.snapshot is None or self.store.vm_list is None:
             return False
-        if self.is_isolated(now_s):
+        if self.isolated or now_s - self._ticked_s > ISOLATION_S:
             return False
         self._was_ready = self._was_ready or self._knows_enough(now_s)
         return self._was_ready
 
     def _knows_enough(self, now_s: float) -> bool:
-        rows = self.table.rows.values()
-        heard = [row for row in rows if row.is_heard(now_s, ISOLATION_S)]
-        newest = max((row.config_version for row in heard), default=0)
-        refused = self.store.refusal.version if self.store.refusal else 0
-        if newest > self.store.version and newest != refused:
+        if self._newest_heard(now_s) > self.store.version:
             return False
         started_s = now_s if self._started_s is None else self._started_s
-        return now_s - started_s >= START_WAIT_S or len(heard) >= self.needed_acks()
+        heard = len(self.table.heard(now_s, ISOLATION_S))
+        return now_s - started_s >= START_WAIT_S or heard >= self.needed_acks()
+
+    def _is_behind(self, now_s: float) -> bool:
+        if self._newest_heard(now_s) <= self.store.version:
+            self._behind_since_s = None
+            return False
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        return now_s - self._behind_since_s > BEHIND_S
+
+    def _newest_heard(self, now_s: float) -> int:
+        """Return the newest version that peers have and this VM did not refuse."""
+        refused = self.store.refusal.version if self.store.refusal else 0
+        heard = (
+            row.config_version
+            for row in self.table.rows.values()
+            if row.is_heard(now_s, ISOLATION_S) and row.config_version != refused
+        )
+        return max(heard, default=0)
--- a/src/gentianfold/reports/_matrix_ledgers.py
+++ b/src/gentianfold/reports/_matrix_ledgers.py
@@ -99,6 +99,9 @@
         """Return all members."""
         return list(self.members)
 
+    def depart(self, member: Member) -> None:
+        """Forget nobody: the bench stops VMs without a handover."""
+
     def history_s(self, now_s: float) -> float:
         """Return for how long the members are known."""
         return now_s - self.started_s
--- a/src/gentianfold/rules/parser.py
+++ b/src/gentianfold/rules/parser.py
@@ -19,7 +19,7 @@
 
     from gentianfold.model import RateLimit
 
-MAX_RULES_BYTES = 1 << 20
+MAX_RULES_BYTES = 8 << 20
 """Largest rules text, which is also the largest published value."""
 
 _RuleT = TypeVar("_RuleT", Route, Service, Customer, LimitRule)
