--- a/src/gentianfold/daemon/caller_app.py
+++ b/src/gentianfold/daemon/caller_app.py
@@ -37,6 +37,8 @@
     from gentianfold.daemon.published_view import PublishedView
     from gentianfold.daemon.vm_state import VmState
 
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+"""Headers of requests that have a body."""
 CLOSE_HEADERS: Headers = [(b"connection", b"close")]
 """Tells a caller to connect again, to another VM."""
 
@@ -125,7 +127,10 @@
 
     def _caller(self, context: RequestContext, receive: Any, send: Send) -> AsgiCaller:
         headers = CLOSE_HEADERS if self.state.draining else []
-        return AsgiCaller(receive, send, self.body_timeout_s, headers)
+        # Without a body there is nothing to wait for, and a timer costs its share.
+        framed = any(name in FRAMING_HEADERS for name, _ in context.scope["headers"])
+        timeout_s = self.body_timeout_s if framed else None
+        return AsgiCaller(receive, send, timeout_s, headers)
 
     async def _serve(self, context: RequestContext, caller: AsgiCaller) -> None:
         refusal = self._check(context) or await self.admission.admit(context)
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -138,6 +138,7 @@
             self.decisions,
             self.metrics,
             self.clock,
+            self.settings.limits.body_timeout_s,
         )
 
     def _wire_once(self, inner: Runner) -> None:
--- a/src/gentianfold/daemon/routing_exchange.py
+++ b/src/gentianfold/daemon/routing_exchange.py
@@ -18,6 +18,8 @@
 
 TOPIC = "routing"
 """Topic of the notices between routers."""
+ROUTER_TICK_S = 0.1
+"""Time between two runs of the router's systems (seconds)."""
 SKETCH_PERIOD_S = 1.0
 """Time between two sketches (seconds)."""
 
@@ -32,6 +34,7 @@
     """Talks to the peers."""
     clock: Clock
     """Elapsed time."""
+    _tick_due_s: float = 0.0
     _sketch_due_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -40,6 +43,9 @@
     def tick(self) -> None:
         """Run the router's systems and send what is due."""
         now_s = self.clock.now_s()
+        if now_s < self._tick_due_s:
+            return
+        self._tick_due_s = now_s + ROUTER_TICK_S
         self.router.on_tick(now_s)
         if now_s >= self._sketch_due_s:
             self._sketch_due_s = now_s + SKETCH_PERIOD_S
--- a/src/gentianfold/requests/asgi_caller.py
+++ b/src/gentianfold/requests/asgi_caller.py
@@ -22,8 +22,8 @@
     """Returns the next message of the caller."""
     send: Callable[[Message], Awaitable[None]]
     """Sends a message to the caller."""
-    body_timeout_s: float = 30.0
-    """Longest wait for the next part of the body."""
+    body_timeout_s: float | None = 30.0
+    """Longest wait for the next part of the body; ``None`` if there is no body."""
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
     """Headers that are added to the answer."""
     body_ended: bool = False
@@ -48,6 +48,8 @@
         return b""
 
     async def _receive(self) -> Message:
+        if self.body_timeout_s is None:
+            return await self.receive()
         try:
             with anyio.fail_after(self.body_timeout_s):
                 return await self.receive()
