--- a/src/gentianfold/cli/check.py
+++ b/src/gentianfold/cli/check.py
@@ -21,7 +21,7 @@
 from gentianfold.codes.keys import KEY_CUSTOMER_UNKNOWN
 from gentianfold.codes.settings import SETTINGS_UNREADABLE
 from gentianfold.errors import Failure, Location
-from gentianfold.keys import KeyTable, parse_keys
+from gentianfold.keys import PublishedKeys, parse_keys
 from gentianfold.rules import RuleSet
 from gentianfold.settings import load_settings
 
@@ -82,18 +82,18 @@
             for name in rules.customers
         }
         for path, keys in tables:
-            if customers and isinstance(keys, KeyTable):
+            if customers and isinstance(keys, PublishedKeys):
                 yield from _find_unknown_customers(path, keys, customers)
 
 
-def _read_keys(path: str) -> KeyTable | tuple[Failure, ...]:
+def _read_keys(path: str) -> PublishedKeys | tuple[Failure, ...]:
     """Return the keys of a file."""
     text = read_text(path)
     return (text,) if isinstance(text, Failure) else parse_keys(text, path)
 
 
 def _find_unknown_customers(
-    path: str, keys: KeyTable, customers: set[str]
+    path: str, keys: PublishedKeys, customers: set[str]
 ) -> Iterator[Failure]:
     """Yield a fault for each customer with a key that no rule defines."""
     for name in sorted({record.customer for record in keys.records.values()}):
--- a/src/gentianfold/keys/__init__.py
+++ b/src/gentianfold/keys/__init__.py
@@ -8,11 +8,11 @@
     strip_key_headers,
 )
 from gentianfold.keys.key import digest_key, is_key, new_key
-from gentianfold.keys.key_table import KeyTable
 from gentianfold.keys.publication import format_record, parse_keys
+from gentianfold.keys.published_keys import PublishedKeys
 
 __all__ = [
-    "KeyTable",
+    "PublishedKeys",
     "check_target",
     "digest_key",
     "extract_key",
--- a/src/gentianfold/keys/publication.py
+++ b/src/gentianfold/keys/publication.py
@@ -11,7 +11,7 @@
 from gentianfold.codes import keys as codes
 from gentianfold.configuration.key_table import KeyRecord, KeyState
 from gentianfold.errors import Code, Failure, Location
-from gentianfold.keys.key_table import KeyTable
+from gentianfold.keys.published_keys import PublishedKeys
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,7 +31,7 @@
     return msgspec.json.encode(record).decode()
 
 
-def parse_keys(text: str, source: str) -> KeyTable | tuple[Failure, ...]:
+def parse_keys(text: str, source: str) -> PublishedKeys | tuple[Failure, ...]:
     """Parse the published keys.
 
     Blank lines, and lines that start with ``//`` or ``#``, are skipped.
@@ -58,7 +58,7 @@
     failures += _check_records(records, source)
     if failures:
         return tuple(failures)
-    return KeyTable.from_records(record for _, record in records)
+    return PublishedKeys.from_records(record for _, record in records)
 
 
 def _parse_record(line: str, source: str, number: int) -> KeyRecord | Failure:
--- a/src/gentianfold/keys/key_table.py
+++ b/src/gentianfold/keys/published_keys.py
@@ -1,4 +1,4 @@
-"""The active keys: which customer a presented key belongs to."""
+"""The keys of one file, for checks before it is published."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 @attrs.frozen
-class KeyTable:
+class PublishedKeys:
     """Customers by the digest of their keys.
 
     The table is looked up by digest. The time of a dictionary lookup depends on the
@@ -30,7 +30,7 @@
     """Published records by key digest."""
 
     @classmethod
-    def from_records(cls, records: Iterable[KeyRecord]) -> KeyTable:
+    def from_records(cls, records: Iterable[KeyRecord]) -> PublishedKeys:
         """Build the table of published records."""
         return cls({record.digest: record for record in records})
 
--- a/tests/cli/test_cli_files.py
+++ b/tests/cli/test_cli_files.py
@@ -10,7 +10,7 @@
 from gentianfold.cli.main import run
 from gentianfold.codes import all_codes
 from gentianfold.configuration.key_table import KeyRecord, parse_key_shard
-from gentianfold.keys import KeyTable, digest_key, format_record, parse_keys
+from gentianfold.keys import PublishedKeys, digest_key, format_record, parse_keys
 
 RULES = (
     "service s  # a: b\n"
@@ -91,7 +91,7 @@
     assert run(["key", "new", "--customer", "stall", "--json"]) == 0
     made = json.loads(capsys.readouterr().out)
     table = parse_keys(json.dumps(made["publish"]), "keys")
-    assert isinstance(table, KeyTable)
+    assert isinstance(table, PublishedKeys)
     assert table.find_customer(made["key"]) == "stall"
     shard = parse_key_shard("keys-00", json.dumps(made["publish"]).encode(), 1)
     assert shard == {digest_key(made["key"]): "stall"}
--- a/tests/keys/test_key_table.py
+++ b/tests/keys/test_published_keys.py
@@ -12,7 +12,7 @@
 from gentianfold.configuration.key_table import KeyRecord, KeyState
 from gentianfold.errors import Failure
 from gentianfold.keys import (
-    KeyTable,
+    PublishedKeys,
     digest_key,
     format_record,
     new_key,
@@ -36,7 +36,7 @@
 def test_a_published_key_finds_its_customer_and_a_withdrawn_one_nobody():
     text = f"// keys\n\n{entry_line(KEY)}\r\n{entry_line(NEXT)}\n"
     table = parse_keys(text, "keys")
-    assert isinstance(table, KeyTable), table
+    assert isinstance(table, PublishedKeys), table
     assert table.find_customer(KEY) == table.find_customer(NEXT) == "stall"
     assert table.find_by_digest(digest_key(KEY)) == "stall"
     assert KEY not in repr(table)
@@ -55,7 +55,7 @@
 
 @pytest.mark.parametrize("text", ["", "x", KEY + "x", "gf_\udc80", "\u00e9" * 46])
 def test_a_text_without_the_shape_of_a_key_finds_nobody(text):
-    table = KeyTable.from_records([KeyRecord("stall", digest_key(text))])
+    table = PublishedKeys.from_records([KeyRecord("stall", digest_key(text))])
     assert table.find_customer(text) is None
 
 
@@ -90,4 +90,6 @@
 )
 def test_arbitrary_text_never_raises(text):
     result = parse_keys(text, "keys")
-    assert isinstance(result, KeyTable) or all(isinstance(f, Failure) for f in result)
+    assert isinstance(result, PublishedKeys) or all(
+        isinstance(f, Failure) for f in result
+    )
