Try every address of the configuration service; never claim 'not run' by default

Cause: only the first of platform_urls was used. An error without a stated run state was shown to callers as 'not run'; it says 'unknown' now.

--- a/src/gentianfold/daemon/answers.py
+++ b/src/gentianfold/daemon/answers.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from gentianfold.errors import RunState
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, MutableMapping
 
@@ -50,7 +52,7 @@
         "error": code.number,
         "name": code.name,
         "message": failure.reason or code.meaning,
-        "request": code.run_state.value if code.run_state else "not run",
+        "request": (code.run_state or RunState.UNKNOWN).value,
         "retry": code.retry.value,
         "request_id": request_id,
     }
--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -38,7 +38,7 @@
 from gentianfold.peers.runner import PeerRunner
 from gentianfold.peers.zmq_link import ZmqLink
 from gentianfold.platform.follower import PlatformFollower
-from gentianfold.platform.http_client import HttpPlatformClient
+from gentianfold.platform.rotating_client import RotatingPlatformClient
 from gentianfold.requests.connections import Connections
 from gentianfold.requests.forwarder import Forwarder
 from gentianfold.requests.once.interfaces import LedgerOptions
@@ -90,7 +90,9 @@
         settings = self.settings
         self.view = PublishedView()
         self.store = ConfigurationStore(parse_rules)
-        self.client = HttpPlatformClient(settings.platform_urls[0], settings.vm)
+        self.client = RotatingPlatformClient.for_urls(
+            settings.platform_urls, settings.vm
+        )
         self.follower = PlatformFollower(self.client, self.store, self.clock, rng)
         self.members = MembershipTable(settings.vm, Incarnation.create())
         self.node = PeerNode(self.members, self.store, self.clock, rng)
