--- a/src/gentianfold/daemon/entry_vm.py
+++ b/src/gentianfold/daemon/entry_vm.py
@@ -117,7 +117,9 @@
         """Wire what carries a request to an upstream and back."""
         tls = self.settings.upstream_tls
         self.connections = Connections(
-            self.clock, ssl_context=upstream_tls(tls) if tls else None
+            self.clock,
+            ssl_context=upstream_tls(tls) if tls else None,
+            budget=self.router.connection_budget,
         )
         self.forwarder = Forwarder(
             self.routing,
--- a/src/gentianfold/peers/runner.py
+++ b/src/gentianfold/peers/runner.py
@@ -53,5 +53,11 @@
             SHORT_WATCH_S if self.isolation.lacks_peers else WATCH_S
         )
         if self.isolation.isolated != was_isolated:
-            change = "isolated" if self.isolation.isolated else "no longer isolated"
-            logger.warning("peers: this VM is {}", change)
+            self._log_change()
+
+    def _log_change(self) -> None:
+        if self.isolation.isolated:
+            logger.warning("peers: this VM is isolated")
+        else:
+            # Every start begins isolated, so this end of it alarms nobody.
+            logger.info("peers: this VM is no longer isolated")
--- a/src/gentianfold/requests/connections.py
+++ b/src/gentianfold/requests/connections.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     import ssl
+    from collections.abc import Callable
 
     from gentianfold.clock import Clock
     from gentianfold.model import Upstream
@@ -51,7 +52,15 @@
 
 
 class Connections:
-    """Opens, keeps and closes connections, a row an upstream."""
+    """Opens, keeps and closes connections, a row an upstream.
+
+    Args:
+        clock: Elapsed time.
+        limits: Times, and the share of connections where no budget is given.
+        ssl_context: TLS towards upstreams; ``None`` for plain HTTP.
+        seed: Seed of the spread of lifetimes.
+        budget: Returns the connections that this VM may open to an upstream by name.
+    """
 
     def __init__(
         self,
@@ -59,11 +68,13 @@
         limits: ConnectionLimits | None = None,
         ssl_context: ssl.SSLContext | None = None,
         seed: int | None = None,
+        budget: Callable[[str], int] | None = None,
     ) -> None:
         self.limits = limits or ConnectionLimits()
         self._clock = clock
         self._ssl_context = ssl_context
         self._random = random.Random(seed)
+        self._budget_of = budget
         self._rows: dict[str, _Row] = {}
 
     def open_count(self, upstream: str) -> int:
@@ -149,6 +160,8 @@
             self.distrust(name)
 
     def _budget(self, upstream: Upstream) -> int:
+        if self._budget_of is not None:
+            return max(1, self._budget_of(upstream.name))
         return max(1, int(upstream.max_connections * self.limits.share))
 
     def _pop_idle(self, row: _Row) -> Connection | None:
--- a/tests/daemon/test_entry_vm.py
+++ b/tests/daemon/test_entry_vm.py
@@ -95,3 +95,22 @@
         assert not any(secret in text for text in kept)
 
     run(scenario)
+
+
+def test_connections_to_an_upstream_are_shared_by_the_vms():
+    async def scenario(fleet, client):
+        vm = fleet.vms[0]
+        upstream = fleet.upstreams[0].upstream
+        budget = vm.router.connection_budget(upstream.name)
+        assert 0 < budget * len(fleet.vms) <= upstream.max_connections
+        opened = [
+            await vm.connections.acquire(upstream, fresh=True)
+            for _ in range(budget + 1)
+        ]
+        codes = [getattr(one, "code", None) for one in opened]
+        assert codes[:budget] == [None] * budget
+        assert codes[budget].name == "connection-budget-spent"
+        for connection in opened[:budget]:
+            vm.connections.discard(connection)
+
+    run(scenario, vm_count=2)
