--- a/src/gentianfold/cli/main.py
+++ b/src/gentianfold/cli/main.py
@@ -10,36 +10,17 @@
 
 from gentianfold import __version__
 from gentianfold.cli.check import Check
-from gentianfold.cli.decisions import Decisions
-from gentianfold.cli.demo import Demo
 from gentianfold.cli.diff import Diff
-from gentianfold.cli.drain import Drain
 from gentianfold.cli.errors import Errors
 from gentianfold.cli.explain import Explain
-from gentianfold.cli.key import Key
-from gentianfold.cli.load import Load
-from gentianfold.cli.report import Report
+from gentianfold.cli.follow import Follow
 from gentianfold.cli.status import Status
-from gentianfold.cli.top import Top
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 # Each command is a callable attrs class that returns its exit code.
-Command: TypeAlias = (
-    Check
-    | Explain
-    | Diff
-    | Key
-    | Errors
-    | Status
-    | Top
-    | Decisions
-    | Drain
-    | Demo
-    | Load
-    | Report
-)
+Command: TypeAlias = Check | Explain | Diff | Errors | Status | Follow
 
 
 @cappa.command(name="gentianfold")
--- a/src/gentianfold/codes/cli.py
+++ b/src/gentianfold/codes/cli.py
@@ -22,18 +22,6 @@
     "The operator port of a VM doesn't answer.",
     "Check the address, and whether the VM is up.",
 )
-VM_ANSWER_INVALID = define_code(
-    1104,
-    "vm-answer-invalid",
-    "The operator port of a VM gave an answer that the command can't read.",
-    "Check that the address is an operator port and of the same version.",
-)
-VM_REFUSED = define_code(
-    1105,
-    "vm-refused",
-    "The operator port of a VM refused the command.",
-    "Read the reason that the VM gives.",
-)
 CODE_UNKNOWN = define_code(
     1106,
     "code-unknown",
--- a/src/gentianfold/codes/routing.py
+++ b/src/gentianfold/codes/routing.py
@@ -22,24 +22,3 @@
     RunState.NOT_RUN,
     Retry.LATER,
 )
-UNKNOWN_SERVICE = define_code(
-    6003,
-    "unknown-service",
-    "The route names a service that the configuration does not define.",
-    "Operators add the service or correct the route.",
-    503,
-    RunState.NOT_RUN,
-    Retry.LATER,
-)
-SKETCH_MALFORMED = define_code(
-    6004,
-    "sketch-malformed",
-    "A peer sent an outcome sketch that can't be decoded.",
-    "Check that all VMs run compatible versions.",
-)
-SKETCH_TOO_LARGE = define_code(
-    6005,
-    "sketch-too-large",
-    "A peer sent an outcome sketch above the size limit.",
-    "Check that all VMs run compatible versions.",
-)
--- a/src/gentianfold/daemon/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The daemon of one VM: its composition root, its ports and its ticks."""
--- a/src/gentianfold/demo/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""A small local fleet in one process: VMs, stand-in platform and upstreams."""
--- /dev/null
+++ b/src/gentianfold/fleet/link.py
@@ -0,0 +1,72 @@
+"""Sends and receives datagrams.
+
+Datagrams rather than streams: a stream may go silent for good without a sign, and
+every message here is either repeated until it is answered or made good by the next
+heartbeat.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol, TypeAlias, cast
+
+from gentianfold.fleet.messages import Message, decode, encode
+
+Receive: TypeAlias = Callable[[str, Message], None]
+"""Takes the sender's address and a message."""
+
+
+class Link(Protocol):
+    """Sends messages to other VMs."""
+
+    def send(self, vm: str, message: Message) -> None:
+        """Send a message to the VM at an address; it may be lost."""
+        ...
+
+
+class DatagramLink(asyncio.DatagramProtocol):
+    """A link over UDP; all VMs use the same port."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._transport: asyncio.DatagramTransport | None = None
+        self.receive: Receive | None = None
+        self.counts: Counter[str] = Counter()
+
+    async def open(self, host: str) -> None:
+        """Bind the port."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, (host, self._port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, vm: str, message: Message) -> None:
+        """Send a message; it may be lost."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = encode(message)
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(data)
+        self._transport.sendto(data, (vm, self._port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Pass a message on; anything else is counted and dropped."""
+        self.counts["received"] += 1
+        message = decode(data)
+        if message is None:
+            self.counts["malformed"] += 1
+        elif self.receive is not None:
+            self.receive(addr[0], message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a send that the kernel refused; the sender repeats what matters."""
+        self.counts["errors"] += 1
--- /dev/null
+++ b/src/gentianfold/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Takes requests from callers, forwards them to upstreams and returns the answers."""
--- /dev/null
+++ b/src/gentianfold/forwarding/own_answers.py
@@ -0,0 +1,29 @@
+"""Answers that this product gives by itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from gentianfold.forwarding.messages import Answer
+
+if TYPE_CHECKING:
+    from gentianfold.errors import Failure
+
+
+def answer_failure(failure: Failure) -> Answer:
+    """Return the answer that tells a caller of a failure."""
+    code = failure.code
+    body = msgspec.json.encode(
+        {
+            "error": code.number,
+            "name": code.name,
+            "reason": failure.reason or code.meaning,
+            "remedy": code.remedy,
+        }
+    )
+    headers = [(b"content-type", b"application/json")]
+    if failure.retry_after_s is not None:
+        headers.append((b"retry-after", b"%.2f" % failure.retry_after_s))
+    return Answer(code.status or 500, headers, body)
--- a/src/gentianfold/load/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""An open-loop load tool for VMs on the loopback interface."""
--- a/src/gentianfold/model/__init__.py
+++ b/src/gentianfold/model/__init__.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from gentianfold.model.configuration import CallerLimits, Configuration
 from gentianfold.model.customer import Customer, RateLimit
-from gentianfold.model.route import HeaderMatch, PathKind, Route
+from gentianfold.model.route import HeaderMatch, PathKind, Route, SplitPart
 from gentianfold.model.service import Service, Upstream, UpstreamState
 
 __all__ = [
+    "CallerLimits",
+    "Configuration",
     "Customer",
     "HeaderMatch",
     "PathKind",
     "RateLimit",
     "Route",
     "Service",
+    "SplitPart",
     "Upstream",
     "UpstreamState",
 ]
--- a/src/gentianfold/model/customer.py
+++ b/src/gentianfold/model/customer.py
@@ -27,6 +27,8 @@
     """Limit over all routes; ``None`` for no limit."""
     route_limits: dict[str, RateLimit] = attrs.field(factory=dict)
     """Further limits by route name; a request must pass both."""
+    priority: int | None = None
+    """Rank before scarce slots, instead of the route's; ``None`` for the route's."""
     line: int = 0
     """Line in the rules file; 0 for defaults."""
     comment: str = ""
--- a/src/gentianfold/model/route.py
+++ b/src/gentianfold/model/route.py
@@ -28,6 +28,16 @@
     """Exact value."""
 
 
+@attrs.frozen
+class SplitPart:
+    """A service that takes part of a route's requests."""
+
+    service: str
+    """Name of the service."""
+    weight: float
+    """Share of the requests, relative to the other parts."""
+
+
 @attrs.frozen
 class Route:
     """One route rule."""
@@ -56,7 +66,26 @@
     """Most further attempts after the first."""
     body_limit_bytes: int = 1 << 20
     """Largest request body."""
+    host: str = ""
+    """Host in lower case whose requests match; empty for any host."""
+    split: tuple[SplitPart, ...] = ()
+    """Services that share the requests by weight; empty to use ``service``."""
+    priority: int = 0
+    """Rank before scarce slots; 0 is the most urgent."""
+    target_latency_s: float = 1.0
+    """Time within which an answer has its full value."""
     line: int = 0
     """Line in the rules file."""
     comment: str = ""
     """Who asked for the rule and why."""
+
+    @property
+    def max_attempts(self) -> int:
+        """Most upstreams that one request is sent to."""
+        return 1 + self.retries
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of all services that may run its requests."""
+        if self.split:
+            return tuple(part.service for part in self.split)
+        return (self.service,)
--- a/src/gentianfold/peers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Links between the VMs, membership, and the spread of configuration."""
--- /dev/null
+++ b/src/gentianfold/placement/choice.py
@@ -0,0 +1,143 @@
+"""Chooses the upstream of one attempt.
+
+Requests that may run once at most go where success was seen last; idempotent ones
+explore, since a failure costs them a further attempt and not their answer. So nearly
+all first hits of a failing spell fall on requests that can be tried again.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from gentianfold.placement.slot_request import GrantReason
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from gentianfold.placement.slot_request import SlotRequest
+    from gentianfold.placement.upstream_row import UpstreamRow
+
+
+@attrs.frozen
+class ChoicePolicy:
+    """Weights of the facts; costs are relative to one upstream in full use."""
+
+    proof_horizon_s: float = 2.0
+    """Age at which a success proves nothing more (seconds): two failing spells."""
+    proof_weight: float = 0.8
+    """Cost of a proof as old as the horizon."""
+    explore_weight: float = 0.5
+    """What an idempotent request gains on an upstream without a proof."""
+    load_weight: float = 0.6
+    """Cost of an upstream whose slots are all in use."""
+    recent_failure_weight: float = 0.6
+    """Cost of a failure a moment ago, after the upstream was cleared."""
+    recent_failure_s: float = 1.5
+    """How long a failure counts after it (seconds)."""
+    cold_weight: float = 0.5
+    """Cost of an upstream that has just started."""
+    slow_weight: float = 0.5
+    """Cost of each further multiple of the usual elapsed time, up to four."""
+    overdue_weight: float = 0.7
+    """Cost of holding a request far longer than expected."""
+    zone_weight: float = 0.05
+    """Cost of another availability zone: the extra time on the network is small."""
+    jitter: float = 0.05
+    """Random part that spreads equal choices."""
+    unsafe_trial_after_s: float = 2.0
+    """How long a due trial waits for an idempotent request (seconds)."""
+    last_resort_fraction: float = 0.25
+    """Part of the target latency that a request waits for a well upstream."""
+
+
+@attrs.define
+class Chooser:
+    """Applies the policy."""
+
+    policy: ChoicePolicy = attrs.field(factory=ChoicePolicy)
+    """The weights."""
+    random: random.Random = attrs.field(factory=random.Random)
+    """Source of jitter."""
+
+    def choose(
+        self,
+        rows: Sequence[UpstreamRow],
+        request: SlotRequest,
+        now_s: float,
+        waited_s: float,
+        may_explore: bool,
+    ) -> tuple[UpstreamRow, GrantReason, int] | None:
+        """Choose an upstream with a free slot.
+
+        Args:
+            rows: Upstreams of the service that take new work.
+            request: The request to place.
+            now_s: The present time.
+            waited_s: How long it has waited.
+            may_explore: Whether a failed attempt may be followed by another.
+
+        Returns:
+            The upstream, why, and how many there were to choose from; ``None`` if
+            the request should wait.
+        """
+        free = [
+            row
+            for row in rows
+            if row.has_free_slot(now_s)
+            and row.upstream.name not in request.excluded
+            and not row.is_blocked_for(request.vm, now_s)
+        ]
+        if not free:
+            return None
+        trial = self._due_trial(free, now_s, may_explore)
+        if trial is not None:
+            return trial, GrantReason.TRIAL, len(free)
+        well = [row for row in free if row.suspect_since_s is None]
+        if well:
+            explore = may_explore and request.attempt == 1
+            best = min(well, key=lambda row: self._cost(row, request, now_s, explore))
+            return best, GrantReason.BEST, len(well)
+        target_s = request.target_left_s + waited_s
+        if waited_s < self.policy.last_resort_fraction * max(target_s, 0.0):
+            return None
+        oldest = min(free, key=lambda row: (row.trials_in_use, row.last_failure_s))
+        return oldest, GrantReason.LAST_RESORT, len(free)
+
+    def _due_trial(
+        self, free: Sequence[UpstreamRow], now_s: float, may_explore: bool
+    ) -> UpstreamRow | None:
+        """Return the suspect that has waited longest for a trial, if one is due."""
+        patience_s = 0.0 if may_explore else self.policy.unsafe_trial_after_s
+        due = [
+            row
+            for row in free
+            if row.suspect_since_s is not None
+            and not row.trials_in_use
+            and now_s >= row.next_trial_s + patience_s
+        ]
+        return min(due, key=lambda row: row.next_trial_s, default=None)
+
+    def _cost(
+        self, row: UpstreamRow, request: SlotRequest, now_s: float, explore: bool
+    ) -> float:
+        policy = self.policy
+        proof_age = min((now_s - row.last_success_s) / policy.proof_horizon_s, 1.0)
+        if explore and row.last_used_s > row.last_success_s:
+            # A request that is under way will bring a proof; another adds little.
+            proof_age *= 0.5
+        cost = policy.load_weight * row.in_use / max(row.upstream.slots, 1)
+        weight = -policy.explore_weight if explore else policy.proof_weight
+        cost += weight * proof_age
+        if now_s - row.last_failure_s < policy.recent_failure_s:
+            cost += policy.recent_failure_weight
+        if now_s < row.cold_until_s:
+            cost += policy.cold_weight
+        if row.overdue:
+            cost += policy.overdue_weight
+        cost += policy.slow_weight * min(max(row.slowness - 1.5, 0.0), 4.0)
+        if row.upstream.zone != request.zone:
+            cost += policy.zone_weight
+        return cost + self.random.random() * policy.jitter
--- /dev/null
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -0,0 +1,331 @@
+"""Grants slots of named upstreams and keeps one queue of waiting requests a service."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+
+from gentianfold.model import Upstream, UpstreamState
+from gentianfold.placement.choice import Chooser
+from gentianfold.placement.elapsed_table import ElapsedTable
+from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.retry_budget import RetryBudget
+from gentianfold.placement.slot_request import (
+    Granted,
+    GrantReason,
+    Queued,
+    RefusalReason,
+    Refused,
+    SlotRequest,
+)
+from gentianfold.placement.token_bucket import QuotaTable
+from gentianfold.placement.upstream_row import UpstreamRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+SHED_PAUSE_S = 0.1
+"""How long an upstream that shed a request is taken for full (seconds): about one
+slot of it becomes free in that time."""
+OVERDUE_FACTOR = 3.0
+"""Multiple of the expected time after which a request is overdue."""
+OVERDUE_SLACK_S = 0.3
+"""Time on top of that (seconds), so that short requests are not overdue by jitter."""
+MIN_RETRY_AFTER_S = 0.1
+"""Shortest wait that a refused caller is told (seconds)."""
+SLOWNESS_SMOOTHING = 0.15
+"""Weight of the newest elapsed time in an upstream's slowness."""
+
+Key: TypeAlias = tuple[str, int]
+"""Address of the VM and number of the attempt."""
+Decision: TypeAlias = Granted | Queued | Refused
+"""What becomes of a request for a slot."""
+
+
+@attrs.define(eq=False)
+class _Grant:
+    """A slot in use."""
+
+    request: SlotRequest
+    row: UpstreamRow
+    at_s: float
+    is_trial: bool
+    is_overdue: bool = False
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """A request in the queue."""
+
+    request: SlotRequest
+    since_s: float
+
+    def latest_start_s(self, expected_s: float) -> float:
+        """Return when it must start so that its answer is still of use."""
+        return self.since_s + max(self.request.time_left_s - expected_s, 0.0)
+
+
+@attrs.define(eq=False)
+class SlotScheduler:
+    """Places the requests of a whole fleet, or those of one VM that is on its own."""
+
+    quota: QuotaTable = attrs.field(factory=QuotaTable)
+    """Buckets of the customers."""
+    budget: RetryBudget = attrs.field(factory=RetryBudget)
+    """Budget of further attempts."""
+    chooser: Chooser = attrs.field(factory=Chooser)
+    """Chooses upstreams."""
+    elapsed: ElapsedTable = attrs.field(factory=ElapsedTable)
+    """Times of requests."""
+    _rows: dict[str, UpstreamRow] = attrs.field(factory=dict)
+    _by_service: dict[str, list[UpstreamRow]] = attrs.field(factory=dict)
+    _grants: dict[Key, _Grant] = attrs.field(factory=dict)
+    _waiting: dict[str, dict[Key, _Waiting]] = attrs.field(factory=dict)
+    _customer_slots: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+
+    # Upstreams
+
+    def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
+        """Use a new list of upstreams; evidence on those that stay is kept."""
+        rows = {}
+        for upstream in upstreams:
+            row = self._rows.get(upstream.name)
+            if row is None or row.upstream.born_ms != upstream.born_ms:
+                row = UpstreamRow(upstream, now_s + upstream.cold_for_s)
+            row.upstream = upstream
+            rows[upstream.name] = row
+        self._rows = rows
+        self._by_service = {}
+        for row in rows.values():
+            if row.upstream.state is UpstreamState.LIVE:
+                self._by_service.setdefault(row.upstream.service, []).append(row)
+
+    def row(self, name: str) -> UpstreamRow | None:
+        """Return what is known of an upstream."""
+        return self._rows.get(name)
+
+    def rows(self) -> Iterable[UpstreamRow]:
+        """Return what is known of all upstreams."""
+        return self._rows.values()
+
+    # Requests
+
+    def ask(self, request: SlotRequest, now_s: float) -> Decision:
+        """Grant a slot, queue the request or refuse it; repeats answer the same."""
+        key = (request.vm, request.number)
+        granted = self._grants.get(key)
+        if granted is not None:
+            expected_s = self._expected_s(request)
+            return Granted(granted.row.upstream, GrantReason.BEST, expected_s)
+        queue = self._waiting.setdefault(request.service, {})
+        if key in queue:
+            return Queued(self._ahead_of(queue, request))
+        if request.attempt == 1:
+            if not self.quota.take(request.customer, now_s):
+                wait_s = self.quota.wait_s(request.customer)
+                return Refused(RefusalReason.OVER_RATE, max(wait_s, MIN_RETRY_AFTER_S))
+            self.budget.count_request(request.service, now_s)
+        decision = self._place_new(request, queue, now_s)
+        if request.attempt == 1 and isinstance(decision, Refused):
+            self.quota.give_back(request.customer)
+        return decision
+
+    def release(
+        self, key: Key, outcome: Outcome, elapsed_s: float, now_s: float
+    ) -> None:
+        """Free the slot of an attempt, or forget it if it still waits."""
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            for queue in self._waiting.values():
+                queue.pop(key, None)
+            return
+        self._free(grant)
+        self._learn(grant, outcome, elapsed_s, now_s)
+
+    def adopt(self, request: SlotRequest, upstream_name: str, now_s: float) -> None:
+        """Take over a slot that another scheduler has granted."""
+        key = (request.vm, request.number)
+        row = self._rows.get(upstream_name)
+        if row is None or key in self._grants:
+            return
+        self._hold(key, _Grant(request, row, now_s, is_trial=False))
+
+    def retain(self, vm: str, numbers: frozenset[int], asked_before_s: float) -> None:
+        """Free the slots of a VM that it does not hold any more.
+
+        Args:
+            vm: The VM.
+            numbers: The attempts that it holds.
+            asked_before_s: Grants later than this are too new for that list.
+        """
+        gone = [
+            key
+            for key, grant in self._grants.items()
+            if key[0] == vm and key[1] not in numbers and grant.at_s < asked_before_s
+        ]
+        for key in gone:
+            self._free(self._grants.pop(key))
+
+    def held_by(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
+        """Yield number, upstream, route and customer of a VM's slots."""
+        for (owner, number), grant in self._grants.items():
+            if owner == vm:
+                request = grant.request
+                name = grant.row.upstream.name
+                yield number, name, request.route, request.customer
+
+    def drop_vm(self, vm: str) -> None:
+        """Forget the requests of a VM that is gone."""
+        for key in [key for key in self._grants if key[0] == vm]:
+            self._free(self._grants.pop(key))
+        for queue in self._waiting.values():
+            for key in [key for key in queue if key[0] == vm]:
+                del queue[key]
+
+    def advance(self, now_s: float) -> Iterator[tuple[Key, Granted | Refused]]:
+        """Grant freed slots to waiting requests and refuse those that are too late."""
+        for service, queue in self._waiting.items():
+            if queue:
+                yield from self._advance_service(service, queue, now_s)
+
+    def mark_overdue(self, now_s: float) -> None:
+        """Note which requests take far longer than expected."""
+        for grant in self._grants.values():
+            if grant.is_overdue:
+                continue
+            target_s = max(grant.request.target_left_s, 0.1)
+            expected_s = self.elapsed.expected_s(grant.request.route, target_s)
+            if now_s - grant.at_s > OVERDUE_FACTOR * expected_s + OVERDUE_SLACK_S:
+                grant.is_overdue = True
+                grant.row.overdue += 1
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a slot."""
+        return sum(map(len, self._waiting.values()))
+
+    @property
+    def granted_count(self) -> int:
+        """Slots in use."""
+        return len(self._grants)
+
+    # Steps
+
+    def _place_new(
+        self, request: SlotRequest, queue: dict[Key, _Waiting], now_s: float
+    ) -> Decision:
+        rows = self._by_service.get(request.service)
+        if not rows:
+            return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+        if request.attempt > 1 and not self.budget.take(request.service, now_s):
+            return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
+        ahead = self._ahead_of(queue, request)
+        if not ahead:
+            granted = self._grant(request, rows, 0.0, now_s)
+            if granted is not None:
+                return granted
+        wait_s = self._expected_wait_s(rows, request.service, ahead)
+        entry = _Waiting(request, now_s)
+        if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
+            return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S))
+        queue[request.vm, request.number] = entry
+        return Queued(ahead)
+
+    def _advance_service(
+        self, service: str, queue: dict[Key, _Waiting], now_s: float
+    ) -> Iterator[tuple[Key, Granted | Refused]]:
+        rows = self._by_service.get(service, [])
+        order = sorted(queue.items(), key=lambda item: self._rank(item[1]))
+        for key, entry in order:
+            waited_s = now_s - entry.since_s
+            granted = self._grant(entry.request, rows, waited_s, now_s)
+            if granted is not None:
+                del queue[key]
+                yield key, granted
+                continue
+            if now_s > entry.latest_start_s(self._expected_s(entry.request)):
+                del queue[key]
+                if entry.request.attempt == 1:
+                    self.quota.give_back(entry.request.customer)
+                wait_s = self._expected_wait_s(rows, service, len(queue))
+                yield (
+                    key,
+                    Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S)),
+                )
+
+    def _grant(
+        self,
+        request: SlotRequest,
+        rows: list[UpstreamRow],
+        waited_s: float,
+        now_s: float,
+    ) -> Granted | None:
+        may_explore = request.idempotent and request.attempt == 1
+        choice = self.chooser.choose(rows, request, now_s, waited_s, may_explore)
+        if choice is None:
+            return None
+        row, reason, candidates = choice
+        is_trial = row.suspect_since_s is not None
+        self._hold((request.vm, request.number), _Grant(request, row, now_s, is_trial))
+        return Granted(row.upstream, reason, self._expected_s(request), candidates)
+
+    def _hold(self, key: Key, grant: _Grant) -> None:
+        self._grants[key] = grant
+        grant.row.in_use += 1
+        grant.row.last_used_s = grant.at_s
+        grant.row.trials_in_use += grant.is_trial
+        self._customer_slots[grant.request.service, grant.request.customer] += 1
+
+    def _free(self, grant: _Grant) -> None:
+        grant.row.in_use -= 1
+        grant.row.trials_in_use -= grant.is_trial
+        grant.row.overdue -= grant.is_overdue
+        self._customer_slots[grant.request.service, grant.request.customer] -= 1
+
+    def _learn(
+        self, grant: _Grant, outcome: Outcome, elapsed_s: float, now_s: float
+    ) -> None:
+        row, request = grant.row, grant.request
+        if outcome is Outcome.SUCCEEDED:
+            if grant.at_s >= row.last_failure_s or row.suspect_since_s is None:
+                # An older success says nothing of a spell that began after it.
+                row.record_success(now_s)
+            expected_s = self._expected_s(request)
+            ratio = elapsed_s / max(expected_s, 0.01)
+            row.slowness += SLOWNESS_SMOOTHING * (min(ratio, 8.0) - row.slowness)
+            self.elapsed.record(request.service, request.route, elapsed_s)
+        elif outcome.is_failure:
+            row.record_failure(now_s)
+        elif outcome is Outcome.SHED:
+            row.shed_until_s = now_s + SHED_PAUSE_S
+        elif outcome is Outcome.CONNECT_FAILED:
+            row.record_connect_failure(request.vm, now_s)
+
+    def _expected_s(self, request: SlotRequest) -> float:
+        target_s = max(request.target_left_s, 0.1)
+        return self.elapsed.expected_s(request.route, target_s)
+
+    def _expected_wait_s(
+        self, rows: list[UpstreamRow], service: str, ahead: int
+    ) -> float:
+        """Return when a request with so many before it may start (seconds)."""
+        slots = sum(row.upstream.slots for row in rows if row.suspect_since_s is None)
+        return (ahead + 1) * self.elapsed.service_s(service) / max(slots, 1)
+
+    def _rank(self, entry: _Waiting) -> tuple[int, int, float]:
+        """Order by urgency, then by slots that the customer holds, then by age."""
+        request = entry.request
+        held = self._customer_slots[request.service, request.customer]
+        return request.priority, held, entry.since_s
+
+    def _ahead_of(self, queue: dict[Key, _Waiting], request: SlotRequest) -> int:
+        return sum(
+            entry.request.priority <= request.priority for entry in queue.values()
+        )
+
+
+NO_UPSTREAM_RETRY_S = 0.5
+"""When a caller should come back to a service without upstreams (seconds): upstreams
+that restart are listed within about a second."""
--- /dev/null
+++ b/src/gentianfold/placement/upstream_row.py
@@ -0,0 +1,94 @@
+"""What is known of one upstream: published facts, slots in use and evidence."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianfold.model import Upstream
+
+TRIAL_BACKOFF_S = 0.25
+"""First pause before a suspect upstream is tried again (seconds); failing spells of
+about a second are the shortest that both sites show."""
+MAX_TRIAL_BACKOFF_S = 1.0
+"""Longest pause between trials (seconds): a recovered upstream returns within it."""
+PATH_BLOCK_S = 1.5
+"""How long a VM avoids an upstream that it could not connect to (seconds); half of
+the time that the users allow before a path counts as calm again."""
+
+
+@attrs.define(eq=False)
+class UpstreamRow:
+    """One upstream as placement sees it."""
+
+    upstream: Upstream
+    """What is published of it."""
+    cold_until_s: float = 0.0
+    """When it stops being slow after its start."""
+    in_use: int = 0
+    """Slots that granted requests hold."""
+    last_success_s: float = -1e9
+    """When a request last succeeded on it."""
+    last_failure_s: float = -1e9
+    """When a request last failed on it."""
+    overdue: int = 0
+    """Requests on it that take far longer than expected."""
+    suspect_since_s: float | None = None
+    """When the present failing spell was first seen; ``None`` if it is well."""
+    next_trial_s: float = 0.0
+    """When a suspect may be tried again."""
+    trial_backoff_s: float = TRIAL_BACKOFF_S
+    """Pause after the next failed trial."""
+    trials_in_use: int = 0
+    """Trials that are on their way."""
+    slowness: float = 1.0
+    """Its elapsed times relative to those of its service, smoothed."""
+    shed_until_s: float = 0.0
+    """Until when it is taken for full, after it shed a request."""
+    blocked_paths: dict[str, float] = attrs.field(factory=dict)
+    """Until when each VM avoids it, by VM."""
+    path_reports: dict[str, float] = attrs.field(factory=dict)
+    """When each VM last failed to connect to it."""
+    last_used_s: float = -1e9
+    """When it was last granted."""
+
+    def is_blocked_for(self, vm: str, now_s: float) -> bool:
+        """Tell whether a VM could not connect to it a short time ago."""
+        until_s = self.blocked_paths.get(vm)
+        if until_s is None:
+            return False
+        if until_s <= now_s:
+            del self.blocked_paths[vm]
+            return False
+        return True
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Tell whether a request sent now would start at once."""
+        return self.in_use < self.upstream.slots and now_s >= self.shed_until_s
+
+    def record_success(self, now_s: float) -> None:
+        """Take a whole answer as proof that it is well."""
+        self.last_success_s = now_s
+        self.suspect_since_s = None
+        self.trial_backoff_s = TRIAL_BACKOFF_S
+
+    def record_failure(self, now_s: float) -> None:
+        """Take a failed request as the start or the continuation of a spell."""
+        self.last_failure_s = now_s
+        if self.suspect_since_s is None:
+            self.suspect_since_s = now_s
+            self.trial_backoff_s = TRIAL_BACKOFF_S
+        self.next_trial_s = now_s + self.trial_backoff_s
+        self.trial_backoff_s = min(self.trial_backoff_s * 2, MAX_TRIAL_BACKOFF_S)
+
+    def record_connect_failure(self, vm: str, now_s: float) -> None:
+        """Avoid the path from a VM, and the upstream if several VMs can't reach it."""
+        self.blocked_paths[vm] = now_s + PATH_BLOCK_S
+        self.path_reports[vm] = now_s
+        recent = sum(now_s - at_s < PATH_BLOCK_S for at_s in self.path_reports.values())
+        if recent >= PATHS_TO_SUSPECT:
+            self.record_failure(now_s)
+
+
+PATHS_TO_SUSPECT = 3
+"""VMs that must fail to connect before the upstream itself is suspect (count): more
+than a pair of VMs that share one broken link."""
--- a/src/gentianfold/platform/__init__.py
+++ b/src/gentianfold/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Client of the platform: published values and the VM list, read and watched."""
+"""Translates between the users' platform and the product, and nothing else.
+
+Names of the platform's wire stand in this package only.
+"""
--- a/src/gentianfold/reports/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Reports that measure the decisions under load and faults."""
--- a/src/gentianfold/requests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Requests from accept to answer: forwarding, at most once, fair queueing."""
--- a/src/gentianfold/routing/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Upstream health, ejection with a floor, and placement of requests."""
--- a/src/gentianfold/settings/__init__.py
+++ b/src/gentianfold/settings/__init__.py
@@ -2,25 +2,29 @@
 
 from __future__ import annotations
 
+from gentianfold.settings._forms import Endpoint
 from gentianfold.settings.loader import load_settings, parse_settings
-from gentianfold.settings.secret import Secret
 from gentianfold.settings.settings import (
     CallerTls,
-    DaemonLimits,
+    Fleet,
     Logging,
-    PeerKeys,
+    Machine,
+    RetryBounds,
     Settings,
-    UpstreamTls,
+    Stop,
+    Store,
 )
 
 __all__ = [
     "CallerTls",
-    "DaemonLimits",
+    "Endpoint",
+    "Fleet",
     "Logging",
-    "PeerKeys",
-    "Secret",
+    "Machine",
+    "RetryBounds",
     "Settings",
-    "UpstreamTls",
+    "Stop",
+    "Store",
     "load_settings",
     "parse_settings",
 ]
--- a/src/gentianfold/settings/_forms.py
+++ b/src/gentianfold/settings/_forms.py
@@ -6,12 +6,9 @@
 import ipaddress
 import re
 from typing import Any, Protocol
-from urllib.parse import urlsplit
 
 import attrs
 
-from gentianfold.settings.secret import Secret
-
 
 class Invalid(enum.Enum):
     """The sentinel for a value of another form."""
@@ -102,14 +99,12 @@
     """What a value looks like, for messages."""
     pattern: re.Pattern[str]
     """Matches the whole text."""
-    secret: bool = False
-    """Whether the text is a secret."""
 
     def read(self, value: Any) -> Any:
-        """Return the text, wrapped if it is a secret."""
+        """Return the text."""
         if not isinstance(value, str) or not self.pattern.fullmatch(value):
             return INVALID
-        return Secret(value) if self.secret else value
+        return value
 
 
 @attrs.frozen
@@ -130,23 +125,37 @@
 
 
 @attrs.frozen
-class Url:
-    """An HTTP address."""
+class Endpoint:
+    """An IP number and a port."""
+
+    host: str
+    """IP number."""
+    port: int
+    """Port; 0 lets the system choose."""
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
 
-    expected: str = "an address such as http://10.0.0.1:8500"
+
+@attrs.frozen
+class EndpointForm:
+    """An IP number and a port, written with a colon between them."""
+
+    expected: str = "an address such as 10.0.0.1:8500"
     """What a value looks like, for messages."""
 
     def read(self, value: Any) -> Any:
-        """Return the address."""
-        if not isinstance(value, str) or not re.fullmatch(r"[\x21-\x7e]+", value):
+        """Return the endpoint."""
+        if not isinstance(value, str):
+            return INVALID
+        host, _, port = value.rpartition(":")
+        if not re.fullmatch(r"[0-9]{1,5}", port, re.ASCII) or int(port) > 65535:
             return INVALID
         try:
-            parts = urlsplit(value)
-            _ = parts.port
+            address = ipaddress.ip_address(host.strip("[]"))
         except ValueError:
             return INVALID
-        known = parts.scheme in ("http", "https") and parts.hostname
-        return value if known and parts.username is None else INVALID
+        return Endpoint(str(address), int(port))
 
 
 @attrs.frozen
@@ -180,19 +189,10 @@
 """Name of a VM, zone or region."""
 FILE = Text("the path of a file", re.compile(r"[^\x00-\x1f]{1,4096}"))
 """Path of a file."""
+ENDPOINT = EndpointForm()
+"""Where a server listens."""
 PORT = Number(0, 65535, whole=True)
 """TCP port; 0 lets the system choose."""
-_Z85 = r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}"
-PUBLIC_KEY = Text("a CURVE public key, 40 characters in Z85", re.compile(_Z85))
-"""CURVE public key."""
-SECRET_KEY = Text("a CURVE secret key, 40 characters in Z85", re.compile(_Z85), True)
-"""CURVE secret key."""
-FLEET_SECRET = Text(
-    "a secret of 32 to 256 visible characters",
-    re.compile(r"[\x21-\x7e]{32,256}"),
-    secret=True,
-)
-"""Secret that all VMs of the fleet share."""
 LEVEL = Text(
     "one of debug, info, warning and error",
     re.compile("debug|info|warning|error"),
--- a/src/gentianfold/settings/loader.py
+++ b/src/gentianfold/settings/loader.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 from typing import Any
 
-import json5
-
 from gentianfold.codes import settings as codes
 from gentianfold.errors import Code, Failure, Location
 from gentianfold.settings._checks import find_conflicts
@@ -73,6 +72,14 @@
 
 def _parse_json(text: str, source: str) -> Any:
     """Parse JSON with comments, or return a failure."""
+    try:
+        return json.loads(text, object_pairs_hook=_unique_fields)
+    except (ValueError, RecursionError):
+        # Text with comments, or with a fault that the other reader names better.
+        pass
+    # Loaded late: it takes longer to import than everything else at a start.
+    import json5
+
     try:
         return json5.loads(text, allow_duplicate_keys=False)
     except RecursionError:
@@ -81,6 +88,14 @@
         return _syntax_failure(str(error), source)
 
 
+def _unique_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Build an object whose fields stand once each."""
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        raise ValueError("duplicate field")
+    return fields
+
+
 def _syntax_failure(message: str, source: str) -> Failure:
     """Return a failure at the place that the library's message names."""
     match = _SYNTAX_ERROR.fullmatch(message)
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -1,12 +1,11 @@
-"""The settings of one VM's daemon."""
+"""The settings of one VM."""
 
 from __future__ import annotations
 
 import attrs
 
 from gentianfold.settings import _forms as forms
-from gentianfold.settings._forms import form
-from gentianfold.settings.secret import Secret
+from gentianfold.settings._forms import Endpoint, form
 
 
 @attrs.frozen(kw_only=True)
@@ -20,132 +19,109 @@
 
 
 @attrs.frozen(kw_only=True)
-class UpstreamTls:
-    """TLS towards upstreams."""
+class Store:
+    """The platform's store, which publishes configuration and upstreams."""
 
-    ca_file: str = attrs.field(metadata=form(forms.FILE))
-    """Certificates of the authorities that sign the upstreams', in PEM."""
+    endpoint: Endpoint = attrs.field(metadata=form(forms.ENDPOINT))
+    """Where it listens."""
+    poll_s: float = attrs.field(default=0.4, metadata=form(forms.Number(0.05, 60)))
+    """Time between two reads; a fifth of the two seconds within which a change must
+    be in force at both sites."""
 
 
 @attrs.frozen(kw_only=True)
-class PeerKeys:
-    """Keys of the encrypted links between VMs.
-
-    Either each VM has a key pair and lists the public keys of the others, or all
-    share one secret. To rotate, publish the next key to all VMs first, then make it
-    the key in use.
-    """
-
-    public_key: str | None = attrs.field(default=None, metadata=form(forms.PUBLIC_KEY))
-    """CURVE public key of this VM."""
-    secret_key: Secret | None = attrs.field(
-        default=None, metadata=form(forms.SECRET_KEY)
-    )
-    """CURVE secret key of this VM."""
-    next_public_key: str | None = attrs.field(
-        default=None, metadata=form(forms.PUBLIC_KEY)
-    )
-    """CURVE public key that follows in a rotation."""
-    next_secret_key: Secret | None = attrs.field(
-        default=None, metadata=form(forms.SECRET_KEY)
-    )
-    """CURVE secret key that follows in a rotation."""
-    allowed_public_keys: tuple[str, ...] = attrs.field(
-        default=(), metadata=form(forms.ListOf(forms.PUBLIC_KEY, high=1024))
-    )
-    """CURVE public keys of the VMs that may connect."""
-    fleet_secret: Secret | None = attrs.field(
-        default=None, metadata=form(forms.FLEET_SECRET)
-    )
-    """Secret that all VMs share."""
-    next_fleet_secret: Secret | None = attrs.field(
-        default=None, metadata=form(forms.FLEET_SECRET)
+class Fleet:
+    """How the VM finds and talks to other VMs."""
+
+    port: int = attrs.field(default=8082, metadata=form(forms.PORT))
+    """UDP port; the same on all VMs."""
+    seeds: tuple[Endpoint, ...] = attrs.field(
+        default=(), metadata=form(forms.ListOf(forms.ENDPOINT, high=64))
     )
-    """Shared secret that follows in a rotation."""
+    """Operator endpoints of VMs at which the fleet may be found."""
 
 
 @attrs.frozen(kw_only=True)
-class DaemonLimits:
-    """Bounds that protect one VM."""
+class RetryBounds:
+    """The fleet's bound on further attempts, for each service."""
+
+    ratio: float = attrs.field(default=0.2, metadata=form(forms.Number(0, 10)))
+    """Further attempts for each request; the value of both sites."""
+    slack: float = attrs.field(default=50, metadata=form(forms.Number(0, 1e6)))
+    """Further attempts on top in each window; about the value of both sites."""
+    window_s: float = attrs.field(default=10, metadata=form(forms.Number(1, 3600)))
+    """Length of the sliding window; the value of both sites."""
 
-    max_connections: int = attrs.field(
-        default=4096, metadata=form(forms.Number(1, 1_000_000, whole=True))
-    )
-    """Caller connections open at the same time."""
-    max_header_bytes: int = attrs.field(
-        default=32768, metadata=form(forms.Number(1024, 1 << 20, whole=True))
-    )
-    """Largest request line and headers."""
-    header_timeout_s: float = attrs.field(
-        default=10.0, metadata=form(forms.Number(0.1, 600))
-    )
-    """Time in which a caller must send the headers."""
-    body_timeout_s: float = attrs.field(
-        default=30.0, metadata=form(forms.Number(0.1, 3600))
-    )
-    """Time in which a caller must send the body."""
-    settle_s: float = attrs.field(default=5.0, metadata=form(forms.Number(0, 600)))
-    """Time that the balancer takes to send callers elsewhere on a planned stop."""
-    stop_timeout_s: float = attrs.field(
-        default=30.0, metadata=form(forms.Number(0, 3600))
-    )
-    """Time that a planned stop waits for requests to end."""
+
+@attrs.frozen(kw_only=True)
+class Machine:
+    """What the VM may use."""
+
+    cpu_share: float = attrs.field(default=1.0, metadata=form(forms.Number(0.01, 256)))
+    """Part of a core; a broker is preferably a VM with more of it."""
+    memory_mb: float = attrs.field(default=300, metadata=form(forms.Number(32, 1e6)))
+    """Memory at whose limit the process is ended; the smallest VM of today."""
+
+
+@attrs.frozen(kw_only=True)
+class Stop:
+    """How a planned stop goes."""
+
+    grace_s: float = attrs.field(default=6.0, metadata=form(forms.Number(0, 3600)))
+    """Time until the process is ended by force; the value of both sites."""
+    settle_s: float = attrs.field(default=3.0, metadata=form(forms.Number(0, 600)))
+    """Time in which the balancer notices that the VM is not ready: two missed
+    questions, a second apart, and one on its way."""
 
 
 @attrs.frozen(kw_only=True)
 class Logging:
-    """What is logged, and where."""
+    """What is logged."""
 
     level: str = attrs.field(default="info", metadata=form(forms.LEVEL))
     """Lowest level that is logged."""
     decisions: bool = attrs.field(default=True, metadata=form(forms.Flag()))
-    """Whether each routing and placement decision is logged."""
-    file: str | None = attrs.field(default=None, metadata=form(forms.FILE))
-    """Path of the log file; ``None`` for the standard error output."""
+    """Whether each request's decisions are logged."""
 
 
 @attrs.frozen(kw_only=True)
 class Settings:
-    """Everything that one VM's daemon is told at its start."""
+    """Everything that one VM is told at its start."""
 
     vm: str = attrs.field(metadata=form(forms.NAME))
     """Name of the VM."""
+    address: str = attrs.field(metadata=form(forms.Host()))
+    """IP number of the VM; other VMs know it by this."""
     zone: str = attrs.field(metadata=form(forms.NAME))
     """Availability zone of the VM."""
     region: str = attrs.field(default="default", metadata=form(forms.NAME))
     """Region of the VM."""
-    platform_urls: tuple[str, ...] = attrs.field(
-        metadata=form(forms.ListOf(forms.Url(), low=1, high=16))
-    )
-    """Addresses of the configuration service."""
-    caller_host: str = attrs.field(default="0.0.0.0", metadata=form(forms.Host()))
-    """IP number for callers."""
-    caller_port: int = attrs.field(default=8080, metadata=form(forms.PORT))
-    """TCP port for callers."""
-    operator_host: str = attrs.field(default="127.0.0.1", metadata=form(forms.Host()))
-    """IP number for operators."""
-    operator_port: int = attrs.field(default=8081, metadata=form(forms.PORT))
-    """TCP port for operators."""
-    peer_host: str = attrs.field(default="0.0.0.0", metadata=form(forms.Host()))
-    """IP number for other VMs."""
-    peer_port: int = attrs.field(default=8082, metadata=form(forms.PORT))
-    """TCP port for other VMs."""
+    callers: Endpoint = attrs.field(metadata=form(forms.ENDPOINT))
+    """Where callers connect."""
     caller_tls: CallerTls | None = attrs.field(
         default=None, metadata=form(forms.Nested(CallerTls))
     )
     """TLS towards callers; ``None`` for plain HTTP."""
-    upstream_tls: UpstreamTls | None = attrs.field(
-        default=None, metadata=form(forms.Nested(UpstreamTls))
-    )
-    """TLS towards upstreams; ``None`` for plain HTTP."""
-    peer_keys: PeerKeys = attrs.field(
-        factory=PeerKeys, metadata=form(forms.Nested(PeerKeys))
-    )
-    """Keys of the links between VMs."""
-    limits: DaemonLimits = attrs.field(
-        factory=DaemonLimits, metadata=form(forms.Nested(DaemonLimits))
-    )
-    """Bounds that protect the VM."""
+    readiness: Endpoint = attrs.field(metadata=form(forms.ENDPOINT))
+    """Where the balancer asks whether the VM is ready."""
+    operators: Endpoint = attrs.field(metadata=form(forms.ENDPOINT))
+    """Where operators and other VMs read state."""
+    metrics: Endpoint | None = attrs.field(default=None, metadata=form(forms.ENDPOINT))
+    """Where metrics are read; ``None`` for the operators' endpoint only."""
+    store: Store = attrs.field(metadata=form(forms.Nested(Store)))
+    """The platform's store."""
+    fleet: Fleet = attrs.field(factory=Fleet, metadata=form(forms.Nested(Fleet)))
+    """Other VMs."""
+    retries: RetryBounds = attrs.field(
+        factory=RetryBounds, metadata=form(forms.Nested(RetryBounds))
+    )
+    """Bound on further attempts."""
+    machine: Machine = attrs.field(
+        factory=Machine, metadata=form(forms.Nested(Machine))
+    )
+    """What the VM may use."""
+    stop: Stop = attrs.field(factory=Stop, metadata=form(forms.Nested(Stop)))
+    """Planned stops."""
     logging: Logging = attrs.field(
         factory=Logging, metadata=form(forms.Nested(Logging))
     )
--- /dev/null
+++ b/src/gentianfold/vm/__main__.py
@@ -0,0 +1,7 @@
+"""Runs one VM: ``python -m gentianfold.vm``."""
+
+from __future__ import annotations
+
+from gentianfold.vm.main import main
+
+main()
--- /dev/null
+++ b/src/gentianfold/vm/configuration_fetch.py
@@ -0,0 +1,71 @@
+"""Takes a newer configuration from the broker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+
+from gentianfold.errors import Failure
+from gentianfold.forwarding.messages import Answer, encode_request
+from gentianfold.platform.wire import decode_configuration
+
+if TYPE_CHECKING:
+    from gentianfold.fleet.node import Node
+    from gentianfold.forwarding.connection_pool import ConnectionPool
+    from gentianfold.platform.store_follower import StoreFollower
+    from gentianfold.vm.store_polling import StateSink
+
+FETCH_TIMEOUT_S = 0.5
+"""Time for a configuration from another VM (seconds); then the store is asked."""
+CONFIGURATION_PATH = b"/configuration"
+"""Where the operators' endpoint gives the configuration as it was published."""
+
+
+@attrs.define(eq=False)
+class ConfigurationFetch:
+    """Fetches the configuration when a heartbeat tells of a newer one."""
+
+    node: Node
+    """This VM's part in the fleet."""
+    sink: StateSink
+    """Puts it into force."""
+    follower: StoreFollower
+    """Reads the store when the broker does not answer."""
+    pool: ConnectionPool
+    """Connections to other VMs."""
+    port: int
+    """TCP port of the operators' endpoint; the same on all VMs."""
+
+    async def run(self) -> None:
+        """Fetch whenever the broker has a newer version."""
+        while True:
+            await self.node.configuration_wanted.wait()
+            self.node.configuration_wanted = anyio.Event()
+            if not await self._fetch():
+                await self.follower.poll()
+
+    async def _fetch(self) -> bool:
+        broker = self.node.following.broker
+        if broker is None or broker == self.node.vm:
+            return False
+        answer = None
+        with anyio.move_on_after(FETCH_TIMEOUT_S):
+            address = (broker, self.port)
+            connection = await self.pool.take(address, "vm")
+            if connection is None:
+                return False
+            head = [(b"host", broker.encode())]
+            request = encode_request(b"GET", CONFIGURATION_PATH, head, b"")
+            answer = await connection.exchange(request, lambda _: True)
+            self.pool.give_back(address, "vm", connection)
+        if not isinstance(answer, Answer) or answer.status != 200:
+            return False
+        configuration = decode_configuration(answer.body)
+        if isinstance(configuration, Failure):
+            logger.warning("fleet: configuration of {}: {}", broker, configuration)
+            return False
+        self.sink.take_configuration(answer.body, configuration)
+        return True
--- /dev/null
+++ b/src/gentianfold/vm/front.py
@@ -0,0 +1,143 @@
+"""Answers the requests of callers: runs them, records them and counts them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+
+from gentianfold.codes.daemon import INTERNAL_ERROR
+from gentianfold.codes.requests import OUTCOME_UNKNOWN
+from gentianfold.errors import Failure
+from gentianfold.forwarding.decision_record import DecisionRecord
+from gentianfold.forwarding.own_answers import answer_failure
+from gentianfold.model import CallerLimits
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from gentianfold.forwarding.messages import Answer, CallerRequest
+    from gentianfold.forwarding.request_runner import RequestRunner
+    from gentianfold.vm.metrics import Metrics
+
+_DEFAULT_LIMITS = CallerLimits()
+
+
+@attrs.define(eq=False)
+class Front:
+    """Implements ``RequestHandler``."""
+
+    runner: RequestRunner
+    """Runs requests."""
+    metrics: Metrics
+    """Counts them."""
+    tasks: TaskGroup
+    """Holds the running requests."""
+    log_decisions: bool = True
+    """Whether each request is logged."""
+    stopping: bool = False
+    """Whether a planned stop has begun."""
+    running: int = 0
+    """Requests under way."""
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds in force."""
+        configuration = self.runner.published.configuration
+        if configuration is None:
+            return _DEFAULT_LIMITS
+        return configuration.caller_limits
+
+    def is_stopping(self) -> bool:
+        """Tell whether connections are to be closed after their answers."""
+        return self.stopping
+
+    def reject(self, failure: Failure) -> Answer:
+        """Return the answer to bytes that are no acceptable request."""
+        self.metrics.count("rejected", code=str(failure.code.number))
+        logger.info("request: rejected, {}", failure)
+        answer = answer_failure(failure)
+        answer.keep_alive = False
+        return answer
+
+    def start(
+        self, request: CallerRequest, reply: Callable[[Answer], None]
+    ) -> Callable[[], None]:
+        """Start a request; return what ends it when its caller leaves."""
+        scope = anyio.CancelScope()
+        request_id = request.header(self.runner.names.request_id) or b""
+        record = DecisionRecord(request_id.decode("latin-1"))
+        self.running += 1
+        self.tasks.start_soon(self._run, request, record, reply, scope)
+
+        def leave() -> None:
+            record.left = True
+            if not request.is_committed:
+                scope.cancel()
+
+        return leave
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        record: DecisionRecord,
+        reply: Callable[[Answer], None],
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            with scope:
+                answer = await self._answer(request, record)
+                record.status = answer.status
+                if record.request_id and record.code:
+                    names = self.runner.names
+                    value = record.request_id.encode("latin-1")
+                    answer.headers.append((names.request_id, value))
+                if not record.left:
+                    reply(answer)
+        finally:
+            self.running -= 1
+            self._finish(request, record)
+
+    async def _answer(self, request: CallerRequest, record: DecisionRecord) -> Answer:
+        try:
+            return await self.runner.run(request, record)
+        except Exception:  # noqa: BLE001
+            # One request must not end the process; what it did is not known.
+            logger.exception("request: id={} internal error", record.request_id)
+            code = OUTCOME_UNKNOWN if request.is_committed else INTERNAL_ERROR
+            record.code = code.number
+            return answer_failure(Failure(code))
+
+    def _finish(self, request: CallerRequest, record: DecisionRecord) -> None:
+        now_s = asyncio.get_running_loop().time()
+        record.elapsed_s = now_s - request.arrived_s
+        outcome = "left" if record.left else f"{record.status // 100}xx"
+        self.metrics.count("requests", outcome=outcome, code=str(record.code))
+        self.metrics.observe(f"request_{outcome}", record.elapsed_s)
+        if not self.log_decisions:
+            return
+        level = "INFO" if 200 <= record.status < 300 else "WARNING"
+        attempts = "".join(
+            f" attempt{number}=[{text}]"
+            for number, text in zip(itertools.count(1), record.attempts)
+        )
+        logger.log(
+            level,
+            "request: id={} route={} service={} customer={} configuration={}"
+            " upstreams_age_ms={:.0f} status={} code={} ms={:.1f} left={}{}",
+            record.request_id,
+            record.route,
+            record.service,
+            record.customer,
+            record.configuration,
+            min(record.upstreams_age_s, 1e6) * 1000,
+            record.status,
+            record.code,
+            record.elapsed_s * 1000,
+            int(record.left),
+            attempts,
+        )
--- a/src/gentianfold/daemon/log_setup.py
+++ b/src/gentianfold/vm/log_setup.py
@@ -1,31 +1,36 @@
-"""The log of the daemon."""
+"""Sends the log to standard output."""
 
 from __future__ import annotations
 
-import logging
-import sys
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 if TYPE_CHECKING:
+    from loguru import Message
+
     from gentianfold.settings import Logging
+    from gentianfold.vm.log_writer import LogWriter
 
 LINE_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message}"
 """Each message starts with the prefix of its part."""
+ROUTINE_LEVEL_NUMBER = 20
+"""Level up to which lines give way when the reader is slow (INFO)."""
 
 
-def set_up_log(settings: Logging) -> None:
+def set_up_log(settings: Logging, writer: LogWriter) -> None:
     """Send the log where the settings say."""
     logger.remove()
-    target = settings.file if settings.file is not None else sys.stderr
+
+    def sink(message: Message) -> None:
+        is_routine = message.record["level"].no <= ROUTINE_LEVEL_NUMBER
+        writer.write(message, is_routine)
+
     # Tracebacks must not show values of variables: some of them are keys.
     logger.add(
-        target,
+        sink,
         level=settings.level.upper(),
         format=LINE_FORMAT,
         diagnose=False,
         backtrace=False,
     )
-    # The HTTP server's own log repeats what the parts log with numbers.
-    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
--- /dev/null
+++ b/src/gentianfold/vm/status.py
@@ -0,0 +1,72 @@
+"""What the operators' endpoint and the metrics say of one VM."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from gentianfold.forwarding.messages import Answer
+
+if TYPE_CHECKING:
+    from gentianfold.fleet.node import Node
+    from gentianfold.platform.store_client import StoreClient
+    from gentianfold.settings import Settings
+    from gentianfold.vm.front import Front
+    from gentianfold.vm.metrics import Metrics
+
+
+def describe_status(node: Node, front: Front, settings: Settings) -> Answer:
+    """Return the state of the VM as JSON."""
+    now_s = asyncio.get_running_loop().time()
+    upstreams = [
+        {
+            "name": row.upstream.name,
+            "service": row.upstream.service,
+            "state": row.upstream.state.value,
+            "slots": row.upstream.slots,
+            "in_use": row.in_use,
+            "is_suspect": row.suspect_since_s is not None,
+            "slowness": round(row.slowness, 2),
+        }
+        for row in node.scheduler.rows()
+    ]
+    body = {
+        "vm": settings.vm,
+        "standing": node.following.standing.value,
+        "broker": node.following.broker,
+        "members": node.member_count,
+        "configuration": node.view.configuration_version,
+        "upstreams_revision": node.view.upstreams.revision,
+        "upstreams_age_s": min(node.view.age_s(now_s), 1e9),
+        "requests_under_way": front.running,
+        "requests_waiting": node.scheduler.waiting_count,
+        "upstreams": upstreams,
+    }
+    headers = [(b"content-type", b"application/json")]
+    return Answer(200, headers, msgspec.json.encode(body))
+
+
+def update_gauges(
+    metrics: Metrics, node: Node, front: Front, client: StoreClient
+) -> None:
+    """Put present levels into the metrics."""
+    now_s = asyncio.get_running_loop().time()
+    rows = list(node.scheduler.rows())
+    levels = {
+        "requests_under_way": front.running,
+        "requests_waiting": node.scheduler.waiting_count,
+        "slots_in_use": node.scheduler.granted_count,
+        "members": node.member_count,
+        "upstreams": len(rows),
+        "upstreams_suspect": sum(row.suspect_since_s is not None for row in rows),
+        "upstreams_age_seconds": min(node.view.age_s(now_s), 1e9),
+        "configuration_version": node.view.configuration_version,
+        "store_calls": client.calls,
+        "is_broker": node.following.standing.value == "broker",
+        "quota_share": node.scheduler.quota.share,
+        "upstream_connections_opened": front.runner.pool.opened,
+    }
+    for name, level in levels.items():
+        metrics.set_gauge(name, float(level))
--- /dev/null
+++ b/src/gentianfold/vm/store_polling.py
@@ -0,0 +1,110 @@
+"""Decides when this VM reads the store by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from gentianfold.fleet.following import Standing
+
+if TYPE_CHECKING:
+    from gentianfold.fleet.messages import UpstreamEntry
+    from gentianfold.fleet.node import Node
+    from gentianfold.model import Configuration
+    from gentianfold.platform.store_follower import StoreFollower
+
+STALE_S = 0.9
+"""Age of the state above which a VM reads the store itself although another VM does
+(seconds): two reads of the broker and a lost heartbeat."""
+FIRST_WAIT_S = 0.6
+"""Time for which a VM that starts waits for a broker's state (seconds)."""
+MAX_PAUSE_S = 1.2
+"""Longest pause between reads while the store does not answer (seconds); keeps the
+calls few, and the VM is current within three seconds of the store's return."""
+CHECK_S = 0.1
+"""Time between two looks at the state's age (seconds)."""
+
+
+@attrs.define(eq=False)
+class StorePolling:
+    """Reads the store always as broker, and as another VM while its state is old."""
+
+    node: Node
+    """This VM's part in the fleet."""
+    follower: StoreFollower
+    """Reads the store."""
+    poll_s: float
+    """Time between two reads (seconds)."""
+    _failures: int = 0
+
+    async def run(self) -> None:
+        """Read the store whenever this VM should."""
+        await anyio.sleep(FIRST_WAIT_S / 2)
+        while True:
+            if not self._is_due():
+                await anyio.sleep(CHECK_S)
+                continue
+            started_s = self._now_s()
+            answered = await self.follower.poll()
+            if answered:
+                self._failures = 0
+                self._note_read(started_s)
+            else:
+                self._failures += 1
+            await anyio.sleep(self._pause_s())
+
+    def _is_due(self) -> bool:
+        if self.node.following.standing is Standing.BROKER:
+            return True
+        if self.node.view.configuration_version == 0:
+            return self._now_s() - self.node.started_s > FIRST_WAIT_S
+        return self.node.view.age_s(self._now_s()) > STALE_S
+
+    def _pause_s(self) -> float:
+        if self.node.following.standing is Standing.BROKER:
+            return self.poll_s
+        return min(self.poll_s * (1 + self._failures), MAX_PAUSE_S)
+
+    def _note_read(self, started_s: float) -> None:
+        """Count the state as of the moment at which the question was sent."""
+        view = self.node.view
+        view.store_read_s = started_s
+        published = view.published
+        known_s = published.upstreams_read_s
+        published.upstreams_read_s = max(started_s, known_s or started_s)
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+@attrs.define(eq=False)
+class StateSink:
+    """Puts what the store says into force."""
+
+    node: Node
+    """This VM's part in the fleet."""
+
+    def take_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+        """Take changed entries, complete up to a revision."""
+        upstreams = self.node.view.upstreams
+        changed = [upstreams.put(entry) for entry in entries]
+        upstreams.revision = max(upstreams.revision, revision)
+        if any(changed):
+            self.node.apply_upstreams(self._now_s())
+
+    def take_all_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+        """Take the whole list as it was at a revision."""
+        if self.node.view.upstreams.replace(entries, revision):
+            self.node.apply_upstreams(self._now_s())
+
+    def take_configuration(self, document: bytes, configuration: Configuration) -> None:
+        """Put a configuration into force if it is newer."""
+        if self.node.view.published.offer_configuration(configuration):
+            self.node.view.configuration_document = document
+            self.node.apply_configuration()
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/gentianfold/vm/vm.py
@@ -0,0 +1,231 @@
+"""The composition root: builds the parts of one VM and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+
+from gentianfold import __version__
+from gentianfold.fleet.broker import Broker
+from gentianfold.fleet.following import Following
+from gentianfold.fleet.link import DatagramLink
+from gentianfold.fleet.node import TICK_S, Node
+from gentianfold.fleet.node_view import NodeView
+from gentianfold.forwarding.caller_connection import CallerConnection
+from gentianfold.forwarding.connection_pool import ConnectionPool
+from gentianfold.forwarding.messages import Answer
+from gentianfold.forwarding.request_runner import RequestRunner
+from gentianfold.forwarding.service_split import ServiceSplit
+from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
+from gentianfold.placement.slot_scheduler import SlotScheduler
+from gentianfold.platform.headers import HEADERS
+from gentianfold.platform.store_client import StoreClient
+from gentianfold.platform.store_follower import StoreFollower
+from gentianfold.vm.configuration_fetch import CONFIGURATION_PATH, ConfigurationFetch
+from gentianfold.vm.front import Front
+from gentianfold.vm.metrics import Metrics
+from gentianfold.vm.small_http import Respond, SmallHttpConnection
+from gentianfold.vm.status import describe_status, update_gauges
+from gentianfold.vm.store_polling import StateSink, StorePolling
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from gentianfold.settings import Endpoint, Settings
+    from gentianfold.vm.log_writer import LogWriter
+
+HOUSEKEEPING_TICKS = 10
+"""Ticks between two looks at idle connections (count)."""
+STOP_MARGIN_S = 0.4
+"""How much sooner than it would be ended by force the process ends (seconds)."""
+BACKLOG = 512
+"""Connections that wait to be accepted (count): all callers of a VM at once."""
+
+
+@attrs.define(eq=False)
+class VirtualMachine:
+    """One VM; ``run`` ends after a planned stop."""
+
+    settings: Settings
+    """What the VM is told at its start."""
+    log_writer: LogWriter
+    """Writes the log."""
+    metrics: Metrics = attrs.field(factory=Metrics)
+    """Counters and histograms."""
+    pool: ConnectionPool = attrs.field(factory=ConnectionPool)
+    """Connections to upstreams, to the store and to other VMs."""
+    view: NodeView = attrs.field(factory=NodeView)
+    """What is known of the published state."""
+    callers: set[CallerConnection] = attrs.field(factory=set)
+    """Open connections of callers."""
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        link = DatagramLink(self.settings.fleet.port)
+        node = self._build_node(link)
+        link.receive = node.receive
+        await link.open(self.settings.address)
+        client = StoreClient(_pair(self.settings.store.endpoint), self.pool)
+        sink = StateSink(node)
+        follower = StoreFollower(client, sink)
+        async with anyio.create_task_group() as tasks:
+            front = self._build_front(node, tasks)
+            await self._listen(front, node, client)
+            logger.info(
+                "vm: starts, version {} name {} zone {}",
+                __version__,
+                self.settings.vm,
+                self.settings.zone,
+            )
+            polling = StorePolling(node, follower, self.settings.store.poll_s)
+            fetch = ConfigurationFetch(
+                node, sink, follower, self.pool, self.settings.operators.port
+            )
+            tasks.start_soon(polling.run)
+            tasks.start_soon(fetch.run)
+            tasks.start_soon(self._tick, node)
+            await self._wait_for_stop()
+            await self._stop(front, node)
+            tasks.cancel_scope.cancel()
+        self.pool.close()
+        link.close()
+        logger.info("vm: stops")
+        self.log_writer.flush()
+
+    # Building
+
+    def _build_node(self, link: DatagramLink) -> Node:
+        settings = self.settings
+        policy = RetryBudgetPolicy(
+            settings.retries.ratio, settings.retries.slack, settings.retries.window_s
+        )
+        scheduler = SlotScheduler(budget=RetryBudget(policy))
+        seeds = tuple(seed.host for seed in settings.fleet.seeds)
+        incarnation = time.time_ns() // 1_000_000
+        broker = Broker(
+            settings.address, incarnation, seeds, scheduler, link, self.view
+        )
+        return Node(
+            settings.address,
+            settings.zone,
+            incarnation,
+            settings.machine.cpu_share,
+            scheduler,
+            Following(settings.address, seeds),
+            broker,
+            link,
+            self.view,
+            started_s=asyncio.get_running_loop().time(),
+        )
+
+    def _build_front(self, node: Node, tasks: TaskGroup) -> Front:
+        runner = RequestRunner(
+            HEADERS,
+            self.view.published,
+            node,
+            self.pool,
+            ServiceSplit(),
+            self.settings.address,
+            self.settings.zone,
+        )
+        return Front(runner, self.metrics, tasks, self.settings.logging.decisions)
+
+    async def _listen(self, front: Front, node: Node, client: StoreClient) -> None:
+        """Open all listeners."""
+        loop = asyncio.get_running_loop()
+        tls = None
+        if self.settings.caller_tls is not None:
+            import ssl
+
+            tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+            files = self.settings.caller_tls
+            tls.load_cert_chain(files.certificate_file, files.key_file)
+        await loop.create_server(
+            lambda: CallerConnection(front, self.callers),
+            *_pair(self.settings.callers),
+            backlog=BACKLOG,
+            ssl=tls,
+        )
+
+        def respond_ready(_: bytes) -> Answer:
+            return self._answer_readiness(front)
+
+        def respond_operator(path: bytes) -> Answer:
+            if path == CONFIGURATION_PATH:
+                document = self.view.configuration_document
+                return Answer(200 if document else 404, [], document)
+            if path.endswith(b"/metrics"):
+                update_gauges(self.metrics, node, front, client)
+                return Answer(200, [], self.metrics.exposition().encode())
+            return describe_status(node, front, self.settings)
+
+        await self._listen_small(self.settings.readiness, respond_ready)
+        await self._listen_small(self.settings.operators, respond_operator)
+        if self.settings.metrics is not None:
+            await self._listen_small(self.settings.metrics, respond_operator)
+
+    async def _listen_small(self, endpoint: Endpoint, respond: Respond) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: SmallHttpConnection(respond), *_pair(endpoint))
+
+    def _answer_readiness(self, front: Front) -> Answer:
+        """Say that the VM is ready once it knows configuration and upstreams."""
+        is_ready = (
+            not front.stopping
+            and self.view.published.configuration is not None
+            and self.view.published.upstreams_read_s is not None
+        )
+        return Answer(200 if is_ready else 503, [], b"")
+
+    # Running
+
+    async def _tick(self, node: Node) -> None:
+        """Run the systems that work by time."""
+        ticks = 0
+        while True:
+            node.advance()
+            ticks += 1
+            if ticks % HOUSEKEEPING_TICKS == 0:
+                self.pool.close_expired()
+            self.log_writer.flush()
+            await anyio.sleep(TICK_S)
+
+    async def _wait_for_stop(self) -> None:
+        """Return when a planned stop is asked for."""
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*signals) as received:
+            async for signum in received:
+                if signum != signal.SIGHUP:
+                    return
+                logger.info("vm: reload, settings apply at the next start")
+
+    async def _stop(self, front: Front, node: Node) -> None:
+        """Answer what has been read, then end."""
+        stop = self.settings.stop
+        logger.info("vm: planned stop, {} requests under way", front.running)
+        front.stopping = True
+        node.leave()
+        started_s = anyio.current_time()
+        while True:
+            elapsed_s = anyio.current_time() - started_s
+            is_idle = not front.running and not any(
+                connection.is_busy for connection in self.callers
+            )
+            if elapsed_s >= stop.settle_s and is_idle:
+                break
+            if elapsed_s >= stop.grace_s - STOP_MARGIN_S:
+                logger.warning("vm: {} requests are broken off", front.running)
+                break
+            await anyio.sleep(TICK_S)
+        for connection in list(self.callers):
+            connection.close_if_idle()
+
+
+def _pair(endpoint: Endpoint) -> tuple[str, int]:
+    return endpoint.host, endpoint.port
