--- a/src/gentianfold/fleet/following.py
+++ b/src/gentianfold/fleet/following.py
@@ -76,7 +76,7 @@
             self._lose_broker(now_s)
         if self.broker is None:
             self.broker = self._next_candidate(now_s)
-        if self.broker is None or self._is_broker():
+        if self.broker in (None, self.vm) or self._is_broker():
             return None
         interval_s = REPEAT_S if self._unanswered else BEAT_INTERVAL_S
         if now_s - self._beat_s < interval_s:
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -286,7 +286,7 @@
 
     def _hear_beat(self, vm: str, beat: Beat, now_s: float) -> None:
         following = self.following
-        if self.is_leaving:
+        if self.is_leaving or vm == self.vm:
             return
         if following.standing is not Standing.BROKER:
             if following.is_followed(now_s) and following.broker:
@@ -355,7 +355,7 @@
             logger.warning("fleet: lost the broker, decides alone")
         if target is not None:
             self.link.send(target, self._beat(now_s))
-        self.scheduler.mark_overdue(now_s)
+        self.scheduler.observe(now_s)
         self._resolve_waiting(now_s)
 
     def apply_upstreams(self, now_s: float) -> None:
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -25,26 +25,26 @@
 class ChoicePolicy:
     """Weights of the facts; costs are relative to one upstream in full use."""
 
-    proof_horizon_s: float = 2.0
-    """Age at which a success proves nothing more (seconds): two failing spells."""
-    proof_weight: float = 0.8
-    """Cost of a proof as old as the horizon."""
-    explore_weight: float = 0.5
+    proof_horizon_s: float = 1.5
+    """Age at which a proof is worth nothing more (seconds): a failing spell and a
+    half."""
+    proof_weight: float = 2.0
+    """Cost of a proof as old as the horizon; a spell begins as likely in each moment
+    of that age."""
+    explore_weight: float = 0.6
     """What an idempotent request gains on an upstream without a proof."""
-    load_weight: float = 0.6
+    load_weight: float = 0.3
     """Cost of an upstream whose slots are all in use."""
-    recent_failure_weight: float = 0.6
-    """Cost of a failure a moment ago, after the upstream was cleared."""
-    recent_failure_s: float = 1.5
-    """How long a failure counts after it (seconds)."""
+    failure_weight: float = 0.6
+    """Cost of each recent failure, after the upstream was cleared."""
     cold_weight: float = 0.5
     """Cost of an upstream that has just started."""
     slow_weight: float = 0.5
     """Cost of each further multiple of the usual elapsed time, up to four."""
     overdue_weight: float = 0.7
     """Cost of holding a request far longer than expected."""
-    zone_weight: float = 0.05
-    """Cost of another availability zone: the extra time on the network is small."""
+    zone_weight: float = 0.15
+    """Cost of another availability zone: bytes between zones are paid for."""
     jitter: float = 0.05
     """Random part that spreads equal choices."""
     unsafe_trial_after_s: float = 2.0
@@ -124,15 +124,12 @@
         self, row: UpstreamRow, request: SlotRequest, now_s: float, explore: bool
     ) -> float:
         policy = self.policy
-        proof_age = min((now_s - row.last_success_s) / policy.proof_horizon_s, 1.0)
-        if explore and row.last_used_s > row.last_success_s:
-            # A request that is under way will bring a proof; another adds little.
-            proof_age *= 0.5
-        cost = policy.load_weight * row.in_use / max(row.upstream.slots, 1)
+        proof_s = row.last_used_s if explore else row.proof_s
+        proof_age = min((now_s - proof_s) / policy.proof_horizon_s, 1.0)
         weight = -policy.explore_weight if explore else policy.proof_weight
+        cost = policy.load_weight * row.in_use / max(row.upstream.slots, 1)
         cost += weight * proof_age
-        if now_s - row.last_failure_s < policy.recent_failure_s:
-            cost += policy.recent_failure_weight
+        cost += policy.failure_weight * row.recent_failures(now_s)
         if now_s < row.cold_until_s:
             cost += policy.cold_weight
         if row.overdue:
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -11,6 +11,7 @@
 from gentianfold.placement.choice import Chooser
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.slot_request import (
     Granted,
@@ -20,7 +21,6 @@
     Refused,
     SlotRequest,
 )
-from gentianfold.placement.token_bucket import QuotaTable
 from gentianfold.placement.upstream_row import UpstreamRow
 
 if TYPE_CHECKING:
@@ -29,6 +29,9 @@
 SHED_PAUSE_S = 0.1
 """How long an upstream that shed a request is taken for full (seconds): about one
 slot of it becomes free in that time."""
+QUICK_FAILURE_S = 0.04
+"""Time within which a failing upstream answers that fails at once (seconds): ten
+times the way there and back."""
 OVERDUE_FACTOR = 3.0
 """Multiple of the expected time after which a request is overdue."""
 OVERDUE_SLACK_S = 0.3
@@ -53,6 +56,7 @@
     at_s: float
     is_trial: bool
     is_overdue: bool = False
+    is_proof: bool = False
 
 
 @attrs.define(eq=False)
@@ -124,7 +128,7 @@
             return Queued(self._ahead_of(queue, request))
         if request.attempt == 1:
             if not self.quota.take(request.customer, now_s):
-                wait_s = self.quota.wait_s(request.customer)
+                wait_s = self.quota.wait_s(request.customer, now_s)
                 return Refused(RefusalReason.OVER_RATE, max(wait_s, MIN_RETRY_AFTER_S))
             self.budget.count_request(request.service, now_s)
         decision = self._place_new(request, queue, now_s)
@@ -190,9 +194,10 @@
             if queue:
                 yield from self._advance_service(service, queue, now_s)
 
-    def mark_overdue(self, now_s: float) -> None:
-        """Note which requests take far longer than expected."""
+    def observe(self, now_s: float) -> None:
+        """Learn from requests under way: what was taken, and what is overdue."""
         for grant in self._grants.values():
+            self._note_taken(grant, now_s)
             if grant.is_overdue:
                 continue
             target_s = max(grant.request.target_left_s, 0.1)
@@ -201,6 +206,16 @@
                 grant.is_overdue = True
                 grant.row.overdue += 1
 
+    def _note_taken(self, grant: _Grant, now_s: float) -> None:
+        """Take a request that has not failed at once as a proof."""
+        if grant.is_proof or now_s - grant.at_s < QUICK_FAILURE_S:
+            return
+        grant.is_proof = True
+        row = grant.row
+        row.record_proof(grant.at_s)
+        if row.failed_quickly and grant.at_s >= row.last_failure_s:
+            row.clear()
+
     @property
     def waiting_count(self) -> int:
         """Requests that wait for a slot."""
@@ -289,15 +304,13 @@
     ) -> None:
         row, request = grant.row, grant.request
         if outcome is Outcome.SUCCEEDED:
-            if grant.at_s >= row.last_failure_s or row.suspect_since_s is None:
-                # An older success says nothing of a spell that began after it.
-                row.record_success(now_s)
+            row.record_success(grant.at_s)
             expected_s = self._expected_s(request)
             ratio = elapsed_s / max(expected_s, 0.01)
             row.slowness += SLOWNESS_SMOOTHING * (min(ratio, 8.0) - row.slowness)
             self.elapsed.record(request.service, request.route, elapsed_s)
         elif outcome.is_failure:
-            row.record_failure(now_s)
+            row.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
         elif outcome is Outcome.SHED:
             row.shed_until_s = now_s + SHED_PAUSE_S
         elif outcome is Outcome.CONNECT_FAILED:
--- a/src/gentianfold/placement/upstream_row.py
+++ b/src/gentianfold/placement/upstream_row.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from gentianfold.model import Upstream
@@ -11,6 +13,9 @@
 about a second are the shortest that both sites show."""
 MAX_TRIAL_BACKOFF_S = 1.0
 """Longest pause between trials (seconds): a recovered upstream returns within it."""
+FAILURE_MEMORY_S = 2.5
+"""Time in which a failure fades to a third (seconds): half of the longer failing
+spells of both sites, so that an upstream which fails in part is used last."""
 PATH_BLOCK_S = 1.5
 """How long a VM avoids an upstream that it could not connect to (seconds); half of
 the time that the users allow before a path counts as calm again."""
@@ -26,10 +31,15 @@
     """When it stops being slow after its start."""
     in_use: int = 0
     """Slots that granted requests hold."""
-    last_success_s: float = -1e9
-    """When a request last succeeded on it."""
+    proof_s: float = -1e9
+    """When a request was last sent that it took: one that succeeded, or that was still
+    under way after a failing upstream would have answered."""
     last_failure_s: float = -1e9
     """When a request last failed on it."""
+    failed_quickly: bool = True
+    """Whether the present spell answers at once, rather than not at all."""
+    failure_score: float = 0.0
+    """Failures, each fading with time, as of the last one."""
     overdue: int = 0
     """Requests on it that take far longer than expected."""
     suspect_since_s: float | None = None
@@ -65,15 +75,31 @@
         """Tell whether a request sent now would start at once."""
         return self.in_use < self.upstream.slots and now_s >= self.shed_until_s
 
-    def record_success(self, now_s: float) -> None:
-        """Take a whole answer as proof that it is well."""
-        self.last_success_s = now_s
+    def recent_failures(self, now_s: float) -> float:
+        """Return the number of failures, each fading with time."""
+        age_s = now_s - self.last_failure_s
+        return self.failure_score * math.exp(-age_s / FAILURE_MEMORY_S)
+
+    def record_proof(self, sent_s: float) -> None:
+        """Take it that a request which was sent at a time has been taken."""
+        self.proof_s = max(self.proof_s, sent_s)
+
+    def record_success(self, sent_s: float) -> None:
+        """Take a whole answer as proof that it was well when the request was sent."""
+        self.record_proof(sent_s)
+        if sent_s >= self.last_failure_s:
+            self.clear()
+
+    def clear(self) -> None:
+        """End the failing spell."""
         self.suspect_since_s = None
         self.trial_backoff_s = TRIAL_BACKOFF_S
 
-    def record_failure(self, now_s: float) -> None:
+    def record_failure(self, now_s: float, was_quick: bool) -> None:
         """Take a failed request as the start or the continuation of a spell."""
+        self.failure_score = self.recent_failures(now_s) + 1
         self.last_failure_s = now_s
+        self.failed_quickly = was_quick
         if self.suspect_since_s is None:
             self.suspect_since_s = now_s
             self.trial_backoff_s = TRIAL_BACKOFF_S
@@ -86,7 +112,7 @@
         self.path_reports[vm] = now_s
         recent = sum(now_s - at_s < PATH_BLOCK_S for at_s in self.path_reports.values())
         if recent >= PATHS_TO_SUSPECT:
-            self.record_failure(now_s)
+            self.record_failure(now_s, was_quick=False)
 
 
 PATHS_TO_SUSPECT = 3
--- a/src/gentianfold/settings/__init__.py
+++ b/src/gentianfold/settings/__init__.py
@@ -7,6 +7,7 @@
 from gentianfold.settings.settings import (
     CallerTls,
     Fleet,
+    Limits,
     Logging,
     Machine,
     RetryBounds,
@@ -19,6 +20,7 @@
     "CallerTls",
     "Endpoint",
     "Fleet",
+    "Limits",
     "Logging",
     "Machine",
     "RetryBounds",
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -53,6 +53,15 @@
     """Length of the sliding window; the value of both sites."""
 
 
+@attrs.frozen(kw_only=True)
+class Limits:
+    """How customers' limits are counted."""
+
+    window_s: float = attrs.field(default=5.0, metadata=form(forms.Number(0.1, 3600)))
+    """Length of the sliding window in which requests are counted; the value of both
+    sites."""
+
+
 @attrs.frozen(kw_only=True)
 class Machine:
     """What the VM may use."""
@@ -116,6 +125,8 @@
         factory=RetryBounds, metadata=form(forms.Nested(RetryBounds))
     )
     """Bound on further attempts."""
+    limits: Limits = attrs.field(factory=Limits, metadata=form(forms.Nested(Limits)))
+    """How customers' limits are counted."""
     machine: Machine = attrs.field(
         factory=Machine, metadata=form(forms.Nested(Machine))
     )
--- a/src/gentianfold/vm/vm.py
+++ b/src/gentianfold/vm/vm.py
@@ -22,6 +22,7 @@
 from gentianfold.forwarding.messages import Answer
 from gentianfold.forwarding.request_runner import RequestRunner
 from gentianfold.forwarding.service_split import ServiceSplit
+from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
 from gentianfold.placement.slot_scheduler import SlotScheduler
 from gentianfold.platform.headers import HEADERS
@@ -105,7 +106,9 @@
         policy = RetryBudgetPolicy(
             settings.retries.ratio, settings.retries.slack, settings.retries.window_s
         )
-        scheduler = SlotScheduler(budget=RetryBudget(policy))
+        scheduler = SlotScheduler(
+            quota=QuotaTable(settings.limits.window_s), budget=RetryBudget(policy)
+        )
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
         broker = Broker(
