Add stand-ins of store and servers, and tests of requests through a whole VM

Cause: the new data path had no tests of its own.

Ruled out: keeping the old stand-ins, which speak the removed protocol.

--- a/src/gentianfold/platform/store_client.py
+++ b/src/gentianfold/platform/store_client.py
@@ -13,6 +13,11 @@
 from gentianfold.forwarding.messages import encode_request
 from gentianfold.forwarding.upstream_connection import ExchangeFault
 from gentianfold.platform.wire import (
+    AFTER_FIELD,
+    CHANGES_PATH,
+    LIST_PATH,
+    PREFIX_FIELD,
+    WAIT_FIELD,
     EventPage,
     ItemPage,
     decode_events,
@@ -50,10 +55,10 @@
             prefix: Beginning of the keys.
             after: The last key of the page before.
         """
-        query = {"path_prefix": prefix}
+        query = {PREFIX_FIELD: prefix}
         if after:
-            query["after"] = after
-        answer = await self._get("/-/kv-range", query, LIST_TIMEOUT_S)
+            query[AFTER_FIELD] = after
+        answer = await self._get(LIST_PATH, query, LIST_TIMEOUT_S)
         if isinstance(answer, Failure):
             return answer
         page = decode_items(answer.body)
@@ -68,11 +73,11 @@
             The changes, a failure, or ``None`` if the store has dropped them.
         """
         query: dict[str, str | int] = {
-            "path_prefix": prefix,
-            "after": after_revision,
-            "wait_ms": 0,
+            PREFIX_FIELD: prefix,
+            AFTER_FIELD: after_revision,
+            WAIT_FIELD: 0,
         }
-        answer = await self._get("/-/kv-watch", query, CALL_TIMEOUT_S)
+        answer = await self._get(CHANGES_PATH, query, CALL_TIMEOUT_S)
         if isinstance(answer, Failure):
             return None if answer.reason == HISTORY_GONE else answer
         page = decode_events(answer.body)
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -23,12 +23,24 @@
     RateLimit,
     Route,
     SplitPart,
+    Upstream,
+    UpstreamState,
 )
 
 UPSTREAM_KEYS = "servers/"
 """Prefix of the keys under which upstreams register themselves."""
 CONFIGURATION_KEY = "op/config"
 """Key of the newest configuration."""
+LIST_PATH = "/-/kv-range"
+"""Path of a call that reads a page of items."""
+CHANGES_PATH = "/-/kv-watch"
+"""Path of a call that reads changes."""
+PREFIX_FIELD = "path_prefix"
+"""Field of a call: beginning of the keys."""
+AFTER_FIELD = "after"
+"""Field of a call: the last key, or the revision, that is known."""
+WAIT_FIELD = "wait_ms"
+"""Field of a call: how long it may wait for a change."""
 NO_TIMEOUT_S = 120.0
 """Timeout of a route that names none (seconds): longer than any caller waits."""
 
@@ -244,3 +256,87 @@
         priority=route.priority,
         target_latency_s=target_ms / 1000 if target_ms else 1.0,
     )
+
+
+# Encoders, for stand-ins of the store and of upstreams.
+
+
+def encode_item(key: str, value: bytes, revision: int) -> Item:
+    """Return an item as the store gives it."""
+    return Item(key, revision, base64.b64encode(value).decode())
+
+
+def encode_page(page: ItemPage | EventPage) -> bytes:
+    """Write a page of items or of changes."""
+    return msgspec.json.encode(page)
+
+
+def encode_upstream(upstream: Upstream, sequence: int = 1) -> bytes:
+    """Write an upstream's entry."""
+    is_draining = upstream.state is UpstreamState.DRAINING
+    status = {
+        "state": "draining" if is_draining else "ready",
+        "warmup_left_ms": upstream.cold_for_s * 1000,
+        "sequence": sequence,
+    }
+    info = {
+        "service": upstream.service,
+        "zone": upstream.zone,
+        "slots": upstream.slots,
+        "version": "v1",
+    }
+    return msgspec.json.encode(
+        {
+            "address": f"{upstream.host}:{upstream.port}",
+            "born": upstream.born_ms,
+            "info": info,
+            "status": status,
+        }
+    )
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Write a configuration."""
+    limits = configuration.caller_limits
+    keys_by_customer: dict[str, list[str]] = {}
+    for key, customer in configuration.customer_by_key.items():
+        keys_by_customer.setdefault(customer, []).append(key)
+    wire = _Configuration(
+        version=f"r{configuration.version}",
+        routes=[_from_route(route) for route in configuration.routes],
+        services=[_Service(name) for name in sorted(configuration.service_names)],
+        limits=_Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s * 1000,
+            limits.idle_timeout_s * 1000,
+        ),
+        tenants=[
+            _Tenant(
+                customer.name,
+                keys_by_customer.get(customer.name, []),
+                customer.priority,
+                customer.limit.rate_per_s if customer.limit else 0,
+                customer.limit.burst if customer.limit else 0,
+            )
+            for customer in configuration.customers.values()
+        ],
+    )
+    return msgspec.json.encode(wire)
+
+
+def _from_route(route: Route) -> _Route:
+    return _Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path,
+        kind="idempotent" if route.idempotent else "non_idempotent",
+        service=route.service or None,
+        traffic_split=[_Part(part.service, part.weight) for part in route.split]
+        or None,
+        timeout_ms=route.timeout_s * 1000,
+        target_latency_ms=route.target_latency_s * 1000,
+        priority=route.priority,
+        max_attempts=route.retries + 1,
+        auth_exempt=route.open_to_all,
+    )
--- a/src/gentianfold/vm/vm.py
+++ b/src/gentianfold/vm/vm.py
@@ -57,6 +57,10 @@
     """What the VM is told at its start."""
     log_writer: LogWriter
     """Writes the log."""
+    handles_signals: bool = True
+    """Whether signals of the process stop it; else only ``stop_wanted`` does."""
+    stop_wanted: anyio.Event = attrs.field(factory=anyio.Event)
+    """Set to begin a planned stop."""
     metrics: Metrics = attrs.field(factory=Metrics)
     """Counters and histograms."""
     pool: ConnectionPool = attrs.field(factory=ConnectionPool)
@@ -91,7 +95,9 @@
             tasks.start_soon(polling.run)
             tasks.start_soon(fetch.run)
             tasks.start_soon(self._tick, node)
-            await self._wait_for_stop()
+            if self.handles_signals:
+                tasks.start_soon(self._receive_signals)
+            await self.stop_wanted.wait()
             await self._stop(front, node)
             tasks.cancel_scope.cancel()
         self.pool.close()
@@ -199,14 +205,15 @@
             self.log_writer.flush()
             await anyio.sleep(TICK_S)
 
-    async def _wait_for_stop(self) -> None:
-        """Return when a planned stop is asked for."""
+    async def _receive_signals(self) -> None:
+        """Begin a planned stop when the process is asked to end."""
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async for signum in received:
-                if signum != signal.SIGHUP:
-                    return
-                logger.info("vm: reload, settings apply at the next start")
+                if signum == signal.SIGHUP:
+                    logger.info("vm: reload, settings apply at the next start")
+                else:
+                    self.stop_wanted.set()
 
     async def _stop(self, front: Front, node: Node) -> None:
         """Answer what has been read, then end."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,90 @@
+"""A site on loopback, and callers that send bytes."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from gentianfold.standins.site import HOST, KEY, Site, make_configuration
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@asynccontextmanager
+async def open_site(upstreams=3, vms=1, configuration=None):
+    """Open a site with servers ``u1``, ``u2``, ... of the service ``registry``."""
+    async with anyio.create_task_group() as tasks:
+        site = Site(tasks)
+        await site.open()
+        site.store.put_configuration(configuration or make_configuration())
+        for number in range(upstreams):
+            await site.add_upstream(f"u{number + 1}")
+        for _ in range(vms):
+            await site.add_vm()
+        try:
+            yield site
+        finally:
+            site.close()
+
+
+def request_bytes(
+    request_id="r1", path="/search/1", method="GET", body=b"", key=KEY, extra=()
+):
+    """Return a request as a caller writes it."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Attempt-Id: {request_id}",
+        "Request-Deadline: 4000",
+        *([f"Authorization: Token {key}"] if key else []),
+        *([f"Content-Length: {len(body)}"] if body else []),
+        *extra,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(stream, buffer=b""):
+    """Return status, headers, body and what follows."""
+    while b"\r\n\r\n" not in buffer:
+        buffer += await stream.receive()
+    head, _, rest = buffer.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value
+        for name, _, value in (line.partition(": ") for line in lines)
+    }
+    length = int(headers.get("content-length", "0"))
+    while len(rest) < length:
+        rest += await stream.receive()
+    return int(first.split()[1]), headers, rest[:length], rest[length:]
+
+
+@asynccontextmanager
+async def connect(vm):
+    """Connect to a VM as a caller does."""
+    endpoint = vm.settings.callers
+    stream = await anyio.connect_tcp(endpoint.host, endpoint.port)
+    try:
+        yield stream
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
+async def call(vm, data):
+    """Send bytes on a new connection and return the first answer."""
+    async with connect(vm) as stream:
+        await stream.send(data)
+        with anyio.fail_after(30):
+            return await read_answer(stream)
+
+
+async def wait_until(condition):
+    """Wait for a condition; fails after half a minute."""
+    with anyio.fail_after(30):
+        while not condition():
+            await anyio.sleep(0.01)
