Wait only while the target can be met; a cut path says nothing of the server

Cause: at the worst load requests were sent to upstreams known to fail once a quarter of the target had passed, and queued far past their targets. Servers that some VMs could not reach, and servers behind routes with short timeouts, were taken for failing.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -223,6 +223,9 @@
             or answer.header(b"content-encoding") is not None
         ):
             return AttemptResult(Outcome.FAILED, detail="not the upstream's answer")
+        if answer.status == 504:
+            # The upstream ran out of the time that it was given.
+            return AttemptResult(Outcome.TIMED_OUT, answer, detail="status 504")
         if answer.status >= 500:
             detail = f"status {answer.status}"
             return AttemptResult(Outcome.FAILED, answer, detail=detail)
--- a/src/gentianfold/forwarding/connection_pool.py
+++ b/src/gentianfold/forwarding/connection_pool.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.1
 """Time for a new connection (seconds): about forty round trips between zones; a lost
 opening packet would be sent again only after a second."""
 MAX_IDLE_S = 4.0
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -49,8 +49,6 @@
     """Random part that spreads equal choices."""
     unsafe_trial_after_s: float = 2.0
     """How long a due trial waits for an idempotent request (seconds)."""
-    last_resort_fraction: float = 0.25
-    """Part of the target latency that a request waits for a well upstream."""
 
 
 @attrs.define
@@ -67,7 +65,6 @@
         rows: Sequence[UpstreamRow],
         request: SlotRequest,
         now_s: float,
-        waited_s: float,
         may_explore: bool,
     ) -> tuple[UpstreamRow, GrantReason, int] | None:
         """Choose an upstream with a free slot.
@@ -76,7 +73,6 @@
             rows: Upstreams of the service that take new work.
             request: The request to place.
             now_s: The present time.
-            waited_s: How long it has waited.
             may_explore: Whether a failed attempt may be followed by another.
 
         Returns:
@@ -100,8 +96,8 @@
             explore = may_explore and request.attempt == 1
             best = min(well, key=lambda row: self._cost(row, request, now_s, explore))
             return best, GrantReason.BEST, len(well)
-        target_s = request.target_left_s + waited_s
-        if waited_s < self.policy.last_resort_fraction * max(target_s, 0.0):
+        if any(row.suspect_since_s is None for row in rows):
+            # A slot of an upstream that is well becomes free before a suspect is.
             return None
         oldest = min(free, key=lambda row: (row.trials_in_use, row.last_failure_s))
         return oldest, GrantReason.LAST_RESORT, len(free)
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -17,7 +17,7 @@
     TRIAL = 1
     """A suspect upstream is due for a trial."""
     LAST_RESORT = 2
-    """No upstream that is well became free in time."""
+    """No upstream of the service is well."""
 
 
 class RefusalReason(enum.IntEnum):
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -29,9 +29,11 @@
 SHED_PAUSE_S = 0.1
 """How long an upstream that shed a request is taken for full (seconds): about one
 slot of it becomes free in that time."""
-QUICK_FAILURE_S = 0.04
-"""Time within which a failing upstream answers that fails at once (seconds): ten
-times the way there and back."""
+LATE_PATIENCE_FRACTION = 0.1
+"""Part of its time that a request waits although it will miss its target."""
+QUICK_FAILURE_S = 0.13
+"""Time after which a request that has not failed was taken (seconds): longer than a
+VM waits for a connection, and ten times what an upstream takes that fails at once."""
 OVERDUE_FACTOR = 3.0
 """Multiple of the expected time after which a request is overdue."""
 OVERDUE_SLACK_S = 0.3
@@ -67,8 +69,17 @@
     since_s: float
 
     def latest_start_s(self, expected_s: float) -> float:
-        """Return when it must start so that its answer is still of use."""
-        return self.since_s + max(self.request.time_left_s - expected_s, 0.0)
+        """Return until when it waits.
+
+        Under lasting overload a longer queue serves no more requests, it only makes
+        all of them late. So a request waits while it can meet its target; one that
+        has lost it waits a part of its time.
+        """
+        request = self.request
+        useful_s = request.time_left_s - expected_s
+        on_target_s = request.target_left_s - expected_s
+        patience_s = max(on_target_s, LATE_PATIENCE_FRACTION * request.time_left_s)
+        return self.since_s + max(min(useful_s, patience_s), 0.0)
 
 
 @attrs.define(eq=False)
@@ -238,7 +249,7 @@
             return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         ahead = self._ahead_of(queue, request)
         if not ahead:
-            granted = self._grant(request, rows, 0.0, now_s)
+            granted = self._grant(request, rows, now_s)
             if granted is not None:
                 return granted
         wait_s = self._expected_wait_s(rows, request.service, ahead)
@@ -254,8 +265,7 @@
         rows = self._by_service.get(service, [])
         order = sorted(queue.items(), key=lambda item: self._rank(item[1]))
         for key, entry in order:
-            waited_s = now_s - entry.since_s
-            granted = self._grant(entry.request, rows, waited_s, now_s)
+            granted = self._grant(entry.request, rows, now_s)
             if granted is not None:
                 del queue[key]
                 yield key, granted
@@ -274,11 +284,10 @@
         self,
         request: SlotRequest,
         rows: list[UpstreamRow],
-        waited_s: float,
         now_s: float,
     ) -> Granted | None:
         may_explore = request.idempotent and request.attempt == 1
-        choice = self.chooser.choose(rows, request, now_s, waited_s, may_explore)
+        choice = self.chooser.choose(rows, request, now_s, may_explore)
         if choice is None:
             return None
         row, reason, candidates = choice
@@ -309,8 +318,13 @@
             ratio = elapsed_s / max(expected_s, 0.01)
             row.slowness += SLOWNESS_SMOOTHING * (min(ratio, 8.0) - row.slowness)
             self.elapsed.record(request.service, request.route, elapsed_s)
-        elif outcome.is_failure:
+        elif outcome is Outcome.FAILED:
             row.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
+        elif outcome is Outcome.TIMED_OUT:
+            usual_s = self.elapsed.service_s(request.service)
+            if elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S:
+                # A shorter timeout is the route's doing and says nothing.
+                row.record_failure(now_s, was_quick=False)
         elif outcome is Outcome.SHED:
             row.shed_until_s = now_s + SHED_PAUSE_S
         elif outcome is Outcome.CONNECT_FAILED:
@@ -324,8 +338,8 @@
         self, rows: list[UpstreamRow], service: str, ahead: int
     ) -> float:
         """Return when a request with so many before it may start (seconds)."""
-        slots = sum(row.upstream.slots for row in rows if row.suspect_since_s is None)
-        return (ahead + 1) * self.elapsed.service_s(service) / max(slots, 1)
+        held = sum(row.in_use for row in rows if row.suspect_since_s is None)
+        return (ahead + 1) * self.elapsed.service_s(service) / max(held, 1)
 
     def _rank(self, entry: _Waiting) -> tuple[int, int, float]:
         """Order by urgency, then by slots that the customer holds, then by age."""
--- a/src/gentianfold/placement/upstream_row.py
+++ b/src/gentianfold/placement/upstream_row.py
@@ -111,10 +111,11 @@
         self.blocked_paths[vm] = now_s + PATH_BLOCK_S
         self.path_reports[vm] = now_s
         recent = sum(now_s - at_s < PATH_BLOCK_S for at_s in self.path_reports.values())
-        if recent >= PATHS_TO_SUSPECT:
+        is_reached = now_s - self.proof_s < PATH_BLOCK_S
+        if recent >= PATHS_TO_SUSPECT and not is_reached:
             self.record_failure(now_s, was_quick=False)
 
 
 PATHS_TO_SUSPECT = 3
-"""VMs that must fail to connect before the upstream itself is suspect (count): more
-than a pair of VMs that share one broken link."""
+"""VMs that must fail to connect, while none reaches it, before the upstream itself is
+suspect (count): more than a pair of VMs that share one broken link."""
