Use upstreams that fail in part before a refusal; end spells after two proofs

Cause: with half of a service's upstreams failing, requests were refused while upstreams that fail only in part had free slots; an upstream that fails nine in ten was cleared by one lucky trial and then failed three requests; requests that outlast a short timeout made upstreams suspect that took others meanwhile.

Change: the part of its requests that succeed is smoothed for each upstream, and one with a quarter or more is tried instead of a refusal; two proofs end a spell of several failures; a timeout counts only without a later proof. A line a second tells how crowded a service is.

Ruled out: trying any suspect instead of a refusal (a claim that fails is worse for its caller than one that has not run and comes back).

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -53,6 +53,9 @@
 """How long a wait may last past its request's time (seconds), in case an answer was
 lost; ends what nothing else ended."""
 
+CROWD_LOG_S = 1.0
+"""Time between two log lines on a crowded service (seconds)."""
+
 _Answer = Placement | Refused
 
 
@@ -98,6 +101,7 @@
     """Whether a planned stop has begun."""
     _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     _questions: dict[int, _Question] = attrs.field(factory=dict)
+    _crowd_logged_s: float = -1e9
     _placed_by: dict[int, str] = attrs.field(factory=dict)
 
     # Placer
@@ -358,8 +362,27 @@
         if target is not None:
             self.link.send(target, self._beat(now_s))
         self.scheduler.observe(now_s)
+        self._log_crowded(now_s)
         self._resolve_waiting(now_s)
 
+    def _log_crowded(self, now_s: float) -> None:
+        """Log once a second which services have requests waiting, and why."""
+        if now_s - self._crowd_logged_s < CROWD_LOG_S:
+            return
+        self._crowd_logged_s = now_s
+        for load in self.scheduler.crowded_services(now_s):
+            logger.info(
+                "placement: service={} waiting={} upstreams={} suspect={}"
+                " well_slots={} in_use={} shedding={}",
+                load.service,
+                load.waiting,
+                load.upstreams,
+                load.suspect,
+                load.well_slots,
+                load.well_in_use,
+                load.shedding,
+            )
+
     def apply_upstreams(self, now_s: float) -> None:
         """Use the merged list of upstreams."""
         upstreams = self.view.upstreams.upstreams()
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -47,6 +47,9 @@
     """Cost of another availability zone: bytes between zones are paid for."""
     jitter: float = 0.05
     """Random part that spreads equal choices."""
+    hopeful_ratio: float = 0.25
+    """Part of its requests that must succeed on an upstream which is tried instead of
+    a refusal; one that fails nine in ten stays below it."""
     unsafe_trial_after_s: float = 2.0
     """How long a due trial waits for an idempotent request (seconds)."""
 
@@ -79,13 +82,7 @@
             The upstream, why, and how many there were to choose from; ``None`` if
             the request should wait.
         """
-        free = [
-            row
-            for row in rows
-            if row.has_free_slot(now_s)
-            and row.upstream.name not in request.excluded
-            and not row.is_blocked_for(request.vm, now_s)
-        ]
+        free = _free_rows(rows, request, now_s)
         if not free:
             return None
         trial = self._due_trial(free, now_s, may_explore)
@@ -102,6 +99,20 @@
         oldest = min(free, key=lambda row: (row.trials_in_use, row.last_failure_s))
         return oldest, GrantReason.LAST_RESORT, len(free)
 
+    def choose_doubtful(
+        self, rows: Sequence[UpstreamRow], request: SlotRequest, now_s: float
+    ) -> tuple[UpstreamRow, GrantReason, int] | None:
+        """Choose an upstream that fails in part, for a request else refused."""
+        hopeful = [
+            row
+            for row in _free_rows(rows, request, now_s)
+            if row.success_ratio >= self.policy.hopeful_ratio
+        ]
+        if not hopeful:
+            return None
+        best = max(hopeful, key=lambda row: row.success_ratio)
+        return best, GrantReason.LAST_RESORT, len(hopeful)
+
     def _due_trial(
         self, free: Sequence[UpstreamRow], now_s: float, may_explore: bool
     ) -> UpstreamRow | None:
@@ -134,3 +145,16 @@
         if row.upstream.zone != request.zone:
             cost += policy.zone_weight
         return cost + self.random.random() * policy.jitter
+
+
+def _free_rows(
+    rows: Sequence[UpstreamRow], request: SlotRequest, now_s: float
+) -> list[UpstreamRow]:
+    """Return the upstreams on which a request could start at once."""
+    return [
+        row
+        for row in rows
+        if row.has_free_slot(now_s)
+        and row.upstream.name not in request.excluded
+        and not row.is_blocked_for(request.vm, now_s)
+    ]
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -17,7 +17,7 @@
     TRIAL = 1
     """A suspect upstream is due for a trial."""
     LAST_RESORT = 2
-    """No upstream of the service is well."""
+    """No upstream that is well has room in time; this one fails in part."""
 
 
 class RefusalReason(enum.IntEnum):
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -82,6 +82,26 @@
         return self.since_s + max(min(useful_s, patience_s), 0.0)
 
 
+@attrs.frozen
+class ServiceLoad:
+    """How crowded a service is."""
+
+    service: str
+    """Its name."""
+    waiting: int
+    """Requests that wait."""
+    upstreams: int
+    """Upstreams that take new work."""
+    suspect: int
+    """Those among them that are in a failing spell."""
+    well_slots: int
+    """Slots of the others."""
+    well_in_use: int
+    """Those slots that are held."""
+    shedding: int
+    """Upstreams that are taken for full, after they shed a request."""
+
+
 @attrs.define(eq=False)
 class SlotScheduler:
     """Places the requests of a whole fleet, or those of one VM that is on its own."""
@@ -217,6 +237,23 @@
                 grant.is_overdue = True
                 grant.row.overdue += 1
 
+    def crowded_services(self, now_s: float) -> Iterator[ServiceLoad]:
+        """Yield the load of each service that has requests waiting."""
+        for service, queue in self._waiting.items():
+            if not queue:
+                continue
+            rows = self._by_service.get(service, [])
+            well = [row for row in rows if row.suspect_since_s is None]
+            yield ServiceLoad(
+                service,
+                len(queue),
+                len(rows),
+                len(rows) - len(well),
+                sum(row.upstream.slots for row in well),
+                sum(row.in_use for row in well),
+                sum(now_s < row.shed_until_s for row in well),
+            )
+
     def _note_taken(self, grant: _Grant, now_s: float) -> None:
         """Take a request that has not failed at once as a proof."""
         if grant.is_proof or now_s - grant.at_s < QUICK_FAILURE_S:
@@ -225,7 +262,7 @@
         row = grant.row
         row.record_proof(grant.at_s)
         if row.failed_quickly and grant.at_s >= row.last_failure_s:
-            row.clear()
+            row.pass_trial()
 
     @property
     def waiting_count(self) -> int:
@@ -255,6 +292,9 @@
         wait_s = self._expected_wait_s(rows, request.service, ahead)
         entry = _Waiting(request, now_s)
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
+            doubtful = self._grant_doubtful(request, rows, now_s)
+            if doubtful is not None:
+                return doubtful
             return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S))
         queue[request.vm, request.number] = entry
         return Queued(ahead)
@@ -272,6 +312,10 @@
                 continue
             if now_s > entry.latest_start_s(self._expected_s(entry.request)):
                 del queue[key]
+                doubtful = self._grant_doubtful(entry.request, rows, now_s)
+                if doubtful is not None:
+                    yield key, doubtful
+                    continue
                 if entry.request.attempt == 1:
                     self.quota.give_back(entry.request.customer)
                 wait_s = self._expected_wait_s(rows, service, len(queue))
@@ -290,6 +334,21 @@
         choice = self.chooser.choose(rows, request, now_s, may_explore)
         if choice is None:
             return None
+        return self._grant_choice(request, choice, now_s)
+
+    def _grant_doubtful(
+        self, request: SlotRequest, rows: list[UpstreamRow], now_s: float
+    ) -> Granted | None:
+        """Grant a slot of an upstream that fails in part, instead of a refusal."""
+        choice = self.chooser.choose_doubtful(rows, request, now_s)
+        return self._grant_choice(request, choice, now_s) if choice else None
+
+    def _grant_choice(
+        self,
+        request: SlotRequest,
+        choice: tuple[UpstreamRow, GrantReason, int],
+        now_s: float,
+    ) -> Granted:
         row, reason, candidates = choice
         is_trial = row.suspect_since_s is not None
         self._hold((request.vm, request.number), _Grant(request, row, now_s, is_trial))
@@ -313,7 +372,7 @@
     ) -> None:
         row, request = grant.row, grant.request
         if outcome is Outcome.SUCCEEDED:
-            row.record_success(grant.at_s)
+            row.record_success(grant.at_s, is_new=not grant.is_proof)
             expected_s = self._expected_s(request)
             ratio = elapsed_s / max(expected_s, 0.01)
             row.slowness += SLOWNESS_SMOOTHING * (min(ratio, 8.0) - row.slowness)
@@ -322,8 +381,10 @@
             row.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
         elif outcome is Outcome.TIMED_OUT:
             usual_s = self.elapsed.service_s(request.service)
-            if elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S:
-                # A shorter timeout is the route's doing and says nothing.
+            is_long = elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S
+            if is_long and row.proof_s <= grant.at_s:
+                # A short timeout is the route's doing, and an upstream that took
+                # other requests since is not the cause.
                 row.record_failure(now_s, was_quick=False)
         elif outcome is Outcome.SHED:
             row.shed_until_s = now_s + SHED_PAUSE_S
--- a/src/gentianfold/placement/upstream_row.py
+++ b/src/gentianfold/placement/upstream_row.py
@@ -16,6 +16,12 @@
 FAILURE_MEMORY_S = 2.5
 """Time in which a failure fades to a third (seconds): half of the longer failing
 spells of both sites, so that an upstream which fails in part is used last."""
+RATIO_SMOOTHING = 0.25
+"""Weight of the newest request in the part that succeeds: about the last seven count,
+a failing spell at the usual rate of trials."""
+PROOFS_AFTER_SPELL = 2
+"""Proofs that end a spell of several failures (count): an upstream that fails nine in
+ten passes one trial in ten, and two in a hundred."""
 PATH_BLOCK_S = 1.5
 """How long a VM avoids an upstream that it could not connect to (seconds); half of
 the time that the users allow before a path counts as calm again."""
@@ -42,6 +48,10 @@
     """Failures, each fading with time, as of the last one."""
     overdue: int = 0
     """Requests on it that take far longer than expected."""
+    success_ratio: float = 1.0
+    """Part of its requests that succeed, smoothed."""
+    proofs_needed: int = 1
+    """Proofs after which the present spell is over."""
     suspect_since_s: float | None = None
     """When the present failing spell was first seen; ``None`` if it is well."""
     next_trial_s: float = 0.0
@@ -84,25 +94,40 @@
         """Take it that a request which was sent at a time has been taken."""
         self.proof_s = max(self.proof_s, sent_s)
 
-    def record_success(self, sent_s: float) -> None:
-        """Take a whole answer as proof that it was well when the request was sent."""
+    def record_success(self, sent_s: float, is_new: bool = True) -> None:
+        """Take a whole answer as proof that it was well when the request was sent.
+
+        Args:
+            sent_s: When the request was sent.
+            is_new: Whether the request was not counted as a proof before.
+        """
         self.record_proof(sent_s)
-        if sent_s >= self.last_failure_s:
-            self.clear()
+        self.success_ratio += RATIO_SMOOTHING * (1 - self.success_ratio)
+        if sent_s >= self.last_failure_s and (is_new or not self.failed_quickly):
+            self.pass_trial()
 
-    def clear(self) -> None:
-        """End the failing spell."""
-        self.suspect_since_s = None
-        self.trial_backoff_s = TRIAL_BACKOFF_S
+    def pass_trial(self) -> None:
+        """Count a proof against the failing spell, and end it after enough of them."""
+        if self.suspect_since_s is None:
+            return
+        self.proofs_needed -= 1
+        self.next_trial_s = 0.0
+        if self.proofs_needed <= 0:
+            self.suspect_since_s = None
+            self.trial_backoff_s = TRIAL_BACKOFF_S
 
     def record_failure(self, now_s: float, was_quick: bool) -> None:
         """Take a failed request as the start or the continuation of a spell."""
         self.failure_score = self.recent_failures(now_s) + 1
         self.last_failure_s = now_s
         self.failed_quickly = was_quick
+        self.success_ratio -= RATIO_SMOOTHING * self.success_ratio
         if self.suspect_since_s is None:
             self.suspect_since_s = now_s
             self.trial_backoff_s = TRIAL_BACKOFF_S
+            self.proofs_needed = 1
+        else:
+            self.proofs_needed = PROOFS_AFTER_SPELL
         self.next_trial_s = now_s + self.trial_backoff_s
         self.trial_backoff_s = min(self.trial_backoff_s * 2, MAX_TRIAL_BACKOFF_S)
 
