Spread a configuration by one VM in each zone, compressed

Change: the broker plans from whom each member takes it: one member of each zone from the broker, the others from informed members of their zone, one at a time over narrow links; the document is compressed; deputies are chosen by link and processor.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -19,6 +19,7 @@
     Release,
     Wait,
 )
+from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
 
@@ -59,12 +60,18 @@
     """What this VM knows of the published state."""
     table: MemberTable = attrs.field(factory=MemberTable)
     """The members."""
+    plan: RelayPlan = attrs.field(init=False)
+    """Where members take a new configuration."""
     _claimed_s: float = -1e9
 
+    def __attrs_post_init__(self) -> None:
+        self.plan = RelayPlan(self.vm)
+
     def start(self) -> None:
         """Begin as a broker without members."""
         logger.info("fleet: this VM is the broker now")
         self.table = MemberTable()
+        self.plan = RelayPlan(self.vm)
         self._claimed_s = -1e9
 
     def hear_ask(self, vm: str, ask: Ask, now_s: float) -> None:
@@ -123,7 +130,9 @@
         member = Member(
             beat.incarnation,
             now_s,
+            beat.zone,
             beat.cpu_share,
+            beat.link_mbps,
             beat.store_age_ms,
             beat.configuration,
             beat.upstreams_revision,
@@ -132,8 +141,11 @@
             self.scheduler.drop_vm(vm)
             logger.info("fleet: VM {} joins, {} members", vm, len(self.table.members))
         self._reconcile(vm, beat, now_s)
-        self.link.send(vm, self._reply(now_s))
+        self._begin_spread()
+        self.link.send(vm, self._reply(vm, now_s))
         self._send_upstreams(vm, beat.upstreams_revision)
+        if beat.configuration == self.plan.version:
+            self._spread(now_s, beat.zone)
 
     def hear_claim(self, vm: str, claim: Claim, now_s: float) -> bool:
         """Compare fleets with another broker; tell whether this one gives way."""
@@ -157,11 +169,27 @@
             self.hand_over(deputies[0])
 
     def announce(self, now_s: float) -> None:
-        """Tell all members at once that something published has changed."""
-        reply = self._reply(now_s)
+        """Tell all members at once that upstreams have changed."""
         for vm, member in self.table.members.items():
             self._send_upstreams(vm, member.upstreams_revision)
-            self.link.send(vm, reply)
+
+    def announce_configuration(self, now_s: float) -> None:
+        """Begin to spread a new configuration."""
+        self._begin_spread()
+        self._spread(now_s)
+
+    def _begin_spread(self) -> None:
+        self.plan.begin(self.view.configuration_version)
+
+    def _spread(self, now_s: float, zone: str | None = None) -> None:
+        """Tell members that lack the configuration where to take it."""
+        members = self.table.members
+        best_first = sorted(members, key=lambda vm: -members[vm].link_mbps)
+        for vm in best_first:
+            if zone is not None and members[vm].zone != zone:
+                continue
+            if self.plan.source_for(vm, members, now_s):
+                self.link.send(vm, self._reply(vm, now_s))
 
     def advance(self, now_s: float) -> str | None:
         """Expire members and look for other brokers.
@@ -185,13 +213,14 @@
         """Members besides this VM."""
         return len(self.table.members)
 
-    def _reply(self, now_s: float) -> BeatReply:
+    def _reply(self, vm: str, now_s: float) -> BeatReply:
         view = self.view
         return BeatReply(
             self.incarnation,
             self.table.deputies(),
             self.member_count,
             view.configuration_version,
+            self.plan.source_for(vm, self.table.members, now_s),
             view.store_age_ms(now_s),
             view.upstreams.revision,
             view.upstreams.changed_revision,
--- a/src/gentianfold/fleet/following.py
+++ b/src/gentianfold/fleet/following.py
@@ -27,6 +27,10 @@
 """How long a lost broker is not followed again (seconds)."""
 MEMBER_LOST_S = 1.6
 """Silence after which a member is gone (seconds): four heartbeats."""
+BROKER_CPU_SHARE = 1.0
+"""Part of a core that a broker of today's fleets has plenty with; it uses 0.05."""
+BROKER_LINK_MBPS = 50.0
+"""Bandwidth that a broker of today's fleets has plenty with (megabits per second)."""
 MAX_DEPUTIES = 3
 """Deputies that a broker names (count)."""
 
@@ -184,8 +188,12 @@
     """Unix time of its start (milliseconds)."""
     heard_s: float
     """When its last heartbeat came."""
+    zone: str
+    """Its availability zone."""
     cpu_share: float
     """Its part of a core."""
+    link_mbps: float
+    """Bandwidth of its network link (megabits per second)."""
     store_age_ms: int
     """Time since it read the store itself; -1 if it never did."""
     configuration: int
@@ -193,6 +201,11 @@
     upstreams_revision: int
     """Revision up to which it knows all upstreams."""
 
+    @property
+    def capacity(self) -> float:
+        """How well it would serve as broker: its scarcer resource, 1 for plenty."""
+        return min(self.cpu_share / BROKER_CPU_SHARE, self.link_mbps / BROKER_LINK_MBPS)
+
 
 @attrs.define
 class MemberTable:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -63,6 +63,7 @@
     """Unix time of the VM's start (milliseconds)."""
     zone: str
     cpu_share: float
+    link_mbps: float
     configuration: int
     """Version of the configuration in force; 0 for none."""
     store_age_ms: int
@@ -81,6 +82,9 @@
     """Addresses of the VMs that follow as broker, in order."""
     member_count: int
     configuration: int
+    """Newest version that the fleet has."""
+    source: str
+    """VM from which the receiver takes that version; empty while it should wait."""
     store_age_ms: int
     """Time since the broker read the store; -1 if it never did."""
     upstreams_revision: int
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -81,6 +81,8 @@
     """Unix time of its start (milliseconds)."""
     cpu_share: float
     """Its part of a core."""
+    link_mbps: float
+    """Bandwidth of its network link (megabits per second)."""
     scheduler: SlotScheduler
     """Places the requests of this VM when alone, and of all as broker."""
     following: Following
@@ -92,7 +94,9 @@
     view: NodeView
     """What is known of the published state."""
     configuration_wanted: anyio.Event = attrs.field(factory=anyio.Event)
-    """Set when the broker has a newer configuration."""
+    """Set when there is a newer configuration to take."""
+    configuration_source: str = ""
+    """The VM that has it."""
     member_count: int = 1
     """VMs of the fleet, as last heard."""
     started_s: float = 0.0
@@ -315,7 +319,8 @@
         self.scheduler.quota.share = 1 / self.member_count
         self.scheduler.quota.tight = frozenset(reply.tight_customers)
         self.scheduler.budget.share = 1 / self.member_count
-        if reply.configuration > self.view.configuration_version:
+        if reply.configuration > self.view.configuration_version and reply.source:
+            self.configuration_source = reply.source
             self.configuration_wanted.set()
         is_current = self.view.upstreams.catch_up(
             reply.changed_revision, reply.upstreams_revision
@@ -396,8 +401,12 @@
         configuration = self.view.published.configuration
         if configuration is not None:
             self.scheduler.quota.replace_customers(configuration.customers)
+        now_s = self._now_s()
         if self.following.standing is Standing.BROKER:
-            self.broker.announce(self._now_s())
+            self.broker.announce_configuration(now_s)
+        elif self.following.is_followed(now_s) and self.following.broker:
+            # The broker may send others of this zone here now.
+            self.link.send(self.following.broker, self._beat(now_s))
 
     def leave(self) -> None:
         """Hand the broker's part over before a planned stop."""
@@ -434,6 +443,7 @@
             self.incarnation,
             self.zone,
             self.cpu_share,
+            self.link_mbps,
             self.view.configuration_version,
             self.view.store_age_ms(now_s),
             self.view.upstreams.revision,
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -17,7 +17,9 @@
     upstreams: UpstreamList = attrs.field(factory=UpstreamList)
     """The list of upstreams with revisions."""
     configuration_document: bytes = b""
-    """The configuration as it was published, for other VMs."""
+    """The configuration as it was published."""
+    packed_document: bytes = b""
+    """The same, compressed for other VMs; empty until one asks."""
     store_read_s: float | None = None
     """When this VM itself last read the store."""
 
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -68,6 +68,8 @@
 
     cpu_share: float = attrs.field(default=1.0, metadata=form(forms.Number(0.01, 256)))
     """Part of a core; a broker is preferably a VM with more of it."""
+    link_mbps: float = attrs.field(default=1000, metadata=form(forms.Number(0.1, 1e6)))
+    """Bandwidth of its network link, in megabits a second."""
     memory_mb: float = attrs.field(default=300, metadata=form(forms.Number(32, 1e6)))
     """Memory at whose limit the process is ended; the smallest VM of today."""
 
--- a/src/gentianfold/vm/configuration_fetch.py
+++ b/src/gentianfold/vm/configuration_fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,12 +19,31 @@
     from gentianfold.platform.store_follower import StoreFollower
     from gentianfold.vm.store_polling import StateSink
 
-FETCH_TIMEOUT_S = 0.5
+FETCH_TIMEOUT_S = 0.9
 """Time for a configuration from another VM (seconds); then the store is asked."""
+MAX_DOCUMENT_BYTES = 16 << 20
+"""Largest configuration that is unpacked (bytes); the store holds up to a megabyte."""
 CONFIGURATION_PATH = b"/configuration"
 """Where the operators' endpoint gives the configuration as it was published."""
 
 
+def pack_document(document: bytes) -> bytes:
+    """Compress a configuration for another VM."""
+    return zlib.compress(document, PACK_LEVEL)
+
+
+def unpack_document(packed: bytes) -> bytes:
+    """Return a configuration; empty if it is not one."""
+    try:
+        return zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
+    except zlib.error:
+        return b""
+
+
+PACK_LEVEL = 6
+"""Level of compression: routes shrink to a sixth in a few milliseconds."""
+
+
 @attrs.define(eq=False)
 class ConfigurationFetch:
     """Fetches the configuration when a heartbeat tells of a newer one."""
@@ -48,24 +68,25 @@
                 await self.follower.poll()
 
     async def _fetch(self) -> bool:
-        broker = self.node.following.broker
-        if broker is None or broker == self.node.vm:
-            return False
+        source = self.node.configuration_source
+        if source in ("", self.node.vm):
+            return True
         answer = None
         with anyio.move_on_after(FETCH_TIMEOUT_S):
-            address = (broker, self.port)
+            address = (source, self.port)
             connection = await self.pool.take(address, "vm")
             if connection is None:
                 return False
-            head = [(b"host", broker.encode())]
+            head = [(b"host", source.encode())]
             request = encode_request(b"GET", CONFIGURATION_PATH, head, b"")
             answer = await connection.exchange(request, lambda _: True)
             self.pool.give_back(address, "vm", connection)
         if not isinstance(answer, Answer) or answer.status != 200:
             return False
-        configuration = decode_configuration(answer.body)
+        document = unpack_document(answer.body)
+        configuration = decode_configuration(document)
         if isinstance(configuration, Failure):
-            logger.warning("fleet: configuration of {}: {}", broker, configuration)
+            logger.warning("fleet: configuration of {}: {}", source, configuration)
             return False
-        self.sink.take_configuration(answer.body, configuration)
+        self.sink.take_configuration(document, configuration)
         return True
--- a/src/gentianfold/vm/store_polling.py
+++ b/src/gentianfold/vm/store_polling.py
@@ -121,6 +121,7 @@
         """Put a configuration into force if it is newer."""
         if self.node.view.published.offer_configuration(configuration):
             self.node.view.configuration_document = document
+            self.node.view.packed_document = b""
             self.node.apply_configuration()
 
     def _now_s(self) -> float:
--- a/src/gentianfold/vm/vm.py
+++ b/src/gentianfold/vm/vm.py
@@ -28,7 +28,11 @@
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_follower import StoreFollower
-from gentianfold.vm.configuration_fetch import CONFIGURATION_PATH, ConfigurationFetch
+from gentianfold.vm.configuration_fetch import (
+    CONFIGURATION_PATH,
+    ConfigurationFetch,
+    pack_document,
+)
 from gentianfold.vm.front import Front
 from gentianfold.vm.metrics import Metrics
 from gentianfold.vm.small_http import Respond, SmallHttpConnection
@@ -131,6 +135,7 @@
             settings.zone,
             incarnation,
             settings.machine.cpu_share,
+            settings.machine.link_mbps,
             scheduler,
             Following(settings.address, seeds),
             broker,
@@ -173,8 +178,7 @@
 
         def respond_operator(path: bytes) -> Answer:
             if path == CONFIGURATION_PATH:
-                document = self.view.configuration_document
-                return Answer(200 if document else 404, [], document)
+                return self._answer_configuration()
             if path.endswith(b"/metrics"):
                 update_gauges(self.metrics, node, front, client)
                 return Answer(200, [], self.metrics.exposition().encode())
@@ -185,6 +189,15 @@
         if self.settings.metrics is not None:
             await self._listen_small(self.settings.metrics, respond_operator)
 
+    def _answer_configuration(self) -> Answer:
+        """Give the configuration to another VM, compressed once."""
+        view = self.view
+        if not view.configuration_document:
+            return Answer(404, [], b"")
+        if not view.packed_document:
+            view.packed_document = pack_document(view.configuration_document)
+        return Answer(200, [], view.packed_document)
+
     async def _listen_small(self, endpoint: Endpoint, respond: Respond) -> None:
         loop = asyncio.get_running_loop()
         await loop.create_server(lambda: SmallHttpConnection(respond), *_pair(endpoint))
