--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -53,6 +53,9 @@
 """How long a wait may last past its request's time (seconds), in case an answer was
 lost; ends what nothing else ended."""
 
+CROWD_LOG_S = 1.0
+"""Time between two log lines on a crowded service (seconds)."""
+
 _Answer = Placement | Refused
 
 
@@ -78,6 +81,8 @@
     """Unix time of its start (milliseconds)."""
     cpu_share: float
     """Its part of a core."""
+    link_mbps: float
+    """Bandwidth of its network link (megabits per second)."""
     scheduler: SlotScheduler
     """Places the requests of this VM when alone, and of all as broker."""
     following: Following
@@ -89,7 +94,9 @@
     view: NodeView
     """What is known of the published state."""
     configuration_wanted: anyio.Event = attrs.field(factory=anyio.Event)
-    """Set when the broker has a newer configuration."""
+    """Set when there is a newer configuration to take."""
+    configuration_source: str = ""
+    """The VM that has it."""
     member_count: int = 1
     """VMs of the fleet, as last heard."""
     started_s: float = 0.0
@@ -98,6 +105,7 @@
     """Whether a planned stop has begun."""
     _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     _questions: dict[int, _Question] = attrs.field(factory=dict)
+    _crowd_logged_s: float = -1e9
     _placed_by: dict[int, str] = attrs.field(factory=dict)
 
     # Placer
@@ -311,7 +319,8 @@
         self.scheduler.quota.share = 1 / self.member_count
         self.scheduler.quota.tight = frozenset(reply.tight_customers)
         self.scheduler.budget.share = 1 / self.member_count
-        if reply.configuration > self.view.configuration_version:
+        if reply.configuration > self.view.configuration_version and reply.source:
+            self.configuration_source = reply.source
             self.configuration_wanted.set()
         is_current = self.view.upstreams.catch_up(
             reply.changed_revision, reply.upstreams_revision
@@ -358,8 +367,27 @@
         if target is not None:
             self.link.send(target, self._beat(now_s))
         self.scheduler.observe(now_s)
+        self._log_crowded(now_s)
         self._resolve_waiting(now_s)
 
+    def _log_crowded(self, now_s: float) -> None:
+        """Log once a second which services have requests waiting, and why."""
+        if now_s - self._crowd_logged_s < CROWD_LOG_S:
+            return
+        self._crowd_logged_s = now_s
+        for load in self.scheduler.crowded_services(now_s):
+            logger.info(
+                "placement: service={} waiting={} upstreams={} suspect={}"
+                " well_slots={} in_use={} shedding={}",
+                load.service,
+                load.waiting,
+                load.upstreams,
+                load.suspect,
+                load.well_slots,
+                load.well_in_use,
+                load.shedding,
+            )
+
     def apply_upstreams(self, now_s: float) -> None:
         """Use the merged list of upstreams."""
         upstreams = self.view.upstreams.upstreams()
@@ -373,8 +401,12 @@
         configuration = self.view.published.configuration
         if configuration is not None:
             self.scheduler.quota.replace_customers(configuration.customers)
+        now_s = self._now_s()
         if self.following.standing is Standing.BROKER:
-            self.broker.announce(self._now_s())
+            self.broker.announce_configuration(now_s)
+        elif self.following.is_followed(now_s) and self.following.broker:
+            # The broker may send others of this zone here now.
+            self.link.send(self.following.broker, self._beat(now_s))
 
     def leave(self) -> None:
         """Hand the broker's part over before a planned stop."""
@@ -411,6 +443,7 @@
             self.incarnation,
             self.zone,
             self.cpu_share,
+            self.link_mbps,
             self.view.configuration_version,
             self.view.store_age_ms(now_s),
             self.view.upstreams.revision,
