Reload changed settings, count suspensions, and test placement and the fleet

Cause: settings changes applied at the next start only; a VM that was suspended took its state for current. The new tests found two faults: a zone whose first VM died while it took a configuration waited for good, and deputies were ordered by processor alone.

Change: both mended, each with its test; SIGHUP or a changed file puts seeds, limits, retries and stop times into force; time that the steady clock does not count ages all knowledge. make demo runs a fleet before the stand-ins.

Ruled out: reloading listeners (their addresses belong to the process's start).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .PHONY: demo test check format bench clean
 
 demo: $(VENV)/.ready
-	$(BIN)/python -m gentianfold.cli demo
+	$(BIN)/python -m gentianfold.standins.demo_main
 
 test: $(VENV)/.ready
 	$(BIN)/python -m pytest
--- a/src/gentianfold/fleet/following.py
+++ b/src/gentianfold/fleet/following.py
@@ -240,7 +240,7 @@
 
     def deputies(self) -> tuple[str, ...]:
         """Return the VMs that are to follow as broker, best first."""
-        order = sorted(self.members, key=lambda vm: (-self.members[vm].cpu_share, vm))
+        order = sorted(self.members, key=lambda vm: (-self.members[vm].capacity, vm))
         return tuple(order[:MAX_DEPUTIES])
 
     def fleet_share(self, now_s: float) -> float:
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -408,6 +408,17 @@
             # The broker may send others of this zone here now.
             self.link.send(self.following.broker, self._beat(now_s))
 
+    def age_by(self, suspended_s: float) -> None:
+        """Count a suspension of this VM: all that it knows is older by that time."""
+        logger.warning("vm: was suspended for {:.1f} s", suspended_s)
+        self.following.answered_s -= suspended_s
+        view = self.view
+        if view.store_read_s is not None:
+            view.store_read_s -= suspended_s
+        if view.published.upstreams_read_s is not None:
+            view.published.upstreams_read_s -= suspended_s
+        self.following.miss_answer(self._now_s())
+
     def leave(self) -> None:
         """Hand the broker's part over before a planned stop."""
         self.is_leaving = True
--- a/src/gentianfold/fleet/relay_plan.py
+++ b/src/gentianfold/fleet/relay_plan.py
@@ -66,30 +66,25 @@
     def _free_source(self, vm: str, members: dict[str, Member], now_s: float) -> str:
         """Return an informed VM of the zone with room, or the broker for the first."""
         zone = members[vm].zone
-        load = Counter(
-            row.source
-            for row in self._assigned.values()
-            if now_s - row.at_s < ASSIGNED_S
-        )
+        fetching = {
+            name: row.source
+            for name, row in self._assigned.items()
+            if now_s - row.at_s < ASSIGNED_S and name in members
+        }
+        load = Counter(fetching.values())
         informed = [
             name
             for name, member in members.items()
-            if member.zone == zone
-            and member.configuration >= self.version
-            and load[name] < _room(member)
+            if member.zone == zone and member.configuration >= self.version
         ]
         if informed:
-            return min(informed, key=lambda name: (load[name], name))
+            free = [name for name in informed if load[name] < _room(members[name])]
+            return min(free, key=lambda name: (load[name], name), default="")
         is_first = not any(
-            members[name].zone == zone
-            for name, row in self._assigned.items()
-            if row.source == self.vm and name in members and name != vm
-        )
-        has_informed = any(
-            member.zone == zone and member.configuration >= self.version
-            for member in members.values()
+            source == self.vm and members[name].zone == zone
+            for name, source in fetching.items()
         )
-        return self.vm if is_first and not has_informed else ""
+        return self.vm if is_first else ""
 
 
 def _room(member: Member) -> int:
--- a/src/gentianfold/vm/main.py
+++ b/src/gentianfold/vm/main.py
@@ -33,7 +33,7 @@
     set_up_log(settings.logging, writer)
     # What was imported stays for good; looking at it again costs time in each cycle.
     gc.freeze()
-    virtual_machine = VirtualMachine(settings, writer)
+    virtual_machine = VirtualMachine(settings, writer, path)
     try:
         anyio.run(virtual_machine.run, backend_options={"use_uvloop": True})
     except OSError as error:
--- a/src/gentianfold/vm/vm.py
+++ b/src/gentianfold/vm/vm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -12,8 +13,9 @@
 from loguru import logger
 
 from gentianfold import __version__
+from gentianfold.clock import BootClock
 from gentianfold.fleet.broker import Broker
-from gentianfold.fleet.following import Following
+from gentianfold.fleet.following import Following, Standing
 from gentianfold.fleet.link import DatagramLink
 from gentianfold.fleet.node import TICK_S, Node
 from gentianfold.fleet.node_view import NodeView
@@ -28,6 +30,7 @@
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_follower import StoreFollower
+from gentianfold.settings import load_settings
 from gentianfold.vm.configuration_fetch import (
     CONFIGURATION_PATH,
     ConfigurationFetch,
@@ -47,6 +50,9 @@
 
 HOUSEKEEPING_TICKS = 10
 """Ticks between two looks at idle connections (count)."""
+MIN_SUSPENSION_S = 0.5
+"""Suspension of the VM from which its knowledge counts as older (seconds): about one
+heartbeat."""
 STOP_MARGIN_S = 0.4
 """How much sooner than it would be ended by force the process ends (seconds)."""
 BACKLOG = 512
@@ -61,6 +67,8 @@
     """What the VM is told at its start."""
     log_writer: LogWriter
     """Writes the log."""
+    settings_path: str = ""
+    """File of the settings, read again when it changes; empty for none."""
     handles_signals: bool = True
     """Whether signals of the process stop it; else only ``stop_wanted`` does."""
     stop_wanted: anyio.Event = attrs.field(factory=anyio.Event)
@@ -74,6 +82,31 @@
     callers: set[CallerConnection] = attrs.field(factory=set)
     """Open connections of callers."""
     _caller_server: asyncio.Server | None = None
+    _node: Node | None = None
+    _settings_ns: int = 0
+
+    @property
+    def is_broker(self) -> bool:
+        """Whether this VM places the requests of the fleet."""
+        return self._has_standing(Standing.BROKER)
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this VM asks a broker."""
+        return self._has_standing(Standing.MEMBER)
+
+    @property
+    def settings_seen(self) -> bool:
+        """Whether the settings file has been looked at."""
+        return self._settings_ns != 0
+
+    def note_suspension(self, suspended_s: float) -> None:
+        """Take it that this VM did not run for a time."""
+        if self._node is not None:
+            self._node.age_by(suspended_s)
+
+    def _has_standing(self, standing: Standing) -> bool:
+        return self._node is not None and self._node.following.standing is standing
 
     @property
     def accepts_callers(self) -> bool:
@@ -84,6 +117,7 @@
         """Serve until a planned stop has ended."""
         link = DatagramLink(self.settings.fleet.port)
         node = self._build_node(link)
+        self._node = node
         link.receive = node.receive
         await link.open(self.settings.address)
         client = StoreClient(_pair(self.settings.store.endpoint), self.pool)
@@ -119,11 +153,9 @@
 
     def _build_node(self, link: DatagramLink) -> Node:
         settings = self.settings
-        policy = RetryBudgetPolicy(
-            settings.retries.ratio, settings.retries.slack, settings.retries.window_s
-        )
         scheduler = SlotScheduler(
-            quota=QuotaTable(settings.limits.window_s), budget=RetryBudget(policy)
+            quota=QuotaTable(settings.limits.window_s),
+            budget=RetryBudget(_retry_policy(settings)),
         )
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
@@ -216,21 +248,59 @@
     async def _tick(self, node: Node) -> None:
         """Run the systems that work by time."""
         ticks = 0
+        clock = BootClock()
+        lag_s = clock.now_s() - anyio.current_time()
         while True:
+            suspended_s = clock.now_s() - anyio.current_time() - lag_s
+            if suspended_s > MIN_SUSPENSION_S:
+                lag_s += suspended_s
+                self.note_suspension(suspended_s)
             node.advance()
             ticks += 1
             if ticks % HOUSEKEEPING_TICKS == 0:
                 self.pool.close_expired()
+                self._reload_if_changed()
             self.log_writer.flush()
             await anyio.sleep(TICK_S)
 
+    def _reload_if_changed(self) -> None:
+        """Read the settings again if their file has changed without a signal."""
+        if not self.settings_path:
+            return
+        try:
+            changed_ns = os.stat(self.settings_path).st_mtime_ns
+        except OSError as error:
+            logger.debug("vm: settings file can't be looked at, {}", error)
+            return
+        if self._settings_ns not in (0, changed_ns):
+            self._reload()
+        self._settings_ns = changed_ns
+
+    def _reload(self) -> None:
+        """Put settings into force that can change while the VM runs."""
+        settings = load_settings(self.settings_path)
+        if isinstance(settings, tuple):
+            for failure in settings:
+                logger.warning("vm: reload refused, {}", failure)
+            return
+        if self._node is not None:
+            seeds = tuple(seed.host for seed in settings.fleet.seeds)
+            self._node.following.seeds = self._node.broker.seeds = seeds
+            scheduler = self._node.scheduler
+            scheduler.budget.policy = _retry_policy(settings)
+            scheduler.quota.window_s = settings.limits.window_s
+        self.settings = attrs.evolve(
+            self.settings, stop=settings.stop, fleet=settings.fleet
+        )
+        logger.info("vm: reload, seeds, limits, retries and stop times apply")
+
     async def _receive_signals(self) -> None:
         """Begin a planned stop when the process is asked to end."""
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async for signum in received:
                 if signum == signal.SIGHUP:
-                    logger.info("vm: reload, settings apply at the next start")
+                    self._reload()
                 else:
                     self.stop_wanted.set()
 
@@ -257,5 +327,10 @@
             connection.close_if_idle()
 
 
+def _retry_policy(settings: Settings) -> RetryBudgetPolicy:
+    bounds = settings.retries
+    return RetryBudgetPolicy(bounds.ratio, bounds.slack, bounds.window_s)
+
+
 def _pair(endpoint: Endpoint) -> tuple[str, int]:
     return endpoint.host, endpoint.port
--- /dev/null
+++ b/tests/fleet/test_following.py
@@ -0,0 +1,200 @@
+"""VMs find one broker and survive its loss, cuts and changeovers."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gentianfold.fleet.following import (
+    LEFT_S,
+    MEMBER_LOST_S,
+    Following,
+    Member,
+    MemberTable,
+    Standing,
+)
+from gentianfold.fleet.relay_plan import ASSIGNED_S, RelayPlan
+
+
+def make_member(**changes):
+    member = Member(1, 0.0, "z1", 1.0, 100.0, -1, 0, 0)
+    return attrs.evolve(member, **changes)
+
+
+class Fleet:
+    """VMs that exchange heartbeats in rounds, with dead VMs and cut pairs."""
+
+    def __init__(self, count, seeds=2, seed=1):
+        self.names = [f"10.0.0.{number + 1}" for number in range(count)]
+        self.vms = {
+            name: Following(name, tuple(self.names[:seeds])) for name in self.names
+        }
+        self.members = {name: {} for name in self.names}
+        self.dead = set()
+        self.cuts = set()
+        self.now_s = 0.0
+        self.random = random.Random(seed)
+
+    def reaches(self, one, other):
+        alive = not {one, other} & self.dead
+        return alive and (one, other) not in self.cuts and one != other
+
+    def restart(self, name):
+        self.dead.discard(name)
+        self.members[name] = {}
+        self.vms[name] = Following(name, tuple(self.names[:2]))
+
+    def run(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.now_s += 0.05
+            for name in self.random.sample(self.names, len(self.names)):
+                if name not in self.dead:
+                    self.step(name)
+
+    def step(self, name):
+        vm = self.vms[name]
+        target = vm.beat_due(self.now_s)
+        if target is None or not self.reaches(name, target):
+            return
+        other = self.vms[target]
+        if other.standing is not Standing.BROKER:
+            referral = other.referral(self.now_s)
+            if referral is None:
+                other.become_broker()
+            else:
+                if referral != name and self.reaches(target, name):
+                    vm.hear_redirect(target, referral, self.now_s)
+                return
+        self.members[target][name] = self.now_s
+        if self.reaches(target, name):
+            table = [vm for vm in sorted(self.members[target]) if vm not in self.dead]
+            vm.hear_reply(target, table[:3], self.now_s)
+
+    def brokers(self, names=None):
+        return {
+            name
+            for name in names or self.names
+            if name not in self.dead and self.vms[name].standing is Standing.BROKER
+        }
+
+    def followed(self, names=None):
+        return {
+            self.vms[name].broker
+            for name in names or self.names
+            if name not in self.dead and self.vms[name].is_followed(self.now_s)
+        }
+
+
+def test_a_fleet_finds_one_broker():
+    fleet = Fleet(12)
+    fleet.run(2)
+    assert fleet.followed() == fleet.brokers() == {fleet.names[0]}
+
+
+def test_a_fleet_starts_without_its_first_seed():
+    fleet = Fleet(12)
+    fleet.dead.add(fleet.names[0])
+    fleet.run(4)
+    assert len(fleet.followed()) == 1
+
+
+def test_a_dead_broker_is_replaced_within_a_second_and_a_half():
+    fleet = Fleet(12)
+    fleet.run(3)
+    fleet.dead |= fleet.brokers()
+    fleet.run(1.5)
+    assert len(fleet.brokers()) == 1
+    assert fleet.followed() == fleet.brokers()
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(st.lists(st.integers(0, 7), min_size=1, max_size=8), st.integers(0, 99))
+def test_after_any_series_of_deaths_and_restarts_one_broker_is_followed(kills, seed):
+    fleet = Fleet(8, seeds=2, seed=seed)
+    fleet.run(2)
+    for index in kills:
+        name = fleet.names[index]
+        if name in fleet.dead:
+            fleet.restart(name)
+        elif len(fleet.dead) < 5:
+            fleet.dead.add(name)
+        fleet.run(0.7)
+    for name in list(fleet.dead):
+        fleet.restart(name)
+    fleet.run(6)
+    # Claims, which join fleets that have grown apart, are tested with whole VMs.
+    assert all(fleet.vms[name].is_followed(fleet.now_s) for name in fleet.names)
+
+
+def test_a_vm_that_hands_over_does_not_become_broker_at_the_next_heartbeat():
+    # Trial of batbold grown scale-2: it did, and the fleet fell into several.
+    old = Following("a", ("a",))
+    old.become_broker()
+    old.follow("b")
+    assert old.referral(1.0) == "b"
+    assert old.standing is Standing.ALONE and old.beat_due(1.0) == "b"
+
+
+def test_two_vms_that_refer_to_each_other_do_not_flood():
+    vm = Following("a", ())
+    vm.follow("b")
+    sent = 0
+    for step in range(100):
+        now_s = 10 + step / 1000
+        if vm.beat_due(now_s) is not None:
+            sent += 1
+            vm.hear_redirect(vm.broker, "c" if vm.broker == "b" else "b", now_s)
+    assert sent <= 5
+
+
+def test_silent_members_leave_and_reduce_the_share():
+    table = MemberTable()
+    for name in "abc":
+        assert table.hear(name, make_member(heard_s=1.0))
+    assert not table.hear("a", make_member(heard_s=3.0))
+    assert table.hear("b", make_member(heard_s=3.0, incarnation=2))
+    assert table.expire(1.0 + MEMBER_LOST_S + 0.1) == ["c"]
+    assert table.fleet_share(3.0) == pytest.approx(3 / 4)
+    assert table.fleet_share(3.0 + LEFT_S + 2) == 1.0
+
+
+def test_deputies_are_vms_with_processor_and_link_to_spare():
+    table = MemberTable()
+    table.hear("narrow", make_member(link_mbps=5))
+    table.hear("slow", make_member(cpu_share=0.4))
+    table.hear("good", make_member())
+    assert table.deputies() == ("good", "slow", "narrow")
+
+
+def test_a_configuration_crosses_to_each_zone_once_and_reaches_all():
+    members = {
+        f"{zone}{number}": make_member(zone=zone, link_mbps=5 if number % 2 else 100)
+        for zone, number in itertools.product("xyz", range(20))
+    }
+    plan = RelayPlan("broker")
+    plan.begin(7)
+    from_broker, rounds = [], 0
+    while any(member.configuration < 7 for member in members.values()):
+        rounds += 1
+        assert rounds < 20
+        sources = {vm: plan.source_for(vm, members, float(rounds)) for vm in members}
+        for vm, source in sources.items():
+            if source:
+                from_broker += [vm] if source == "broker" else []
+                assert source == "broker" or members[source].zone == members[vm].zone
+                members[vm].configuration = 7
+    assert len(from_broker) == 3
+
+
+def test_a_source_that_dies_is_planned_around():
+    members = {name: make_member() for name in "ab"}
+    plan = RelayPlan("broker")
+    plan.begin(7)
+    assert plan.source_for("a", members, 1.0) == "broker"
+    assert plan.source_for("b", members, 1.0) == ""
+    assert plan.source_for("b", members, 1.1 + ASSIGNED_S) == "broker"
--- /dev/null
+++ b/tests/placement/test_slot_scheduler.py
@@ -0,0 +1,234 @@
+"""Slots are granted, queued for, freed and refused as the load asks for."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from placement.model import (
+    DRAINING,
+    Load,
+    make_request,
+    make_scheduler,
+    make_upstream,
+)
+
+from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.slot_request import (
+    Granted,
+    GrantReason,
+    Queued,
+    RefusalReason,
+    Refused,
+)
+
+
+def test_a_repeated_question_gets_the_same_answer():
+    scheduler = make_scheduler(count=1, slots=1)
+    first = scheduler.ask(make_request(1), 0.0)
+    again = scheduler.ask(make_request(1), 0.1)
+    assert isinstance(first, Granted) and isinstance(again, Granted)
+    assert scheduler.granted_count == 1
+    assert isinstance(scheduler.ask(make_request(2), 0.1), Queued)
+    assert isinstance(scheduler.ask(make_request(2), 0.2), Queued)
+    assert scheduler.waiting_count == 1
+
+
+def test_a_freed_slot_goes_to_the_most_urgent_then_to_the_customer_with_fewest():
+    scheduler = make_scheduler(count=1, slots=2)
+    scheduler.ask(make_request(1, customer="big"), 0.0)
+    scheduler.ask(make_request(2, customer="big"), 0.0)
+    scheduler.ask(make_request(3, customer="big", priority=1), 0.0)
+    scheduler.ask(make_request(4, customer="small", priority=1), 0.01)
+    scheduler.ask(make_request(5, customer="big", priority=0), 0.02)
+    scheduler.release(("vm", 1), Outcome.SUCCEEDED, 0.05, 0.05)
+    assert [key[1] for key, _ in scheduler.advance(0.05)] == [5]
+    scheduler.release(("vm", 2), Outcome.SUCCEEDED, 0.06, 0.06)
+    assert [key[1] for key, _ in scheduler.advance(0.06)] == [4]
+
+
+def test_draining_and_unknown_upstreams_get_nothing():
+    scheduler = make_scheduler(count=1)
+    scheduler.replace_upstreams([make_upstream("u0", state=DRAINING)], 0.0)
+    refused = scheduler.ask(make_request(1), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.reason is RefusalReason.NO_UPSTREAM
+
+
+def test_a_restart_under_the_same_name_forgets_the_evidence():
+    scheduler = make_scheduler(count=1)
+    scheduler.ask(make_request(1), 0.0)
+    scheduler.release(("vm", 1), Outcome.FAILED, 0.002, 0.01)
+    assert scheduler.row("u0").suspect_since_s is not None
+    scheduler.replace_upstreams([make_upstream("u0", born_ms=2)], 0.1)
+    assert scheduler.row("u0").suspect_since_s is None
+
+
+def test_a_path_that_is_cut_says_nothing_of_the_server():
+    # Trial of batbold scale-2: seven VMs could not reach six servers, which all other
+    # VMs then avoided too.
+    scheduler = make_scheduler(count=1, slots=30)
+    for number in range(8):
+        vm = f"cut{number}"
+        scheduler.ask(make_request(number, vm=vm), 1.0)
+        scheduler.ask(make_request(100 + number, vm="well"), 1.0)
+    scheduler.observe(1.2)
+    for number in range(8):
+        key = (f"cut{number}", number)
+        scheduler.release(key, Outcome.CONNECT_FAILED, 0.1, 1.2)
+    assert scheduler.row("u0").suspect_since_s is None
+    assert isinstance(scheduler.ask(make_request(200, vm="well"), 1.3), Granted)
+    assert not isinstance(scheduler.ask(make_request(201, vm="cut1"), 1.3), Granted)
+
+
+def test_a_timeout_that_is_shorter_than_the_work_says_nothing():
+    scheduler = make_scheduler(count=1, slots=9)
+    scheduler.elapsed.record("desk", "r", 0.3)
+    scheduler.ask(make_request(1), 1.0)
+    scheduler.release(("vm", 1), Outcome.TIMED_OUT, 0.4, 1.4)
+    assert scheduler.row("u0").suspect_since_s is None
+    scheduler.ask(make_request(2), 2.0)
+    scheduler.release(("vm", 2), Outcome.TIMED_OUT, 2.0, 4.0)
+    assert scheduler.row("u0").suspect_since_s is not None
+
+
+def test_slots_of_a_vm_that_is_gone_are_freed():
+    scheduler = make_scheduler(count=1, slots=2)
+    scheduler.ask(make_request(1, vm="a"), 0.0)
+    scheduler.ask(make_request(2, vm="b"), 0.0)
+    scheduler.drop_vm("a")
+    assert scheduler.granted_count == 1
+    scheduler.retain("b", frozenset(), 1.0)
+    assert scheduler.granted_count == 0
+    assert scheduler.row("u0").in_use == 0
+
+
+def failing(share, seed, spell_s=8.0):
+    """Part of the servers fail nine in ten requests, in spells of some seconds."""
+    source = random.Random(seed)
+
+    def fails(name, now_s):
+        spell = random.Random(f"{name}{seed}{int(now_s / spell_s)}")
+        return spell.random() < share and source.random() < 0.9
+
+    return fails
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_on_a_calm_day_few_requests_that_run_once_meet_a_failing_server(seed):
+    # Load of batbold quiet-1: a third of the servers fails at any time, two thirds of
+    # the requests may run once only. Choosing the least loaded loses one in five.
+    source = random.Random(seed)
+    load = Load(make_scheduler(count=14, slots=6, seed=seed), failing(0.3, seed))
+    load.offer(50, 40.0, 0.35, source)
+    load.run_until(load.now_s + 3)
+    assert load.failed + load.refused <= 0.03 * (load.served + load.failed)
+    assert load.on_target >= 0.95 * load.served
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_at_twice_the_capacity_slots_stay_busy_and_refusals_come_early(seed):
+    # Load of porta scale-2: half of the servers fail nine in ten requests, and twice as
+    # many requests come as the others can run. Queues up to the deadline made all late.
+    source = random.Random(seed)
+    sick = {f"u{number}" for number in range(6)}
+    load = Load(
+        make_scheduler(count=12, slots=3, seed=seed),
+        lambda name, now_s: name in sick and source.random() < 0.9,
+    )
+    capacity_per_s = 6 * 3 / load.work_s
+    start_s, end_s = load.now_s, load.now_s + 20
+    load.offer(2 * capacity_per_s, end_s, 0.3, source)
+    assert load.served >= 0.85 * capacity_per_s * (end_s - start_s)
+    assert load.on_target >= 0.85 * load.served
+    early = sum(wait_s < 0.6 / 8 for wait_s in load.waits_s)
+    assert early >= 0.5 * len(load.waits_s)
+    assert max(load.waits_s) <= 0.6
+
+
+def test_a_suspect_is_used_last_and_returns_after_proofs():
+    scheduler = make_scheduler(count=2, slots=6)
+    load = Load(scheduler, lambda name, now_s: name == "u0" and now_s < 14)
+    while load.now_s < 20:
+        load.send(idempotent=load.now_s % 0.2 < 0.1)
+        load.run_until(load.now_s + 0.1)
+    unsafe_on_u0 = [
+        at_s
+        for at_s, name, reason in load.used
+        if name == "u0" and reason is GrantReason.BEST and 10.2 < at_s < 14
+    ]
+    assert not unsafe_on_u0
+    assert any(name == "u0" and at_s > 15.5 for at_s, name, _ in load.used)
+
+
+class Scheduling(RuleBasedStateMachine):
+    """Whatever happens, slots add up and every question gets an answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.scheduler = make_scheduler(count=3, slots=2)
+        self.now_s = 0.0
+        self.number = 0
+        self.held = set()
+        self.waiting = set()
+
+    def take(self, key, decision):
+        self.waiting.discard(key)
+        if isinstance(decision, Granted):
+            self.held.add(key)
+        elif isinstance(decision, Queued):
+            self.waiting.add(key)
+
+    @rule(
+        vm=st.sampled_from("ab"),
+        idempotent=st.booleans(),
+        priority=st.integers(0, 2),
+        time_left_s=st.floats(0.01, 3),
+    )
+    def ask(self, vm, **changes):
+        self.number += 1
+        request = make_request(self.number, vm, **changes)
+        self.take((vm, self.number), self.scheduler.ask(request, self.now_s))
+
+    @precondition(lambda self: self.held)
+    @rule(outcome=st.sampled_from(Outcome), data=st.data())
+    def release(self, outcome, data):
+        key = data.draw(st.sampled_from(sorted(self.held)))
+        self.held.discard(key)
+        self.scheduler.release(key, outcome, 0.1, self.now_s)
+
+    @rule(delta_s=st.floats(0, 1))
+    def advance(self, delta_s):
+        self.now_s += delta_s
+        self.scheduler.observe(self.now_s)
+        for key, decision in list(self.scheduler.advance(self.now_s)):
+            assert key in self.waiting
+            self.take(key, decision)
+
+    @rule(names=st.sets(st.sampled_from(["u0", "u1", "u2", "u3"])))
+    def publish(self, names):
+        rows = [make_upstream(name, 2) for name in sorted(names)]
+        self.scheduler.replace_upstreams(rows, self.now_s)
+
+    @rule(vm=st.sampled_from("ab"))
+    def lose_vm(self, vm):
+        self.scheduler.drop_vm(vm)
+        self.held = {key for key in self.held if key[0] != vm}
+        self.waiting = {key for key in self.waiting if key[0] != vm}
+
+    @invariant()
+    def slots_add_up(self):
+        assert self.scheduler.granted_count == len(self.held)
+        assert self.scheduler.waiting_count == len(self.waiting)
+        for row in self.scheduler.rows():
+            assert 0 <= row.trials_in_use <= row.in_use
+            assert 0 <= row.overdue <= row.in_use
+
+
+TestScheduling = Scheduling.TestCase
+TestScheduling.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
