--- a/src/gentianfold/__init__.py
+++ b/src/gentianfold/__init__.py
@@ -2,5 +2,5 @@
 
 from __future__ import annotations
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
 """The version of the package, as the command line prints it."""
