--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,15 @@
 import anyio
 import pytest
 
+from gentianfold.platform.headers import HEADERS
 from gentianfold.standins.site import HOST, KEY, Site, make_configuration
 
+REQUEST_ID = HEADERS.request_id.decode()
+TIME_LEFT = HEADERS.time_left_ms.decode()
+CUSTOMER = HEADERS.customer.decode()
+SEAL = HEADERS.seal.decode()
+SCHEME = HEADERS.key_scheme.decode()
+
 
 @pytest.fixture
 def anyio_backend():
@@ -39,9 +46,9 @@
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
-        f"Attempt-Id: {request_id}",
-        "Request-Deadline: 4000",
-        *([f"Authorization: Token {key}"] if key else []),
+        f"{REQUEST_ID}: {request_id}",
+        f"{TIME_LEFT}: 4000",
+        *([f"Authorization: {SCHEME} {key}"] if key else []),
         *([f"Content-Length: {len(body)}"] if body else []),
         *extra,
     ]
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -4,8 +4,18 @@
 
 import anyio
 import pytest
-from conftest import call, connect, open_site, read_answer, request_bytes, wait_until
+from conftest import (
+    CUSTOMER,
+    SEAL,
+    call,
+    connect,
+    open_site,
+    read_answer,
+    request_bytes,
+    wait_until,
+)
 
+from gentianfold.platform.headers import HEADERS
 from gentianfold.standins.site import make_configuration
 from gentianfold.standins.upstream import Behaviour
 
@@ -25,20 +35,20 @@
     async with open_site() as site:
         status, headers, body, rest = await call(site.vms[0], request_bytes())
         assert (status, body, rest) == (200, b"answer to r1", b"")
-        assert headers["response-seal"].startswith("seal-u")
+        assert headers[SEAL].startswith("seal-u")
         (seen,) = [row for up in site.upstreams.values() for row in up.seen]
-        assert seen.headers[b"tenant-name"] == b"stall"
+        assert seen.headers[HEADERS.customer] == b"stall"
         assert b"authorization" not in seen.headers
-        assert int(seen.headers[b"request-deadline"]) <= 2000
+        assert int(seen.headers[HEADERS.time_left_ms]) <= 2000
         assert seen.target == b"/search/1"
 
 
 async def test_customer_header_of_a_caller_is_replaced():
     async with open_site() as site:
-        data = request_bytes(extra=("Tenant-Name: other", "Connection: x-a", "X-A: 1"))
+        data = request_bytes(extra=(f"{CUSTOMER}: other", "Connection: x-a", "X-A: 1"))
         assert (await call(site.vms[0], data))[0] == 200
         (seen,) = [row for up in site.upstreams.values() for row in up.seen]
-        assert seen.headers[b"tenant-name"] == b"stall"
+        assert seen.headers[HEADERS.customer] == b"stall"
         assert b"x-a" not in seen.headers and b"connection" not in seen.headers
 
 
@@ -62,7 +72,7 @@
     async with open_site() as site:
         answer = await call(site.vms[0], data)
         assert answer[0] == status
-        assert "response-seal" not in answer[1]
+        assert SEAL not in answer[1]
         assert not any(row.seen for row in site.upstreams.values())
 
 
@@ -83,7 +93,7 @@
         data = request_bytes(path="/claim/1", method="POST", body=b"b")
         status, headers, *_ = await call(site.vms[0], data)
         assert status in (500, 502, 504)
-        assert ("response-seal" in headers) == (status == 500)
+        assert (SEAL in headers) == (status == 500)
         assert runs(site, "r1") == 1
 
 
--- a/tests/vm/test_soak.py
+++ b/tests/vm/test_soak.py
@@ -7,7 +7,7 @@
 
 import anyio
 import pytest
-from conftest import call, open_site, request_bytes, wait_until
+from conftest import SEAL, call, open_site, request_bytes, wait_until
 
 from gentianfold.standins.upstream import Behaviour
 
@@ -56,8 +56,8 @@
                 assert not (status in (429, 503) and ran), (request_id, status)
             if 200 <= status < 300:
                 assert body == b"answer to " + key
-                assert "response-seal" in headers
-            elif "response-seal" in headers:
+                assert SEAL in headers
+            elif SEAL in headers:
                 assert status == 500
 
 
