--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -29,6 +29,9 @@
 SHED_PAUSE_S = 0.1
 """How long an upstream that shed a request is taken for full (seconds): about one
 slot of it becomes free in that time."""
+MISDIRECTED_PAUSE_S = 5.0
+"""How long an upstream gets nothing after another answered at its address (seconds):
+its entry lapses within three of its heartbeats, 4.5 seconds at both sites."""
 LATE_PATIENCE_FRACTION = 0.1
 """Part of its time that a request waits although it will miss its target."""
 QUICK_FAILURE_S = 0.13
@@ -435,6 +438,8 @@
                 row.record_failure(now_s, was_quick=False)
         elif outcome is Outcome.SHED:
             row.shed_until_s = now_s + SHED_PAUSE_S
+        elif outcome is Outcome.MISDIRECTED:
+            row.shed_until_s = now_s + MISDIRECTED_PAUSE_S
         elif outcome is Outcome.CONNECT_FAILED:
             row.record_connect_failure(request.vm, now_s)
 
--- a/tests/placement/test_slot_scheduler.py
+++ b/tests/placement/test_slot_scheduler.py
@@ -67,6 +67,25 @@
     assert scheduler.row("u0").suspect_since_s is None
 
 
+def test_an_address_that_passed_to_another_upstream_is_left_at_once():
+    # Incident inc-a2d9: claims went again and again to an address that another service
+    # had taken over, until the entry lapsed; their repeats used up the retry budget.
+    scheduler = make_scheduler(count=2, slots=9)
+    first = scheduler.ask(make_request(1), 1.0).upstream.name
+    scheduler.release(("vm", 1), Outcome.MISDIRECTED, 0.002, 1.0)
+    for number in range(2, 11):
+        granted = scheduler.ask(make_request(number), 2.0)
+        assert granted.upstream.name != first
+    scheduler.replace_upstreams(
+        [make_upstream(name, 9, born_ms=2) for name in ("u0", "u1")], 2.0
+    )
+    names = {
+        scheduler.ask(make_request(number), 2.1).upstream.name
+        for number in range(20, 36)
+    }
+    assert first in names
+
+
 def test_a_path_that_is_cut_says_nothing_of_the_server():
     # Trial of batbold scale-2: seven VMs could not reach six servers, which all other
     # VMs then avoided too.
