Learn an upstream's slowness from all the time spent on it

Two servers twelve times slower took 50 bookings until their timeout. Slowness was learned from answers only, requests under way after 130 ms counted as proofs which excused the timeouts, and short requests drew the mean down. Two mechanisms, overdue requests and smoothed slowness, became one, and the log says when an upstream becomes slow.

--- a/src/gentianfold/fleet/belief_log.py
+++ b/src/gentianfold/fleet/belief_log.py
@@ -30,10 +30,12 @@
         while scheduler.turns:
             turn = scheduler.turns.popleft()
             logger.info(
-                "upstream: {} is {}, cause={} recent_failures={:.1f} proof_age_ms={:.0f}",
+                "upstream: {} is {}, cause={} slowness={:.1f} recent_failures={:.1f}"
+                " proof_age_ms={:.0f}",
                 turn.upstream,
-                "suspect" if turn.is_suspect else "well",
+                turn.state,
                 turn.cause,
+                turn.slowness,
                 turn.recent_failures,
                 min(turn.proof_age_s, 1e6) * 1000,
             )
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -13,6 +13,7 @@
 import attrs
 
 from gentianfold.placement.slot_request import GrantReason
+from gentianfold.placement.upstream_row import USUAL_SLOWNESS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -41,8 +42,6 @@
     """Cost of an upstream that has just started."""
     slow_weight: float = 0.5
     """Cost of each further multiple of the usual elapsed time, up to four."""
-    overdue_weight: float = 0.7
-    """Cost of holding a request far longer than expected."""
     zone_weight: float = 0.15
     """Cost of another availability zone: bytes between zones are paid for."""
     jitter: float = 0.05
@@ -69,20 +68,37 @@
         request: SlotRequest,
         now_s: float,
         may_explore: bool,
+        expected_s: float = 0.0,
     ) -> tuple[UpstreamRow, GrantReason, int] | None:
         """Choose an upstream with a free slot.
 
+        An upstream that is too slow for the time left gets one idempotent request at
+        a time, which finds out when it is faster again, unless all are too slow.
+
         Args:
             rows: Upstreams of the service that take new work.
             request: The request to place.
             now_s: The present time.
             may_explore: Whether a failed attempt may be followed by another.
+            expected_s: Usual time of such a request (seconds).
 
         Returns:
             The upstream, why, and how many there were to choose from; ``None`` if
             the request should wait.
         """
         free = _free_rows(rows, request, now_s)
+        if free:
+            timely = [
+                row
+                for row in rows
+                if expected_s * row.slowness(now_s) <= request.time_left_s
+            ]
+            if any(row.suspect_since_s is None for row in timely):
+                free = [
+                    row
+                    for row in free
+                    if row in timely or (may_explore and not row.in_use)
+                ]
         if not free:
             return None
         trial = self._due_trial(free, now_s, may_explore)
@@ -100,13 +116,18 @@
         return oldest, GrantReason.LAST_RESORT, len(free)
 
     def choose_doubtful(
-        self, rows: Sequence[UpstreamRow], request: SlotRequest, now_s: float
+        self,
+        rows: Sequence[UpstreamRow],
+        request: SlotRequest,
+        now_s: float,
+        expected_s: float = 0.0,
     ) -> tuple[UpstreamRow, GrantReason, int] | None:
         """Choose an upstream that fails in part, for a request else refused."""
         hopeful = [
             row
             for row in _free_rows(rows, request, now_s)
             if row.success_ratio >= self.policy.hopeful_ratio
+            and expected_s * row.slowness(now_s) <= request.time_left_s
         ]
         if not hopeful:
             return None
@@ -139,9 +160,8 @@
         cost += policy.failure_weight * row.recent_failures(now_s)
         if now_s < row.cold_until_s:
             cost += policy.cold_weight
-        if row.overdue:
-            cost += policy.overdue_weight
-        cost += policy.slow_weight * min(max(row.slowness - 1.5, 0.0), 4.0)
+        slowness = row.slowness(now_s)
+        cost += policy.slow_weight * min(max(slowness - USUAL_SLOWNESS, 0.0), 4.0)
         if row.upstream.zone != request.zone:
             cost += policy.zone_weight
         return cost + self.random.random() * policy.jitter
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -43,8 +43,9 @@
 """Time on top of that (seconds), so that short requests are not overdue by jitter."""
 MIN_RETRY_AFTER_S = 0.1
 """Shortest wait that a refused caller is told (seconds)."""
-SLOWNESS_SMOOTHING = 0.15
-"""Weight of the newest elapsed time in an upstream's slowness."""
+LONGEST_RUN_FACTOR = 6.0
+"""Multiple of the usual time up to which one request under way counts against its
+upstream's speed: some work is that long by itself."""
 
 Key: TypeAlias = tuple[str, int]
 """Address of the VM and number of the attempt."""
@@ -60,7 +61,6 @@
     row: UpstreamRow
     at_s: float
     is_trial: bool
-    is_overdue: bool = False
     is_proof: bool = False
 
 
@@ -107,14 +107,16 @@
 
 @attrs.frozen
 class UpstreamTurn:
-    """An upstream that became suspect, or well again."""
+    """A change of what is believed of an upstream."""
 
     upstream: str
     """Its name."""
-    is_suspect: bool
-    """Whether it is suspect now."""
+    state: str
+    """``suspect``, ``well``, ``slow`` or ``no longer slow``."""
     cause: str
-    """The outcome that turned it."""
+    """The outcome that turned it, or ``time``."""
+    slowness: float
+    """Multiple of the usual time that its requests take."""
     recent_failures: float
     """Its failures, each fading with time."""
     proof_age_s: float
@@ -138,7 +140,7 @@
     elapsed: ElapsedTable = attrs.field(factory=ElapsedTable)
     """Times of requests."""
     turns: deque[UpstreamTurn] = attrs.field(factory=lambda: deque(maxlen=MAX_TURNS))
-    """Upstreams that became suspect or well, until the log has taken them."""
+    """Changes of belief, until the log has taken them."""
     _rows: dict[str, UpstreamRow] = attrs.field(factory=dict)
     _by_service: dict[str, list[UpstreamRow]] = attrs.field(factory=dict)
     _grants: dict[Key, _Grant] = attrs.field(factory=dict)
@@ -251,16 +253,17 @@
                 yield from self._advance_service(service, queue, now_s)
 
     def observe(self, now_s: float) -> None:
-        """Learn from requests under way: what was taken, and what is overdue."""
+        """Learn from requests under way: what was taken, and how long they take."""
+        for row in self._rows.values():
+            row.running_s = 0.0
         for grant in self._grants.values():
             self._note_taken(grant, now_s)
-            if grant.is_overdue:
-                continue
-            target_s = max(grant.request.target_left_s, 0.1)
-            expected_s = self.elapsed.expected_s(grant.request.route, target_s)
-            if now_s - grant.at_s > OVERDUE_FACTOR * expected_s + OVERDUE_SLACK_S:
-                grant.is_overdue = True
-                grant.row.overdue += 1
+            longest_s = LONGEST_RUN_FACTOR * self._expected_s(grant.request)
+            grant.row.running_s += min(now_s - grant.at_s, longest_s)
+        for row in self._rows.values():
+            if row.turn_pace(now_s):
+                state = "slow" if row.is_slow else "no longer slow"
+                self._note_turn(row, state, "time", now_s)
 
     def crowded_services(self, now_s: float) -> Iterator[ServiceLoad]:
         """Yield the load of each service that has requests waiting."""
@@ -290,7 +293,7 @@
             was_suspect = row.suspect_since_s is not None
             row.pass_trial()
             if was_suspect and row.suspect_since_s is None:
-                self._note_turn(row, "taken", now_s)
+                self._note_turn(row, "well", "taken", now_s)
 
     @property
     def waiting_count(self) -> int:
@@ -359,7 +362,8 @@
         now_s: float,
     ) -> Granted | None:
         may_explore = request.idempotent and request.attempt == 1
-        choice = self.chooser.choose(rows, request, now_s, may_explore)
+        expected_s = self._expected_s(request)
+        choice = self.chooser.choose(rows, request, now_s, may_explore, expected_s)
         if choice is None:
             return None
         return self._grant_choice(request, choice, now_s)
@@ -368,7 +372,8 @@
         self, request: SlotRequest, rows: list[UpstreamRow], now_s: float
     ) -> Granted | None:
         """Grant a slot of an upstream that fails in part, instead of a refusal."""
-        choice = self.chooser.choose_doubtful(rows, request, now_s)
+        expected_s = self._expected_s(request)
+        choice = self.chooser.choose_doubtful(rows, request, now_s, expected_s)
         return self._grant_choice(request, choice, now_s) if choice else None
 
     def _grant_choice(
@@ -391,8 +396,9 @@
 
     def _free(self, grant: _Grant) -> None:
         grant.row.in_use -= 1
+        if not grant.row.in_use:
+            grant.row.running_s = 0.0
         grant.row.trials_in_use -= grant.is_trial
-        grant.row.overdue -= grant.is_overdue
         self._customer_slots[grant.request.service, grant.request.customer] -= 1
 
     def _learn(
@@ -401,17 +407,21 @@
         row = grant.row
         was_suspect = row.suspect_since_s is not None
         self._judge(grant, outcome, elapsed_s, now_s)
-        if was_suspect != (row.suspect_since_s is not None):
-            self._note_turn(row, outcome.name.lower(), now_s)
+        is_suspect = row.suspect_since_s is not None
+        if was_suspect != is_suspect:
+            state = "suspect" if is_suspect else "well"
+            self._note_turn(row, state, outcome.name.lower(), now_s)
 
-    def _note_turn(self, row: UpstreamRow, cause: str, now_s: float) -> None:
-        """Keep for the log that an upstream became suspect, or well again."""
-        since_s = row.suspect_since_s
+    def _note_turn(
+        self, row: UpstreamRow, state: str, cause: str, now_s: float
+    ) -> None:
+        """Keep for the log that something else is believed of an upstream."""
         self.turns.append(
             UpstreamTurn(
                 row.upstream.name,
-                since_s is not None,
+                state,
                 cause,
+                row.slowness(now_s),
                 row.recent_failures(now_s),
                 now_s - row.proof_s,
             )
@@ -423,13 +433,14 @@
         row, request = grant.row, grant.request
         if outcome is Outcome.SUCCEEDED:
             row.record_success(grant.at_s, is_new=not grant.is_proof)
-            expected_s = self._expected_s(request)
-            ratio = elapsed_s / max(expected_s, 0.01)
-            row.slowness += SLOWNESS_SMOOTHING * (min(ratio, 8.0) - row.slowness)
+            row.record_pace(elapsed_s, self._expected_s(request), now_s)
             self.elapsed.record(request.service, request.route, elapsed_s)
         elif outcome is Outcome.FAILED:
             row.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
+        elif outcome is Outcome.CANCELLED:
+            row.record_pace(elapsed_s, 0.0, now_s)
         elif outcome is Outcome.TIMED_OUT:
+            row.record_pace(elapsed_s, 0.0, now_s)
             usual_s = self.elapsed.service_s(request.service)
             is_long = elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S
             if is_long and row.proof_s <= grant.at_s:
--- a/src/gentianfold/placement/upstream_row.py
+++ b/src/gentianfold/placement/upstream_row.py
@@ -22,6 +22,19 @@
 PROOFS_AFTER_SPELL = 2
 """Proofs that end a spell of several failures (count): an upstream that fails nine in
 ten passes one trial in ten, and two in a hundred."""
+PACE_MEMORY_S = 3.0
+"""Time in which what was seen of an upstream's speed fades to a third (seconds): a
+slow phase lasts five seconds and more, so it is looked into once or twice."""
+PACE_WORK_S = 2.0
+"""Time that requests spend on an upstream in which what was seen before fades to a
+third (seconds): about one timeout of each slot of the smaller servers."""
+PACE_PRIOR_S = 0.3
+"""Work at the usual speed that is assumed to have been seen (seconds): one request of
+the middle of both sites."""
+SLOW_FROM = 3.0
+"""Multiple of the usual time from which the log calls an upstream slow."""
+USUAL_SLOWNESS = 1.5
+"""Multiple of the usual time that differing work alone explains."""
 PATH_BLOCK_S = 1.5
 """How long a VM avoids an upstream that it could not connect to (seconds); half of
 the time that the users allow before a path counts as calm again."""
@@ -46,8 +59,6 @@
     """Whether the present spell answers at once, rather than not at all."""
     failure_score: float = 0.0
     """Failures, each fading with time, as of the last one."""
-    overdue: int = 0
-    """Requests on it that take far longer than expected."""
     success_ratio: float = 1.0
     """Part of its requests that succeed, smoothed."""
     proofs_needed: int = 1
@@ -60,8 +71,16 @@
     """Pause after the next failed trial."""
     trials_in_use: int = 0
     """Trials that are on their way."""
-    slowness: float = 1.0
-    """Its elapsed times relative to those of its service, smoothed."""
+    spent_s: float = 0.0
+    """Time that its ended requests took, fading."""
+    usual_s: float = 0.0
+    """Time that those among them which succeeded usually take, fading."""
+    running_s: float = 0.0
+    """Time that its requests under way have taken, as of the last look."""
+    pace_at_s: float = 0.0
+    """When the fading times were last brought up to date."""
+    is_slow: bool = False
+    """Whether the log was told that it is slow."""
     shed_until_s: float = 0.0
     """Until when it is taken for full, after it shed a request."""
     blocked_paths: dict[str, float] = attrs.field(factory=dict)
@@ -90,6 +109,39 @@
         age_s = now_s - self.last_failure_s
         return self.failure_score * math.exp(-age_s / FAILURE_MEMORY_S)
 
+    def record_pace(self, elapsed_s: float, usual_s: float, now_s: float) -> None:
+        """Count the time of an ended request.
+
+        Args:
+            elapsed_s: How long it took.
+            usual_s: How long such requests take if it succeeded, else 0: a request that
+                was given up has taken time and has completed no work.
+            now_s: The present time.
+        """
+        fading = self._pace_fading(now_s) * math.exp(-elapsed_s / PACE_WORK_S)
+        self.spent_s = self.spent_s * fading + elapsed_s
+        self.usual_s = self.usual_s * fading + usual_s
+        self.pace_at_s = now_s
+
+    def slowness(self, now_s: float) -> float:
+        """Return how many times as long as usual it takes, from all that was seen.
+
+        It is the time spent over the work completed, so requests under way count from
+        the moment at which they take longer than usual.
+        """
+        fading = self._pace_fading(now_s)
+        spent_s = self.spent_s * fading + self.running_s
+        return (PACE_PRIOR_S + spent_s) / (PACE_PRIOR_S + self.usual_s * fading)
+
+    def turn_pace(self, now_s: float) -> bool:
+        """Tell whether it has just become slow, or has stopped being so; for the log."""
+        bound = USUAL_SLOWNESS if self.is_slow else SLOW_FROM
+        was_slow, self.is_slow = self.is_slow, self.slowness(now_s) > bound
+        return was_slow != self.is_slow
+
+    def _pace_fading(self, now_s: float) -> float:
+        return math.exp(-max(now_s - self.pace_at_s, 0.0) / PACE_MEMORY_S)
+
     def record_proof(self, sent_s: float) -> None:
         """Take it that a request which was sent at a time has been taken."""
         self.proof_s = max(self.proof_s, sent_s)
--- a/src/gentianfold/reports/load_patterns.py
+++ b/src/gentianfold/reports/load_patterns.py
@@ -39,7 +39,9 @@
     failing_share: float = 0.3
     """Part of the servers that fail nine in ten requests, in spells."""
     slow_share: float = 0.0
-    """Part of the servers whose work takes five times as long."""
+    """Part of the servers that are slow."""
+    slow_factor: float = 5.0
+    """Multiple of the usual work that those take."""
     partly_failing_share: float = 0.0
     """Part of the servers that fail one in two requests."""
 
@@ -65,5 +67,6 @@
     LoadPattern("half failing", 1.3, failing_share=0.5),
     LoadPattern("partly failing", 1.0, partly_failing_share=0.3),
     LoadPattern("slow servers", 1.0, slow_share=0.2),
+    LoadPattern("very slow servers", 1.3, slow_share=0.2, slow_factor=12.0),
 )
 """The loads that the report plays."""
--- a/src/gentianfold/reports/placement_model.py
+++ b/src/gentianfold/reports/placement_model.py
@@ -48,6 +48,8 @@
     """Answered later."""
     failed: int = 0
     """Ended by a server's failure or by the timeout."""
+    timed_out: int = 0
+    """Those among the failed that ran at most once and got no answer in time."""
     refused: int = 0
     """Refused without having run."""
     earned: float = 0.0
@@ -115,7 +117,7 @@
         self._servers = {
             f"s{number}": _Server(
                 f"s{number}",
-                5.0 if number < self.pattern.slow_share * SERVER_COUNT else 1.0,
+                self._slow_factor(number),
                 number >= SERVER_COUNT * (1 - self.pattern.partly_failing_share),
             )
             for number in range(SERVER_COUNT)
@@ -141,6 +143,10 @@
 
     # Load
 
+    def _slow_factor(self, number: int) -> float:
+        is_slow = number < self.pattern.slow_share * SERVER_COUNT
+        return self.pattern.slow_factor if is_slow else 1.0
+
     def _arrivals(self, duration_s: float) -> list[tuple[float, RequestKind]]:
         arrivals = []
         for kind in KINDS:
@@ -266,6 +272,9 @@
             self.tally.on_target += on_target
             self.tally.late += not on_target
             self.tally.earned += kind.worth * (1 if on_target else LATE_FRACTION)
+        elif outcome is Outcome.TIMED_OUT and not kind.idempotent:
+            self.tally.timed_out += 1
+            self.tally.failed += 1
         elif kind.idempotent and request.attempt == 1 and server is not None:
             again = attrs.evolve(
                 request,
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -28,7 +28,7 @@
             "slots": row.upstream.slots,
             "in_use": row.in_use,
             "is_suspect": row.suspect_since_s is not None,
-            "slowness": round(row.slowness, 2),
+            "slowness": round(row.slowness(now_s), 2),
         }
         for row in node.scheduler.rows()
     ]
--- a/tests/placement/test_slot_scheduler.py
+++ b/tests/placement/test_slot_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -244,7 +245,9 @@
         assert self.scheduler.waiting_count == len(self.waiting)
         for row in self.scheduler.rows():
             assert 0 <= row.trials_in_use <= row.in_use
-            assert 0 <= row.overdue <= row.in_use
+            assert row.running_s >= 0
+            assert row.in_use or row.running_s == 0
+            assert 0 < row.slowness(self.now_s) < math.inf
 
 
 TestScheduling = Scheduling.TestCase
