--- /dev/null
+++ b/tests/soak/process_fleet.py
@@ -0,0 +1,134 @@
+"""VMs as processes of their own, before stand-ins behind relays."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import anyio
+import attrs
+from conftest import read_answer
+from soak.relay import Relay
+
+from gentianfold.standins.site import make_configuration
+from gentianfold.standins.store import StandinStore
+from gentianfold.standins.upstream import StandinUpstream
+
+
+@attrs.define(eq=False)
+class VmProcess:
+    """One VM: its settings file, its address and its process."""
+
+    settings_path: str
+    log_path: str
+    host: str
+    port: int
+    store_relay: Relay
+    process: subprocess.Popen | None = None
+    _restarting: anyio.Lock = attrs.field(factory=anyio.Lock)
+
+    def start(self):
+        environment = {**os.environ, "GENTIANFOLD_SETTINGS": self.settings_path}
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gentianfold.vm"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number):
+        """End the process by a signal and start it again."""
+        async with self._restarting:
+            self.signal(signal.SIGCONT)
+            self.signal(number)
+            while self.process.poll() is None:
+                await anyio.sleep(0.01)
+                # A pause that overlaps would hold up its planned stop for good.
+                self.signal(signal.SIGCONT)
+            self.start()
+
+    async def call(self, data):
+        """Send a request on a new connection and return the answer."""
+        async with await anyio.connect_tcp(self.host, self.port) as stream:
+            await stream.send(data)
+            return await read_answer(stream)
+
+
+@attrs.define(eq=False)
+class ProcessFleet:
+    """Store, upstreams and VMs; every path between them goes through a relay."""
+
+    folder: object
+    store: StandinStore = attrs.field(factory=StandinStore)
+    upstreams: list = attrs.field(factory=list)
+    relays: list = attrs.field(factory=list)
+    vms: list = attrs.field(factory=list)
+
+    async def open(self, upstream_count, vm_count):
+        await self.store.server.open()
+        self.store.put_configuration(make_configuration())
+        for number in range(upstream_count):
+            await self._add_upstream(f"u{number}")
+        fleet_port = _free_port(socket.SOCK_DGRAM, "127.0.0.1")
+        operator_port = _free_port(socket.SOCK_STREAM, "127.0.0.1")
+        for number in range(1, vm_count + 1):
+            await self._add_vm(number, fleet_port, operator_port)
+
+    def close(self):
+        for vm in self.vms:
+            vm.signal(signal.SIGCONT)
+            vm.signal(signal.SIGKILL)
+            vm.process.wait()
+            vm.store_relay.close()
+        for relay in self.relays:
+            relay.close()
+        for upstream in self.upstreams:
+            upstream.server.close()
+        self.store.server.close()
+
+    async def _add_upstream(self, name):
+        upstream = StandinUpstream(name, "registry", work_s=0.02)
+        await upstream.server.open()
+        relay = Relay("127.0.0.1", upstream.server.port)
+        await relay.open()
+        self.upstreams.append(upstream)
+        self.relays.append(relay)
+        self.store.put_upstream(attrs.evolve(upstream.entry(), port=relay.port))
+
+    async def _add_vm(self, number, fleet_port, operator_port):
+        relay = Relay("127.0.0.1", self.store.server.port)
+        await relay.open()
+        host = f"127.0.0.{number}"
+        port = _free_port(socket.SOCK_STREAM, host)
+        settings = {
+            "vm": f"vm-{number}",
+            "address": host,
+            "zone": "z1",
+            "callers": f"{host}:{port}",
+            "readiness": f"{host}:{_free_port(socket.SOCK_STREAM, host)}",
+            "operators": f"{host}:{operator_port}",
+            "store": {"endpoint": f"127.0.0.1:{relay.port}"},
+            "fleet": {"port": fleet_port, "seeds": [f"127.0.0.1:{operator_port}"]},
+            "stop": {"grace_s": 3.0, "settle_s": 0.3},
+        }
+        path = self.folder / f"vm-{number}.json"
+        path.write_text(json.dumps(settings))
+        log_path = self.folder / f"vm-{number}.log"
+        vm = VmProcess(str(path), str(log_path), host, port, relay)
+        self.vms.append(vm)
+        vm.start()
+
+
+def _free_port(kind, host):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
