--- a/src/gentianfold/reports/load_patterns.py
+++ b/src/gentianfold/reports/load_patterns.py
@@ -52,6 +52,8 @@
     """Multiple of the usual work that those take."""
     partly_failing_share: float = 0.0
     """Part of the servers that fail one in two requests."""
+    server_count: int = 14
+    """Servers; as many as batbold's registry has, if the load is to fit."""
     kinds: tuple[RequestKind, ...] = KINDS
     """Its kinds of requests."""
     customer_priority: int | None = None
@@ -64,8 +66,6 @@
 )
 """The kinds of porta's depot-orders at the load of its day scale-2, for as many slots as
 the model has."""
-SERVER_COUNT = 14
-"""Servers of that registry."""
 SLOTS = 6
 """Slots of each."""
 VM_COUNT = 32
--- a/tests/placement/test_slot_scheduler.py
+++ b/tests/placement/test_slot_scheduler.py
@@ -25,6 +25,7 @@
     RefusalReason,
     Refused,
 )
+from gentianfold.placement.upstream_row import USUAL_SLOWNESS
 
 
 def test_a_repeated_question_gets_the_same_answer():
@@ -283,3 +284,14 @@
         used = {name for at_s, name, _ in load.used if at_s >= start_s}
         if lost > 0.1 * 300:
             assert len(used & sound) >= 0.7 * len(sound)
+
+
+def test_requests_within_their_usual_time_do_not_make_an_upstream_slow():
+    # An upstream without a recent history, such as a new one, holds four requests for
+    # as long as such requests take.
+    scheduler = make_scheduler(count=1, slots=6)
+    scheduler.elapsed.record("desk", "r", 0.4)
+    for number in range(4):
+        scheduler.ask(make_request(number), 1.0)
+    scheduler.observe(1.4)
+    assert scheduler.row("u0").slowness(1.4) <= USUAL_SLOWNESS
