--- a/tests/reports/test_placement_model.py
+++ b/tests/reports/test_placement_model.py
@@ -40,10 +40,10 @@
 
 
 def test_very_slow_servers_cost_few_requests_that_run_once():
-    # porta-nosing inc-3e99 and trouble-2: two servers twelve times slower took about
-    # fifty bookings until their timeout, since each short answer and each request that
-    # was still under way spoke for them. Nothing can be seen before each of the three
-    # servers holds its six slots; after that, one look in two seconds may cost one.
+    # porta-nosing inc-3e99 and trouble-2: two of the servers that were twelve times
+    # slower took 34 requests until their timeout; short answers and requests under way
+    # counted as proofs. No timeout can be seen before each of the three servers holds
+    # its six slots; after that, one look in two seconds may cost one.
     timed_out = [
         play("very slow servers", "broker", seed).timed_out for seed in (1, 2, 3)
     ]
@@ -53,7 +53,7 @@
 def test_short_urgent_work_is_served_beside_long_work_that_can_wait():
     # porta-nosing scale-2: all customers had the same priority, so 554 of 672 orders
     # (0.1 s of work) were refused behind a queue of surveys (0.6 s), of which 493 in
-    # 577 were served. A more urgent kind may be served less often by 5 in 100.
+    # 577 were served. The tolerance is the users', five percentage points.
     for seed in (1, 2, 3):
         tally = play("long work", "broker", seed)
         order, survey = (
@@ -64,10 +64,10 @@
 
 
 @pytest.mark.parametrize("name", ["long work", "half failing"])
-def test_what_cannot_be_served_is_refused_at_once(name):
+def test_most_refusals_are_early(name):
     # porta-nosing scale-2: requests that others overtook waited until their target was
-    # lost. Most refusals must come within an eighth of the target, up to which a wait
-    # costs a caller nothing.
+    # lost. Over half of the refusals must be early; early is an eighth of the target,
+    # the users' bound.
     tallies = [play(name, "broker", seed) for seed in (1, 2, 3)]
     refused = sum(tally.refused for tally in tallies)
     assert sum(tally.refused_late for tally in tallies) <= refused / 2
