Bound bytes without end, pipelined requests and odd input of peers

Cause, found by tests that fail on: a response head without end, interim responses and trailers were buffered without a limit (2.6 MB fed in the test, then still reading); one chunk started as many pipelined requests as it held (48 of 16); nan and infinity were taken as time left; below the revision of a forgotten deletion the same ten entries were sent for ever; a reason number of a newer build raised. Change: an exchange ends as failed past 64 KiB of heads or 8 MiB in all, and its connection is reset; requests past the limit wait in a backlog; time left must be finite; a receiver below a forgotten deletion gets on but never counts as current, so it reads the store; unknown reasons read as the usual ones. Ruled out: a late second copy on a connection in use again (skipped by its id, whole or in parts) and a response reset midway passed on (tests show neither can happen).

--- a/src/gentianfold/fleet/upstream_list.py
+++ b/src/gentianfold/fleet/upstream_list.py
@@ -73,7 +73,11 @@
         return any(changed) or bool(missing)
 
     def changes_after(self, revision: int) -> UpstreamChanges:
-        """Return the first changes after a revision that fit into one datagram."""
+        """Return the first changes after a revision that fit into one datagram.
+
+        Below the revision of a forgotten deletion, changes that are no snapshot begin
+        above the receiver's revision: it must read the store.
+        """
         is_snapshot = revision < self._purged_revision or revision == 0
         known = [*self._entries.values()]
         if not is_snapshot:
@@ -82,6 +86,13 @@
             (entry for entry in known if is_snapshot or entry.revision > revision),
             key=lambda entry: entry.revision,
         )
+        if is_snapshot and len(newer) > MAX_ENTRIES_PER_DATAGRAM and revision:
+            newer = [entry for entry in newer if entry.revision > revision]
+            part = newer[:MAX_ENTRIES_PER_DATAGRAM]
+            through_revision = max(self._purged_revision, part[-1].revision)
+            return UpstreamChanges(
+                self._purged_revision, through_revision, False, tuple(part)
+            )
         if len(newer) <= MAX_ENTRIES_PER_DATAGRAM:
             return UpstreamChanges(revision, self.revision, is_snapshot, tuple(newer))
         # Later calls return the rest, as changes after the last revision of this part.
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -84,6 +84,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._pending: deque[_PendingRequest] = deque()
+        self._backlog: deque[tuple[CallerRequest, _PendingRequest]] = deque()
         self._is_closing = False
         self._is_paused = False
         self._timer: asyncio.TimerHandle | None = None
@@ -131,6 +132,7 @@
             if pending.cancel is not None:
                 pending.cancel()
         self._pending.clear()
+        self._backlog.clear()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -211,18 +213,31 @@
         self._reset_request()
         pending = _PendingRequest(request.method == b"HEAD", request.keep_alive)
         self._pending.append(pending)
+        if len(self._pending) > MAX_PIPELINED:
+            # The rest of a chunk that was read before reading paused.
+            self._backlog.append((request, pending))
+            return
+        self._start(request, pending)
+        if len(self._pending) >= MAX_PIPELINED and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    # Steps
 
+    def _start(self, request: CallerRequest, pending: _PendingRequest) -> None:
         def reply(response: Response) -> None:
             pending.response = response
             pending.cancel = None
             self._write_responses()
 
         pending.cancel = self._handler.start(request, reply)
-        if len(self._pending) >= MAX_PIPELINED and self._transport is not None:
-            self._is_paused = True
-            self._transport.pause_reading()
 
-    # Steps
+    def _start_backlog(self) -> None:
+        """Start delayed requests for which there is room again."""
+        while self._backlog and (
+            len(self._pending) - len(self._backlog) < MAX_PIPELINED
+        ):
+            self._start(*self._backlog.popleft())
 
     def _check_head_size(self) -> None:
         if self._head_bytes > 2 * self._handler.limits().max_header_bytes:
@@ -264,6 +279,7 @@
                 self._is_closing = True
                 transport.close()
                 return
+        self._start_backlog()
         if self._is_paused and len(self._pending) < MAX_PIPELINED:
             self._is_paused = False
             transport.resume_reading()
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -75,6 +77,9 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
+    exchanged_bytes: Counter[str] = attrs.field(factory=Counter)
+    """Bytes of requests and responses, by whether the upstream is in the ``own`` or in
+    an ``other`` availability zone."""
 
     async def forward(self, request: CallerRequest, record: RequestRecord) -> Response:
         """Forward a request.
@@ -164,6 +169,8 @@
                 caller_time_left_s = float(value) / 1000
             except ValueError:
                 return Failure(REQUEST_MALFORMED, "the time left is not a number")
+            if not math.isfinite(caller_time_left_s):
+                return Failure(REQUEST_MALFORMED, "the time left is not finite")
             limit_s = min(
                 limit_s, max(caller_time_left_s - CALLER_DEADLINE_MARGIN_S, 0.0)
             )
@@ -237,6 +244,12 @@
     def _refusal_failure(self, refused: Refused) -> Failure:
         return Failure(_REFUSAL_CODES[refused.reason], "", refused.retry_after_s)
 
+    def count_exchange(self, upstream_name: str, exchanged_bytes: int) -> None:
+        """Count the bytes of an attempt by the zone of its upstream."""
+        upstream = self.routing.upstreams.get(upstream_name)
+        is_own = upstream is None or upstream.zone == self.zone
+        self.exchanged_bytes["own" if is_own else "other"] += exchanged_bytes
+
     def now_s(self) -> float:
         """Return the event loop's time (seconds)."""
         return asyncio.get_running_loop().time()
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -13,9 +13,11 @@
 
 from gentianfold.forwarding.messages import Headers, Response
 
-MAX_RESPONSE_BYTES = 32 << 20
-"""Largest response that is buffered before it is passed on (bytes): a ninth of the
-smallest VM's memory."""
+MAX_RESPONSE_BYTES = 8 << 20
+"""Most bytes that are received in one exchange (bytes): a twenty-fifth of the smallest
+VM's memory, as several exchanges may meet a body without end."""
+MAX_RESPONSE_HEAD_BYTES = 64 << 10
+"""Most bytes of interim responses and of the head of a response (bytes)."""
 MAX_UNMATCHED_RESPONSES = 3
 """Responses to earlier requests after which a connection is closed (count); fewer are
 skipped."""
@@ -34,7 +36,7 @@
     INVALID = "not an answer"
     """The bytes are not a valid response, or belong to another request."""
     TOO_LARGE = "answer too large"
-    """The response is larger than ``MAX_RESPONSE_BYTES``."""
+    """The response or its head is larger than the limit."""
 
 
 ExchangeResult: TypeAlias = Response | ExchangeFailure
@@ -60,12 +62,16 @@
         keep_alive_s: Idle timeout that the last response states (seconds); ``None`` if
             it states none.
         is_reusable: Whether another request may follow the current exchange.
+        exchanged_bytes: Bytes sent and received in the last exchange.
     """
 
     def __init__(self) -> None:
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self.is_reusable = True
+        self.exchanged_bytes = 0
+        self._received_bytes = 0
+        self._head_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._pending: _PendingResponse | None = None
         self._reset_parser()
@@ -77,9 +83,9 @@
     def _reset_response(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
         self._has_begun = False
         self._has_headers = False
+        self._has_final_head = False
         self._is_close_delimited = False
 
     # Exchange
@@ -111,6 +117,8 @@
             asyncio.get_running_loop().create_future()
         )
         self._pending = _PendingResponse(accept, is_head, result)
+        self.exchanged_bytes = len(request)
+        self._received_bytes = self._head_bytes = 0
         self._transport.write(request)
         try:
             return await result
@@ -141,6 +149,17 @@
         if self._pending is None:
             self.close()
             return
+        self.exchanged_bytes += len(data)
+        self._received_bytes += len(data)
+        if not self._has_final_head:
+            self._head_bytes += len(data)
+        if (
+            self._received_bytes > MAX_RESPONSE_BYTES
+            or self._head_bytes > MAX_RESPONSE_HEAD_BYTES
+        ):
+            # Heads, chunk extensions and trailers count too: the parser buffers them.
+            self._fail(ExchangeFailure.TOO_LARGE)
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -181,6 +200,9 @@
         names = {name for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
         status = self._parser.get_status_code()
+        self._has_final_head = status >= 200
+        if self._has_final_head:
+            self._head_bytes = 0
         self._is_close_delimited = (
             not has_framing and status >= 200 and status not in (204, 304)
         )
@@ -193,9 +215,6 @@
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
         self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fail(ExchangeFailure.TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Complete the response."""
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -18,6 +18,13 @@
     """A suspect upstream is due for a trial."""
     LAST_RESORT = 2
     """No healthy upstream has a free slot in time; this one fails in part."""
+    EXPLORE = 3
+    """A healthy upstream outside the working set had no request for some time."""
+
+    @classmethod
+    def _missing_(cls, value: object) -> GrantReason:
+        """Read a number that only newer builds know as ``BEST``."""
+        return cls.BEST
 
 
 class RefusalReason(enum.IntEnum):
@@ -32,6 +39,11 @@
     RETRY_BUDGET = 3
     """The retry budget of the service is used up."""
 
+    @classmethod
+    def _missing_(cls, value: object) -> RefusalReason:
+        """Read a number that only newer builds know as ``NO_ROOM``."""
+        return cls.NO_ROOM
+
 
 @attrs.frozen
 class SlotRequest:
--- a/tests/fleet/test_upstream_list.py
+++ b/tests/fleet/test_upstream_list.py
@@ -15,7 +15,12 @@
     decode,
     encode,
 )
-from gentianfold.fleet.upstream_list import MAX_ENTRIES_PER_DATAGRAM, UpstreamList
+from gentianfold.fleet.upstream_list import (
+    MAX_ENTRIES_PER_DATAGRAM,
+    MAX_TOMBSTONES,
+    UpstreamList,
+)
+from gentianfold.placement.slot_request import GrantReason, RefusalReason
 
 
 def entry(name, revision, **changes):
@@ -84,3 +89,45 @@
 def test_messages_of_the_same_shape_keep_their_type():
     for message in (Redirect("10.0.0.1"), BrokerAnnouncement(3)):
         assert decode(encode(message)) == message
+
+
+def test_a_replica_below_forgotten_deletions_never_counts_as_current():
+    # It got the same ten entries for ever, and upstreams whose deletion was forgotten
+    # would have stayed in use.
+    primary, replica = UpstreamList(), UpstreamList()
+    for number in range(60):
+        primary.put(entry(f"u{number}", number + 1))
+    primary.revision = 60
+    for _ in range(10):
+        replica.merge(primary.changes_after(replica.revision))
+    assert replica.names() == primary.names()
+    revision = 60
+    for number in range(MAX_TOMBSTONES + 40):
+        revision += 2
+        primary.put(entry(f"v{number}", revision - 1))
+        primary.put(UpstreamEntry(f"v{number}", revision, is_deleted=True))
+    for number in range(0, 60, 2):
+        revision += 1
+        primary.put(UpstreamEntry(f"u{number}", revision, is_deleted=True))
+    for number in range(MAX_TOMBSTONES):
+        revision += 2
+        primary.put(entry(f"w{number}", revision - 1))
+        primary.put(UpstreamEntry(f"w{number}", revision, is_deleted=True))
+    for number in range(30):
+        revision += 1
+        primary.put(entry(f"x{number}", revision))
+    primary.revision = revision
+    for _ in range(200):
+        changes = primary.changes_after(replica.revision)
+        assert all(row.revision > replica.revision for row in changes.entries)
+        replica.merge(changes)
+    current = replica.advance_revision(primary.last_change_revision, revision)
+    assert not current
+    replica.replace(list(primary._entries.values()), revision)
+    assert replica.advance_revision(primary.last_change_revision, revision)
+    assert replica.names() == primary.names()
+
+
+def test_numbers_of_newer_builds_are_read_as_the_usual_reasons():
+    assert GrantReason(200) is GrantReason.BEST
+    assert RefusalReason(200) is RefusalReason.NO_ROOM
--- /dev/null
+++ b/tests/forwarding/test_upstream_connection.py
@@ -0,0 +1,152 @@
+"""One exchange with a server whose bytes are not the expected response."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.lowlevel
+import pytest
+from forwarding.fake_transport import FakeTransport
+
+from gentianfold.forwarding.upstream_connection import (
+    MAX_RESPONSE_BYTES,
+    MAX_RESPONSE_HEAD_BYTES,
+    ExchangeFailure,
+    Response,
+    UpstreamConnection,
+)
+
+pytestmark = pytest.mark.anyio
+
+CHUNK_BYTES = 16_384
+
+
+def answer(request_id, body=b"done"):
+    return b"HTTP/1.1 200 OK\r\nid: %b\r\ncontent-length: %d\r\n\r\n%b" % (
+        request_id,
+        len(body),
+        body,
+    )
+
+
+def open_connection():
+    connection = UpstreamConnection()
+    connection.connection_made(FakeTransport())
+    return connection
+
+
+async def exchange(connection, chunks, request_id=b"r1"):
+    """Return the result of an exchange during which ``chunks`` arrive.
+
+    Chunks are fed until the connection is closed or the result is known.
+    """
+    results = []
+
+    async def run():
+        results.append(
+            await connection.exchange(
+                b"GET / HTTP/1.1\r\n\r\n", lambda row: row.header(b"id") == request_id
+            )
+        )
+
+    fed = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        await anyio.lowlevel.checkpoint()
+        await anyio.lowlevel.checkpoint()
+        for chunk in chunks:
+            if connection._transport.is_closing():
+                break
+            connection.data_received(chunk)
+            fed += len(chunk)
+            await anyio.lowlevel.checkpoint()
+            if results:
+                break
+        else:
+            connection.connection_lost(None)
+    return results[0], fed
+
+
+def endless(start, chunk, total_bytes):
+    yield start
+    for _ in range(total_bytes // len(chunk)):
+        yield chunk
+
+
+@pytest.mark.parametrize(
+    ("start", "chunk"),
+    [
+        (b"HTTP/1.1 200 OK\r\nx-a: ", b"a" * CHUNK_BYTES),
+        (b"HTTP/1.1 200 OK\r\n", b"x-a: " + b"a" * (CHUNK_BYTES - 7) + b"\r\n"),
+        (b"HTTP/1.1 200 ", b"a" * CHUNK_BYTES),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 600),
+    ],
+)
+async def test_a_head_without_end_fails_within_bounded_memory(start, chunk):
+    connection = open_connection()
+    result, fed = await exchange(
+        connection, endless(start, chunk, 40 * MAX_RESPONSE_HEAD_BYTES)
+    )
+    assert isinstance(result, ExchangeFailure)
+    assert fed <= MAX_RESPONSE_HEAD_BYTES + 2 * len(chunk)
+    assert connection._transport.is_aborted and not connection.is_open
+
+
+@pytest.mark.parametrize(
+    ("start", "chunk"),
+    [
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", b"a" * 65_536),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65_536),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            b"8000\r\n" + b"a" * 0x8000 + b"\r\n",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+            b"x=" + b"a" * 65_534,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            b"x-a: " + b"a" * 65_529 + b"\r\n",
+        ),
+    ],
+)
+async def test_a_body_without_end_fails_within_bounded_memory(start, chunk):
+    connection = open_connection()
+    result, fed = await exchange(
+        connection, endless(start, chunk, 3 * MAX_RESPONSE_BYTES)
+    )
+    assert isinstance(result, ExchangeFailure)
+    assert fed <= MAX_RESPONSE_BYTES + 2 * len(chunk)
+    assert connection._transport.is_aborted
+
+
+async def test_a_late_second_copy_belongs_to_no_later_request():
+    # The copy of the first response arrives while the second request is under way on the
+    # same connection, whole or in parts.
+    for cut in (0, 1, 20, len(answer(b"r1")) - 1):
+        connection = open_connection()
+        first, _ = await exchange(connection, [answer(b"r1")], b"r1")
+        assert isinstance(first, Response) and connection.is_open
+        copy = answer(b"r1")
+        second, _ = await exchange(
+            connection, [copy[:cut], copy[cut:], answer(b"r2", b"other")], b"r2"
+        )
+        assert isinstance(second, Response) and second.body == b"other"
+
+
+async def test_a_late_second_copy_on_an_idle_connection_closes_it():
+    connection = open_connection()
+    await exchange(connection, [answer(b"r1")], b"r1")
+    connection.data_received(answer(b"r1")[:7])
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize("length", [b"content-length: 9\r\n", b"", b"chunked"])
+async def test_a_response_that_is_reset_midway_is_no_success(length):
+    framing = b"transfer-encoding: chunked\r\n" if length == b"chunked" else length
+    body = b"4\r\ndone\r\n" if length == b"chunked" else b"done"
+    connection = open_connection()
+    result, _ = await exchange(
+        connection, [b"HTTP/1.1 200 OK\r\nid: r1\r\n" + framing + b"\r\n" + body]
+    )
+    assert result is ExchangeFailure.CUT
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -287,3 +287,11 @@
                 await read_response(idle_stream)
             assert (await read_response(stream))[0] == 200
         assert execution_count(site, "r2") == 0
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf"])
+async def test_a_time_left_that_is_not_finite_is_rejected(value):
+    async with open_site() as site:
+        data = request_bytes().replace(b"4000", value.encode(), 1)
+        assert (await send_request(site.vms[0], data))[0] == 400
+        assert execution_count(site, "r1") == 0
