--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -25,6 +25,7 @@
     UpstreamChanges,
     to_acquire_slot,
 )
+from gentianfold.fleet.pending_request import PendingRequest, PlacementDecision
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
@@ -55,18 +56,6 @@
 """Time past a request's deadline after which its wait for a slot is cancelled
 (seconds); a safeguard against lost decisions."""
 
-_Decision = Placement | Refused
-
-
-@attrs.define(eq=False)
-class _PendingRequest:
-    """A request that awaits a decision of the broker or of the local scheduler."""
-
-    request: SlotRequest
-    decided: asyncio.Future[_Decision]
-    acknowledged: bool = False
-    """Whether the broker has answered the last transmission of the request."""
-
 
 @attrs.define(eq=False)
 class Node:
@@ -105,7 +94,7 @@
     _slot_request_ids: itertools.count[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
-    _pending: dict[int, _PendingRequest] = attrs.field(factory=dict)
+    _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _placement_log: PlacementLog = attrs.field(factory=PlacementLog)
     _granted_by: dict[int, str] = attrs.field(factory=dict)
 
@@ -188,7 +177,9 @@
         finally:
             self._pending.pop(request.slot_request_id, None)
 
-    async def _await_decision(self, pending: _PendingRequest) -> _Decision | None:
+    async def _await_decision(
+        self, pending: PendingRequest
+    ) -> PlacementDecision | None:
         """Wait for a decision until the next retry; ``None`` if there is none yet.
 
         The retry comes sooner while the broker has not acknowledged the request.
@@ -203,7 +194,7 @@
         return None
 
     def _accept_grant(
-        self, request: SlotRequest, decision: _Decision, broker: str
+        self, request: SlotRequest, decision: PlacementDecision, broker: str
     ) -> Placement | Refused | None:
         """Register a granted slot, or return it if the upstream is unusable.
 
@@ -249,9 +240,9 @@
         key = (self.vm, slot_request_id)
         self.scheduler.release(key, Outcome.CANCELLED, 0.0, self._now_s())
 
-    def _add_pending(self, request: SlotRequest) -> _PendingRequest:
+    def _add_pending(self, request: SlotRequest) -> PendingRequest:
         decided = asyncio.get_running_loop().create_future()
-        pending = _PendingRequest(request, decided)
+        pending = PendingRequest(request, decided)
         self._pending[request.slot_request_id] = pending
         return pending
 
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -135,10 +135,16 @@
             The upstream, the reason and the number of candidates; ``None`` if the
             request should wait.
         """
-        free = _free_trackers(trackers, request, now_s)
+        free = _without_slow(
+            _free_trackers(trackers, request, now_s),
+            trackers,
+            request,
+            now_s,
+            may_explore,
+            estimate,
+        )
         if not free:
             return None
-        free = _without_slow(free, trackers, request, now_s, may_explore, estimate)
         healthy = [tracker for tracker in free if tracker.suspect_since_s is None]
         needed = self._needed_trial(free, now_s, may_explore, state)
         if needed is not None:
--- a/src/gentianfold/placement/log_entries.py
+++ b/src/gentianfold/placement/log_entries.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from gentianfold.placement.upstream_tracker import UpstreamTracker
+
 
 @attrs.frozen
 class ServiceLoad:
@@ -25,6 +32,29 @@
     """Healthy upstreams that count as full since they shed a request (count)."""
 
 
+def measure_load(
+    service: str, waiting: int, trackers: Sequence[UpstreamTracker], now_s: float
+) -> ServiceLoad:
+    """Return the load of a service.
+
+    Args:
+        service: Name of the service.
+        waiting: Queued requests (count).
+        trackers: Upstreams that accept new requests.
+        now_s: Current time (seconds).
+    """
+    healthy = [tracker for tracker in trackers if tracker.suspect_since_s is None]
+    return ServiceLoad(
+        service,
+        waiting,
+        len(trackers),
+        len(trackers) - len(healthy),
+        sum(tracker.upstream.slots for tracker in healthy),
+        sum(tracker.in_use for tracker in healthy),
+        sum(now_s < tracker.shed_until_s for tracker in healthy),
+    )
+
+
 @attrs.frozen
 class StateChange:
     """A change of an upstream between suspect and healthy, or slow and not slow."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -10,7 +10,7 @@
 from gentianfold.model import Upstream, UpstreamState
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.elapsed_table import ElapsedTable
-from gentianfold.placement.log_entries import ServiceLoad, StateChange
+from gentianfold.placement.log_entries import ServiceLoad, StateChange, measure_load
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
@@ -285,18 +285,7 @@
             if not queue:
                 continue
             trackers = self._trackers_by_service.get(service, [])
-            healthy = [
-                tracker for tracker in trackers if tracker.suspect_since_s is None
-            ]
-            yield ServiceLoad(
-                service,
-                len(queue),
-                len(trackers),
-                len(trackers) - len(healthy),
-                sum(tracker.upstream.slots for tracker in healthy),
-                sum(tracker.in_use for tracker in healthy),
-                sum(now_s < tracker.shed_until_s for tracker in healthy),
-            )
+            yield measure_load(service, len(queue), trackers, now_s)
 
     def _record_accepted(self, grant: _Grant, now_s: float) -> None:
         """Count a request as accepted once it has run without failing quickly."""
