--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -120,6 +120,8 @@
 
     def recent_failures(self, now_s: float) -> float:
         """Return the exponentially decayed number of failures."""
+        if not self.failure_score:
+            return 0.0
         age_s = now_s - self.last_failure_s
         return self.failure_score * math.exp(-age_s / FAILURE_TIME_CONSTANT_S)
 
@@ -143,6 +145,8 @@
         Running requests count with their elapsed time so far once that exceeds their
         expected time, and add no expected time until they succeed.
         """
+        if not self.decayed_elapsed_s and not self.running_s:
+            return 1.0
         decay = self._decay_factor(now_s)
         decayed_elapsed_s = self.decayed_elapsed_s * decay + self.running_s
         return (SPEED_PRIOR_S + decayed_elapsed_s) / (
