--- a/tests/placement/test_floor.py
+++ b/tests/placement/test_floor.py
@@ -8,7 +8,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
-from placement.model import make_request, make_upstream
+from placement.model import (
+    LoadSimulation,
+    make_request,
+    make_scheduler,
+    make_upstream,
+)
 
 from gentianfold.placement.choice import Chooser
 from gentianfold.placement.outcome import Outcome
@@ -145,3 +150,23 @@
 TestFloor.settings = settings(
     derandomize=True, max_examples=15, stateful_step_count=8, deadline=None
 )
+
+
+def test_a_service_without_idempotent_requests_keeps_the_floor():
+    # A burst during a release left 9 of 25 healthy upstreams of such a service without
+    # requests while a ninth of the requests was not served: non-idempotent requests went
+    # only to upstreams that had accepted one lately.
+    rng = random.Random(1)
+    failing_names = {f"u{number}" for number in range(4)}
+    simulation = LoadSimulation(
+        make_scheduler(upstream_count=40, slots=4),
+        lambda name, now_s: name in failing_names or rng.random() < 0.15,
+    )
+    simulation.send_at_random(60, 14.0, 0.0, rng)
+    for _ in range(8):
+        start_s, before = simulation.now_s, simulation.failed + simulation.refused
+        simulation.send_at_random(60, start_s + WINDOW_S, 0.0, rng)
+        not_served = simulation.failed + simulation.refused - before
+        used = {name for at_s, name, _ in simulation.grants if at_s >= start_s}
+        assert not_served > UNSERVED_SHARE * 60 * WINDOW_S / 2
+        assert len(used - failing_names) >= FLOOR_SHARE * 36
