Log and count configuration announcements, fetches and failed polls

The log could not tell whether a VM that lacks an announced configuration has no source, fetches in vain or waits: a fetch, its source, the version that it brought and failed polls after the first left no line.

Now: one line for the first announcement of each version, one for each fetch (outcome, announced and current version, bytes, elapsed time) and one for each failed poll; the same as gauges on the metrics address.

Hypotheses to be told apart by these lines: (1) the read of the changes from the store times out before a large configuration has arrived, and starts again from nothing; (2) a failed fetch blocks the fetcher for a whole poll, and the same source is given again; (3) a fetch that brings an older version counts as success, and a VM without a source waits while its upstream list stays fresh from the broker's replies.

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -10,6 +10,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.fleet.announced_configuration import AnnouncedConfiguration
 from gentianfold.fleet.membership import Membership, Role
 from gentianfold.fleet.messages import (
     AcquireSlot,
@@ -81,10 +82,8 @@
     """Sends messages to other VMs."""
     view: NodeView
     """Published configuration and upstreams as this VM knows them."""
-    configuration_available: anyio.Event = attrs.field(factory=anyio.Event)
-    """Set when a newer configuration can be fetched."""
-    configuration_source: str = ""
-    """Address of the VM to fetch the configuration from; empty if none is known."""
+    announced: AnnouncedConfiguration = attrs.field(factory=AnnouncedConfiguration)
+    """Newest configuration version that brokers have announced."""
     fleet_size: int = 1
     """VMs of the fleet, this one included, by the broker's last heartbeat reply."""
     started_s: float = 0.0
@@ -347,12 +346,12 @@
         self.scheduler.quota.share = 1 / self.fleet_size
         self.scheduler.quota.fleet_near_limit = frozenset(reply.near_limit_customers)
         self.scheduler.budget.share = 1 / self.fleet_size
-        if (
-            reply.configuration_version > self.view.configuration_version
-            and reply.configuration_source
-        ):
-            self.configuration_source = reply.configuration_source
-            self.configuration_available.set()
+        self.announced.record(
+            reply.configuration_version,
+            reply.configuration_source,
+            self.view.configuration_version,
+            vm,
+        )
         is_current = self.view.upstreams.advance_revision(
             reply.last_change_revision, reply.upstreams_revision
         )
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -74,6 +74,8 @@
     """Store revision up to which all changes were read; 0 before the first list."""
     is_connected: bool = True
     """Whether the last poll succeeded."""
+    failure_count: int = 0
+    """Number of failed polls since the start."""
     _hold_until_s: float = 0.0
     _relist_after_s: float = float("inf")
     _held_deletions: dict[str, UpstreamEntry] = attrs.field(factory=dict)
@@ -84,8 +86,15 @@
         needs_list = self.revision == 0 or now_s > self._relist_after_s
         failure = await (self._read_all() if needs_list else self._read_changes())
         if failure is not None:
-            if self.is_connected:
-                logger.warning("store: lost, {}", failure.reason)
+            self.failure_count += 1
+            elapsed_s = asyncio.get_running_loop().time() - now_s
+            logger.warning(
+                "store: {}, {} revision={} ms={:.0f}",
+                "lost" if self.is_connected else "still not reachable",
+                failure.reason,
+                self.revision,
+                elapsed_s * 1000,
+            )
             self.is_connected = False
             return False
         if not self.is_connected:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -11,8 +11,8 @@
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node import Node
-    from gentianfold.platform.store_client import StoreClient
     from gentianfold.settings import Settings
+    from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
     from gentianfold.vm.metrics import Metrics
     from gentianfold.vm.request_handler import CallerRequestHandler
 
@@ -51,7 +51,10 @@
 
 
 def update_gauges(
-    metrics: Metrics, node: Node, handler: CallerRequestHandler, client: StoreClient
+    metrics: Metrics,
+    node: Node,
+    handler: CallerRequestHandler,
+    fetcher: ConfigurationFetcher,
 ) -> None:
     """Set all gauges to the current state of the VM."""
     now_s = asyncio.get_running_loop().time()
@@ -67,7 +70,9 @@
         ),
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
-        "store_calls": client.call_count,
+        "configuration_announced_version": node.announced.version,
+        "store_calls": fetcher.synchronizer.client.call_count,
+        "store_polls_failed": fetcher.synchronizer.failure_count,
         "is_broker": node.membership.role.value == "broker",
         "quota_share": node.scheduler.quota.share,
         "upstream_connections_opened": handler.forwarder.pool.opened_count,
@@ -76,5 +81,7 @@
         metrics.set_gauge(name, float(level))
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
+    for outcome, count in fetcher.outcome_counts.items():
+        metrics.set_gauge("configuration_fetches", float(count), outcome=outcome)
     for message, count in node.transport.sent_bytes.items():
         metrics.set_gauge("datagram_bytes", float(count), message=message)
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -137,19 +137,19 @@
         client = StoreClient(_socket_address(self.settings.store.endpoint), self.pool)
         sink = StateSink(node)
         synchronizer = StoreSynchronizer(client, sink)
+        poller = StorePoller(node, synchronizer, self.settings.store.poll_s)
+        fetcher = ConfigurationFetcher(
+            node, sink, synchronizer, self.pool, self.settings.operators.port
+        )
         async with anyio.create_task_group() as task_group:
             handler = self._build_handler(node, task_group)
-            await self._listen(handler, node, client)
+            await self._listen(handler, node, fetcher)
             logger.info(
                 "vm: started, version {} name {} zone {}",
                 __version__,
                 self.settings.vm,
                 self.settings.zone,
             )
-            poller = StorePoller(node, synchronizer, self.settings.store.poll_s)
-            fetcher = ConfigurationFetcher(
-                node, sink, synchronizer, self.pool, self.settings.operators.port
-            )
             task_group.start_soon(poller.run)
             task_group.start_soon(fetcher.run)
             task_group.start_soon(self._run_periodic_work, node)
@@ -206,7 +206,10 @@
         )
 
     async def _listen(
-        self, handler: CallerRequestHandler, node: Node, client: StoreClient
+        self,
+        handler: CallerRequestHandler,
+        node: Node,
+        fetcher: ConfigurationFetcher,
     ) -> None:
         """Open the listeners for callers, readiness checks, operators and metrics."""
         loop = asyncio.get_running_loop()
@@ -231,7 +234,7 @@
             if path == CONFIGURATION_PATH:
                 return self._build_configuration_response()
             if path.endswith(b"/metrics"):
-                update_gauges(self.metrics, node, handler, client)
+                update_gauges(self.metrics, node, handler, fetcher)
                 return Response(200, [], self.metrics.exposition().encode())
             return build_status_response(node, handler, self.settings)
 
