Obtain an announced configuration until it is in force

Whether a VM gets a configuration rested on one try at a time, each of which starts from nothing and ends at a time limit that ignores the size: - The read of the changes since the VM's last own read holds each version since then in full.

Transfers end when no bytes arrive for a while, not after a fixed time. After a gap in its own reads a VM reads the changes of upstreams and the newest configuration by its key. The relay plan assigns another source after a timeout. A fetched document is passed on as it was compressed.

Ruled out: a plan that names no source for long (replies named one within 0.5 s), a fetcher that hangs (polls went on), an older version that replaces a newer one (versions in force only grow in all logs).

--- a/src/gentianfold/fleet/announced_configuration.py
+++ b/src/gentianfold/fleet/announced_configuration.py
@@ -15,8 +15,10 @@
     """Newest announced version; 0 for none."""
     source: str = ""
     """Address of the VM to fetch it from; empty if none is known."""
+    broker: str = ""
+    """Address of the VM that announced it last; empty if none did."""
     available: anyio.Event = attrs.field(factory=anyio.Event)
-    """Set when a newer configuration can be fetched."""
+    """Set when a version is announced that is newer than the one in force."""
 
     def record(self, version: int, source: str, in_force: int, broker: str) -> None:
         """Record an announcement.
@@ -29,6 +31,7 @@
         """
         if version > self.version:
             self.version = version
+            self.source = ""
             logger.info(
                 "configuration: version {} announced by {}, source={} in_force={}",
                 version,
@@ -36,6 +39,7 @@
                 source or "none",
                 in_force,
             )
-        if version > in_force and source:
-            self.source = source
+        if version > in_force:
+            self.broker = broker
+            self.source = source or self.source
             self.available.set()
--- a/src/gentianfold/fleet/relay_plan.py
+++ b/src/gentianfold/fleet/relay_plan.py
@@ -65,15 +65,19 @@
             and now_s - assignment.assigned_s < ASSIGNMENT_TIMEOUT_S
         ):
             return assignment.source
-        source = self._choose_source(vm, members, now_s)
+        failed_source = assignment.source if assignment is not None else ""
+        source = self._choose_source(vm, members, failed_source, now_s)
         if source:
             self._assignments[vm] = _Assignment(source, now_s)
         return source
 
-    def _choose_source(self, vm: str, members: dict[str, Member], now_s: float) -> str:
+    def _choose_source(
+        self, vm: str, members: dict[str, Member], failed_source: str, now_s: float
+    ) -> str:
         """Return the least busy source in the zone; the broker for its first member.
 
-        Empty if all sources are busy, or while the zone's first member fetches.
+        Empty if all sources are busy, or while the zone's first member fetches. A source
+        from which the member could not fetch in time is used only if there is no other.
         """
         zone = members[vm].zone
         fetching = {
@@ -91,7 +95,11 @@
             available = [
                 name for name in holders if load[name] < _max_transfers(members[name])
             ]
-            return min(available, key=lambda name: (load[name], name), default="")
+            return min(
+                available,
+                key=lambda name: (name == failed_source, load[name], name),
+                default="",
+            )
         is_first = not any(
             source == self.vm and members[name].zone == zone
             for name, source in fetching.items()
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -24,6 +24,8 @@
 
 ResponseFilter: TypeAlias = Callable[[Response], bool]
 """Returns whether a response belongs to the request."""
+ProgressCallback: TypeAlias = Callable[[], None]
+"""Called whenever bytes of the response have arrived."""
 
 
 class ExchangeFailure(enum.Enum):
@@ -50,6 +52,7 @@
     accept: ResponseFilter
     is_head: bool
     result: asyncio.Future[ExchangeResult]
+    on_progress: ProgressCallback | None = None
     unmatched_count: int = 0
 
 
@@ -100,7 +103,11 @@
         )
 
     async def exchange(
-        self, request: bytes, accept: ResponseFilter, is_head: bool = False
+        self,
+        request: bytes,
+        accept: ResponseFilter,
+        is_head: bool = False,
+        on_progress: ProgressCallback | None = None,
     ) -> ExchangeResult:
         """Send a request and wait for its response.
 
@@ -110,13 +117,14 @@
             request: The encoded request.
             accept: Returns whether a response belongs to the request.
             is_head: Whether the method is HEAD, whose response has no body.
+            on_progress: Called whenever bytes have arrived.
         """
         if self._transport is None or self._transport.is_closing():
             return ExchangeFailure.CLOSED
         result: asyncio.Future[ExchangeResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._pending = _PendingResponse(accept, is_head, result)
+        self._pending = _PendingResponse(accept, is_head, result, on_progress)
         self.exchanged_bytes = len(request)
         self._received_bytes = self._head_bytes = 0
         self._transport.write(request)
@@ -151,6 +159,8 @@
             return
         self.exchanged_bytes += len(data)
         self._received_bytes += len(data)
+        if self._pending.on_progress is not None:
+            self._pending.on_progress()
         if not self._has_final_head:
             self._head_bytes += len(data)
         if (
--- a/src/gentianfold/platform/store_client.py
+++ b/src/gentianfold/platform/store_client.py
@@ -5,22 +5,28 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
-import anyio
 import attrs
 
 from gentianfold.codes.platform import PLATFORM_UNREACHABLE, STORE_REFUSED
 from gentianfold.errors import Failure
-from gentianfold.forwarding.messages import encode_request
+from gentianfold.forwarding.document_request import (
+    TransferTimeouts,
+    request_document,
+)
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
 from gentianfold.platform.wire import (
     AFTER_PARAMETER,
     CHANGES_PATH,
+    ITEM_PATH,
+    KEY_PARAMETER,
     LIST_PATH,
     PREFIX_PARAMETER,
     WAIT_PARAMETER,
     EventPage,
+    Item,
     ItemPage,
     decode_events,
+    decode_item,
     decode_items,
 )
 
@@ -30,13 +36,14 @@
     from gentianfold.forwarding.connection_pool import Address, ConnectionPool
     from gentianfold.forwarding.messages import Response
 
-CHANGES_TIMEOUT_S = 0.6
-"""Timeout of a request for changes (seconds): a hundred times the usual response time,
-and short enough to retry once before a new configuration must take effect."""
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for connecting to the store (seconds); many VMs may connect at once."""
-LIST_TIMEOUT_S = 1.5
-"""Timeout of a request for a page of items (seconds); a page may hold a megabyte."""
+CHANGES_TIMEOUTS = TransferTimeouts(response_s=0.6, progress_s=0.6, total_s=4.0)
+"""Timeouts of a request for changes. The first is a hundred times the usual response
+time, and short enough to retry once before a new configuration must take effect. The
+total covers a configuration of a megabyte at three megabits per second."""
+DOCUMENT_TIMEOUTS = TransferTimeouts(response_s=1.5, progress_s=0.6, total_s=4.0)
+"""Timeouts of a request for an item or for a page of items."""
 HISTORY_DROPPED = "the store no longer holds the requested changes"
 """Reason of the failure that requires listing all items again."""
 
@@ -52,6 +59,22 @@
     call_count: int = 0
     """Number of requests since the start, failed ones included."""
 
+    async def read_item(self, key: str) -> Item | Failure:
+        """Read one item.
+
+        Args:
+            key: Key of the item.
+
+        Returns:
+            The item, or a failure if it does not exist or the store is unreachable,
+            rejects the request or sends a malformed item.
+        """
+        response = await self._get(ITEM_PATH, {KEY_PARAMETER: key}, DOCUMENT_TIMEOUTS)
+        if isinstance(response, Failure):
+            return response
+        item = decode_item(response.body)
+        return item or Failure(STORE_REFUSED, "malformed item")
+
     async def list_items(self, prefix: str, after: str = "") -> ItemPage | Failure:
         """Read one page of the items under a key prefix.
 
@@ -66,7 +89,7 @@
         query = {PREFIX_PARAMETER: prefix}
         if after:
             query[AFTER_PARAMETER] = after
-        response = await self._get(LIST_PATH, query, LIST_TIMEOUT_S)
+        response = await self._get(LIST_PATH, query, DOCUMENT_TIMEOUTS)
         if isinstance(response, Failure):
             return response
         page = decode_items(response.body)
@@ -91,30 +114,30 @@
             AFTER_PARAMETER: after_revision,
             WAIT_PARAMETER: 0,
         }
-        response = await self._get(CHANGES_PATH, query, CHANGES_TIMEOUT_S)
+        response = await self._get(CHANGES_PATH, query, CHANGES_TIMEOUTS)
         if isinstance(response, Failure):
             return None if response.reason == HISTORY_DROPPED else response
         page = decode_events(response.body)
         return page or Failure(STORE_REFUSED, "malformed page of changes")
 
     async def _get(
-        self, path: str, query: Mapping[str, str | int], timeout_s: float
+        self, path: str, query: Mapping[str, str | int], timeouts: TransferTimeouts
     ) -> Response | Failure:
         self.call_count += 1
         owner = "store"
-        response = None
         connection = await self.pool.acquire(
             self.address, owner, connect_timeout_s=CONNECT_TIMEOUT_S
         )
         if connection is None:
             return Failure(PLATFORM_UNREACHABLE, "no connection to the store")
-        with anyio.move_on_after(timeout_s):
-            target = f"{path}?{urlencode(query)}".encode()
-            host = f"{self.address[0]}:{self.address[1]}".encode()
-            request = encode_request(b"GET", target, [(b"host", host)], b"")
-            response = await connection.exchange(request, lambda _: True)
+        target = f"{path}?{urlencode(query)}".encode()
+        host = f"{self.address[0]}:{self.address[1]}".encode()
+        response = await request_document(connection, host, target, timeouts)
         if response is None:
-            return Failure(PLATFORM_UNREACHABLE, "no answer in time")
+            received = connection.exchanged_bytes
+            return Failure(
+                PLATFORM_UNREACHABLE, f"no answer in time, {received} bytes exchanged"
+            )
         if isinstance(response, ExchangeFailure):
             return Failure(PLATFORM_UNREACHABLE, response.value)
         self.pool.release(self.address, owner, connection)
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -25,6 +25,9 @@
 
 ALL_KEYS = ""
 """Prefix of both the configuration and the upstreams: one request reads both."""
+MAX_CHANGES_AGE_S = 2.0
+"""Age of the last read above which the configuration is read by its key (seconds): the
+changes since then may hold several versions of it, each in full."""
 OUTAGE_THRESHOLD_S = 2.5
 """Age of the published state from which a store outage is assumed (seconds): within
 this time any VM that can reach the store reads the state and shares it."""
@@ -76,6 +79,7 @@
     """Whether the last poll succeeded."""
     failure_count: int = 0
     """Number of failed polls since the start."""
+    _read_s: float = float("-inf")
     _hold_until_s: float = 0.0
     _relist_after_s: float = float("inf")
     _held_deletions: dict[str, UpstreamEntry] = attrs.field(factory=dict)
@@ -97,6 +101,7 @@
             )
             self.is_connected = False
             return False
+        self._read_s = now_s
         if not self.is_connected:
             logger.info("store: reachable again, revision {}", self.revision)
             self.is_connected = True
@@ -107,13 +112,29 @@
             self._held_deletions.clear()
         return True
 
+    async def read_configuration(self) -> Failure | None:
+        """Read the configuration alone and pass it to the sink."""
+        item = await self.client.read_item(CONFIGURATION_KEY)
+        if isinstance(item, Failure):
+            return item
+        self._update_configuration(item)
+        return None
+
     async def _read_changes(self) -> Failure | None:
-        page = await self.client.list_changes(ALL_KEYS, self.revision)
+        age_s = asyncio.get_running_loop().time() - self._read_s
+        is_recent = age_s <= MAX_CHANGES_AGE_S
+        prefix = ALL_KEYS if is_recent else UPSTREAM_KEY_PREFIX
+        page = await self.client.list_changes(prefix, self.revision)
         if page is None:
             logger.info("store: change history was dropped, listing all items")
             return await self._read_all()
         if isinstance(page, Failure):
             return page
+        if not is_recent:
+            # Read after the changes, so that it is no older than their revision.
+            failure = await self.read_configuration()
+            if failure is not None:
+                return failure
         self._check_outage()
         entries = self._process_items(page.events)
         self.revision = max(self.revision, page.store_revision)
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -31,6 +31,10 @@
 """Prefix of the keys under which upstreams register."""
 CONFIGURATION_KEY = "op/config"
 """Key of the published configuration."""
+ITEM_PATH = "/-/kv-key"
+"""Path that returns one item."""
+KEY_PARAMETER = "key"
+"""Query parameter: key of the item."""
 LIST_PATH = "/-/kv-range"
 """Path that returns a page of items."""
 CHANGES_PATH = "/-/kv-watch"
@@ -143,10 +147,19 @@
 
 _upstream_decoder = msgspec.json.Decoder(_UpstreamDocument)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
+_item_decoder = msgspec.json.Decoder(Item)
 _items_decoder = msgspec.json.Decoder(ItemPage)
 _events_decoder = msgspec.json.Decoder(EventPage)
 
 
+def decode_item(body: bytes) -> Item | None:
+    """Decode an item; return ``None`` if it is malformed."""
+    try:
+        return _item_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
 def decode_items(body: bytes) -> ItemPage | None:
     """Decode a page of items; return ``None`` if it is malformed."""
     try:
@@ -277,8 +290,8 @@
     return Item(key, revision, base64.b64encode(value).decode())
 
 
-def encode_page(page: ItemPage | EventPage) -> bytes:
-    """Encode a page of items or of changes."""
+def encode_page(page: Item | ItemPage | EventPage) -> bytes:
+    """Encode an item, a page of items or a page of changes."""
     return msgspec.json.encode(page)
 
 
--- a/src/gentianfold/standins/store.py
+++ b/src/gentianfold/standins/store.py
@@ -21,6 +21,8 @@
 
 PAGE_SIZE = 50
 """Items on a page (count); small, so that tests need few items to cover paging."""
+PIECE_INTERVAL_S = 0.02
+"""Time between two pieces of a response that is sent at a limited rate (seconds)."""
 
 
 @attrs.define(eq=False)
@@ -33,6 +35,8 @@
     """Status of all responses; with any value but 200, every request is rejected."""
     is_unresponsive: bool = False
     """Whether requests get no response."""
+    bytes_per_s: float = 0.0
+    """Rate at which responses are sent (bytes per second); 0 for no limit."""
     request_counts: Counter[str] = attrs.field(factory=Counter)
     """Number of requests by path."""
     server: HttpServer = attrs.field(init=False)
@@ -86,6 +90,21 @@
         self._history.clear()
 
     async def _handle(self, request: ReceivedRequest) -> bytes:
+        response = await self._make_response(request)
+        if self.bytes_per_s:
+            return await self._send_slowly(request, response)
+        return response
+
+    async def _send_slowly(self, request: ReceivedRequest, response: bytes) -> bytes:
+        """Send a response in pieces; return the last one, which is still to be sent."""
+        size = max(int(self.bytes_per_s * PIECE_INTERVAL_S), 1)
+        pieces = [response[at : at + size] for at in range(0, len(response), size)]
+        for piece in pieces[:-1]:
+            request.transport.write(piece)
+            await anyio.sleep(PIECE_INTERVAL_S)
+        return pieces[-1]
+
+    async def _make_response(self, request: ReceivedRequest) -> bytes:
         url = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.request_counts[url.path] += 1
@@ -93,6 +112,10 @@
             await anyio.sleep_forever()
         if self.status != 200:
             return format_response(self.status, [], b"{}")
+        if url.path == wire.ITEM_PATH:
+            item = self._items.get(query.get(wire.KEY_PARAMETER, ""))
+            if item is not None:
+                return format_response(200, [], wire.encode_page(item))
         if url.path == wire.LIST_PATH:
             return format_response(200, [], self._list_items(query))
         if url.path == wire.CHANGES_PATH:
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -127,12 +127,18 @@
             self.node.apply_upstreams(self._now_s())
 
     def update_configuration(
-        self, document: bytes, configuration: Configuration
+        self, document: bytes, configuration: Configuration, compressed: bytes = b""
     ) -> None:
-        """Apply a configuration if its version is newer than the current one."""
+        """Apply a configuration if its version is newer than the current one.
+
+        Args:
+            document: The configuration as published.
+            configuration: The decoded configuration.
+            compressed: The document compressed for other VMs; empty if it is not.
+        """
         if self.node.view.routing.update_configuration(configuration):
             self.node.view.configuration_document = document
-            self.node.view.compressed_document = b""
+            self.node.view.compressed_document = compressed
             self.node.apply_configuration()
 
     def _now_s(self) -> float:
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -206,3 +206,14 @@
     assert plan.source_for("a", members, 1.0) == "broker"
     assert plan.source_for("b", members, 1.0) == ""
     assert plan.source_for("b", members, 1.1 + ASSIGNMENT_TIMEOUT_S) == "broker"
+
+
+def test_a_member_gets_another_source_after_a_transfer_times_out():
+    # Guards against a frozen source that a member is assigned again and again.
+    members = {name: make_member(configuration_version=7) for name in "ab"}
+    members["c"] = make_member()
+    plan = RelayPlan("broker")
+    plan.start_version(7)
+    assert plan.source_for("c", members, 1.0) == "a"
+    assert plan.source_for("c", members, 1.1 + ASSIGNMENT_TIMEOUT_S) == "b"
+    assert plan.source_for("c", members, 1.2 + 2 * ASSIGNMENT_TIMEOUT_S) == "a"
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -10,8 +10,9 @@
 
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.connection_pool import ConnectionPool
+from gentianfold.forwarding.document_request import TransferTimeouts
 from gentianfold.model import Upstream, UpstreamState
-from gentianfold.platform import store_synchronizer, wire
+from gentianfold.platform import store_client, store_synchronizer, wire
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
 from gentianfold.standins.site import make_configuration
@@ -114,7 +115,8 @@
 
 
 async def test_store_errors_and_timeouts_keep_the_upstreams(store_setup, monkeypatch):
-    monkeypatch.setattr("gentianfold.platform.store_client.CHANGES_TIMEOUT_S", 0.1)
+    timeouts = TransferTimeouts(response_s=0.1, progress_s=0.1, total_s=0.1)
+    monkeypatch.setattr(store_client, "CHANGES_TIMEOUTS", timeouts)
     store, sink, synchronizer = store_setup
     store.put_upstream(make_upstream("u1"))
     await synchronizer.poll()
@@ -158,3 +160,42 @@
     store.delete_upstream("u1")
     await synchronizer.poll()
     assert sink.upstreams.names() == set()
+
+
+async def test_a_configuration_that_takes_long_to_transfer_is_read(store_setup):
+    # Guards against a timeout of the whole read, which a narrow link always exceeded.
+    store, sink, synchronizer = store_setup
+    await synchronizer.poll()
+    store.put_configuration(make_configuration(8))
+    store.bytes_per_s = 1000
+    assert await synchronizer.poll()
+    assert sink.versions == [8]
+
+
+async def test_a_store_that_stops_sending_fails_the_read(store_setup, monkeypatch):
+    store, sink, synchronizer = store_setup
+    timeouts = TransferTimeouts(response_s=5.0, progress_s=0.1, total_s=5.0)
+    monkeypatch.setattr(store_client, "CHANGES_TIMEOUTS", timeouts)
+    monkeypatch.setattr("gentianfold.standins.store.PIECE_INTERVAL_S", 60.0)
+    await synchronizer.poll()
+    store.put_configuration(make_configuration(8))
+    store.bytes_per_s = 1
+    assert not await synchronizer.poll()
+    store.bytes_per_s = 0
+    assert await synchronizer.poll()
+    assert sink.versions == [8]
+
+
+async def test_only_the_newest_configuration_is_read_after_a_gap(
+    store_setup, monkeypatch
+):
+    # Guards against reading every version since the last poll, each in full.
+    monkeypatch.setattr(store_synchronizer, "MAX_CHANGES_AGE_S", -1.0, raising=False)
+    store, sink, synchronizer = store_setup
+    store.put_configuration(make_configuration(1))
+    await synchronizer.poll()
+    for version in range(2, 6):
+        store.put_configuration(make_configuration(version))
+    store.put_upstream(make_upstream("u1"))
+    assert await synchronizer.poll()
+    assert sink.versions == [1, 5] and sink.upstreams.names() == {"u1"}
--- a/tests/vm/test_fleet.py
+++ b/tests/vm/test_fleet.py
@@ -4,10 +4,13 @@
 
 import os
 
+import anyio
 import pytest
 from conftest import open_site, request_bytes, send_request, wait_until
 
+from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.standins.site import make_configuration
+from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
 
 pytestmark = pytest.mark.anyio
 
@@ -54,6 +57,40 @@
         assert polls <= 2 + 10 * len(site.vms)
 
 
+@pytest.mark.parametrize("source", ["none", "outdated"])
+async def test_a_vm_reads_the_store_if_no_other_vm_provides_the_configuration(
+    monkeypatch, source
+):
+    # Guards against a member that waits for a source while its broker is reachable.
+    def source_for(_, vm, members, now_s):
+        others = (name for name in members if name != vm)
+        return next(others, "") if source == "outdated" else ""
+
+    monkeypatch.setattr(RelayPlan, "source_for", source_for)
+    async with open_site(vms=3) as site:
+        members = site.vms[1:]
+        await wait_until(lambda: all(vm.is_member for vm in members))
+        site.store.put_configuration(make_configuration(version=5))
+        for vm in members:
+            await wait_until(lambda vm=vm: vm.view.configuration_version == 5)
+            assert vm.is_member
+
+
+async def sleep_forever(_):
+    await anyio.sleep_forever()
+
+
+async def test_a_vm_fetches_from_the_broker_if_its_source_is_unreachable(monkeypatch):
+    # Guards against a frozen source that a member tries until the broker replaces it.
+    monkeypatch.setattr(RelayPlan, "source_for", lambda *_: "127.0.0.99")
+    monkeypatch.setattr(ConfigurationFetcher, "_read_store", sleep_forever)
+    async with open_site(vms=2) as site:
+        member = site.vms[1]
+        await wait_until(lambda: member.is_member)
+        site.store.put_configuration(make_configuration(version=5))
+        await wait_until(lambda: member.view.configuration_version == 5)
+
+
 async def test_changed_settings_are_reloaded_without_a_signal(tmp_path):
     async with open_site() as site:
         vm = site.vms[0]
