Keep requests to the rate that an upstream states

A server in need names in its answers the requests a second that it takes from all VMs together; nothing read it.

Cause: capacity was taken from slots alone. Class: a limit that holds over the fleet and is known to one VM only.

The limit goes with the release of the slot to the broker, which grants slots of the upstream from a token bucket at that rate. Each VM repeats the limits it was told in the last 10 s in its heartbeats, so a lost datagram, a new broker or a restarted one is made up for within one interval. A VM without a broker uses a token only if it wins a draw with the probability of its share of the fleet: saved tokens of many VMs would add up to a burst. The limit ends with an answer that lacks it, to a request granted after the limit was last stated; a restart under the same name starts without one. A limited upstream counts as capacity at its rate in working sets and expected waits, and is not suspect for it; requests beyond go elsewhere, else are refused with the expected wait. Values that are no decimal number state nothing and are logged; of several the lowest counts; below 0.25 a second one request in four seconds still asks.

Sustained load stays at the stated rate; only a quarter of a second of it may come at once.

Tests: test_an_upstream_gets_no_more_requests_than_it_states fails on the code before (only names of the header added).

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -142,6 +142,7 @@
             elapsed_s,
             now_s,
             release.transferred_bytes,
+            release.rate_limit_per_s,
         )
 
     def handle_heartbeat(self, vm: str, heartbeat: Heartbeat, now_s: float) -> None:
@@ -163,6 +164,9 @@
                 "fleet: VM {} joined, {} members", vm, len(self.member_table.members)
             )
         self._reconcile(vm, heartbeat, now_s)
+        for name, rate_per_s, age_ms in heartbeat.rate_limits:
+            stated_s = now_s - age_ms / 1000
+            self.scheduler.record_rate_limit(name, rate_per_s, stated_s, now_s)
         self._update_relay_plan()
         self.transport.send(vm, self._make_heartbeat_reply(vm, now_s))
         self._send_changes_after(vm, heartbeat.upstreams_revision)
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -76,6 +76,9 @@
     elapsed_ms: int
     transferred_bytes: int = 0
     """Size of the request and its response; 0 if it is not known."""
+    rate_limit_per_s: float | None = None
+    """Rate limit that the answer states; infinite if it states none, ``None`` if there
+    is no answer."""
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -96,6 +99,8 @@
     """Revision up to which the VM knows all upstream changes."""
     held_slots: tuple[tuple[int, str, str, str], ...]
     """Identifier, upstream, route and customer of each slot held by the VM."""
+    rate_limits: tuple[tuple[str, float, int], ...] = ()
+    """Upstream, rate limit and milliseconds since it was stated, newest first."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -26,13 +26,17 @@
     UpstreamChanges,
     to_acquire_slot,
 )
-from gentianfold.fleet.pending_request import PendingRequest, PlacementDecision
+from gentianfold.fleet.pending_request import (
+    PendingRequest,
+    PlacementDecision,
+    to_decision,
+)
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.rate_limit_report import report_rate_limits
 from gentianfold.placement.slot_request import (
     Granted,
-    GrantReason,
     RefusalReason,
     Refused,
     SlotRequest,
@@ -121,15 +125,22 @@
         outcome: Outcome,
         elapsed_s: float,
         transferred_bytes: int = 0,
+        rate_limit_per_s: float | None = None,
     ) -> None:
         """Free the slot and report the outcome of the attempt."""
         now_s = self._now_s()
         slot_request_id = placement.slot_request_id
         key = (self.vm, slot_request_id)
-        self.scheduler.release(key, outcome, elapsed_s, now_s, transferred_bytes)
+        self.scheduler.release(
+            key, outcome, elapsed_s, now_s, transferred_bytes, rate_limit_per_s
+        )
         broker = self._granted_by.pop(slot_request_id, "")
         message = ReleaseSlot(
-            slot_request_id, outcome, int(elapsed_s * 1000), transferred_bytes
+            slot_request_id,
+            outcome,
+            int(elapsed_s * 1000),
+            transferred_bytes,
+            rate_limit_per_s,
         )
         if self.membership.role is Role.MEMBER and self.membership.broker:
             # A broker that does not know the slot ignores the message.
@@ -301,23 +312,8 @@
                 self.transport.send(vm, release)
             return
         pending.acknowledged = True
-        if isinstance(message, SlotGranted):
-            pending.decided.set_result(
-                Placement(
-                    message.slot_request_id,
-                    message.upstream,
-                    message.host,
-                    message.port,
-                    message.expected_ms / 1000,
-                    GrantReason(message.reason),
-                    vm,
-                )
-            )
-        elif isinstance(message, SlotRefused):
-            retry_after_s = message.retry_after_ms / 1000
-            reason = RefusalReason(message.reason)
-            refused = Refused(reason, retry_after_s, message.ahead)
-            pending.decided.set_result(refused)
+        if not isinstance(message, SlotQueued):
+            pending.decided.set_result(to_decision(message, vm))
 
     def _handle_heartbeat(self, vm: str, heartbeat: Heartbeat, now_s: float) -> None:
         membership = self.membership
@@ -493,6 +489,7 @@
             self.view.store_age_ms(now_s),
             self.view.upstreams.revision,
             tuple(self.scheduler.held_slots(self.vm)),
+            tuple(report_rate_limits(self.scheduler.trackers(), now_s)),
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -27,17 +27,17 @@
 
     def log_placement(self, scheduler: SlotScheduler, now_s: float) -> None:
         """Log state changes of upstreams and the load of services with a queue."""
-        while scheduler.state_changes:
-            change = scheduler.state_changes.popleft()
+        for change in scheduler.state_changes.take_all():
             logger.info(
                 "upstream: {} is {}, cause={} slowness={:.1f} recent_failures={:.1f}"
-                " proof_age_ms={:.0f}",
+                " proof_age_ms={:.0f} rate_limit={:g}",
                 change.upstream,
                 change.state,
                 change.cause,
                 change.slowness,
                 change.recent_failures,
                 min(change.last_accepted_age_s, 1e6) * 1000,
+                change.rate_limit_per_s,
             )
         if now_s - self._queues_logged_s < QUEUE_LOG_INTERVAL_S:
             return
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -17,8 +17,10 @@
     connection_options,
     encode_request,
 )
+from gentianfold.forwarding.rate_limit_header import parse_limit
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
 from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.slot_request import RefusalReason, Refused, SlotRequest
 
 if TYPE_CHECKING:
@@ -81,6 +83,9 @@
     """The refusal; ``None`` unless the attempt got no slot in time."""
     detail: str = ""
     """Cause of a failure, for the log and the error response; empty if there is none."""
+    rate_limit_per_s: float | None = None
+    """Rate limit that the upstream's answer states (requests per second); infinite if it
+    states none, ``None`` without an answer."""
 
     @property
     def severity(self) -> int:
@@ -185,14 +190,19 @@
         finally:
             elapsed_s = forwarder.now_s() - started_at_s
             forwarder.placer.release(
-                placement, result.outcome, elapsed_s, self._exchanged_bytes
+                placement,
+                result.outcome,
+                elapsed_s,
+                self._exchanged_bytes,
+                result.rate_limit_per_s,
             )
             forwarder.count_exchange(placement.upstream, self._exchanged_bytes)
             self.record.attempts.append(
                 f"{placement.upstream} by={placement.granted_by}"
                 f" reason={placement.reason.name.lower()}"
                 f" outcome={result.outcome.name.lower()}"
-                f" ms={elapsed_s * 1000:.0f} {result.detail}".rstrip()
+                f" ms={elapsed_s * 1000:.0f}{_format_limit(result)}"
+                f" {result.detail}".rstrip()
             )
         return result
 
@@ -224,7 +234,14 @@
         if isinstance(exchange, ExchangeFailure):
             return AttemptResult(Outcome.FAILED, detail=exchange.value)
         self.forwarder.pool.release(address, placement.upstream, connection)
-        return self._classify(exchange)
+        result = self._classify(exchange)
+        if result.outcome is Outcome.MISDIRECTED:
+            return result
+        limit = parse_limit(exchange, self.forwarder.header_names.rate_limit)
+        if limit == UNLIMITED and result.outcome is not Outcome.SUCCEEDED:
+            # An error response need not come from the part that states the limit.
+            limit = None
+        return attrs.evolve(result, rate_limit_per_s=limit)
 
     async def _connect(self, placement: Placement) -> UpstreamConnection | None:
         """Return a connection, or ``None`` if none can be opened.
@@ -294,3 +311,10 @@
 
 NO_TIME_LEFT = Refused(RefusalReason.NO_ROOM, 0.2)
 """Refusal of an attempt that got slot and connection too late to send the request."""
+
+
+def _format_limit(result: AttemptResult) -> str:
+    """Return the stated rate limit for the log; empty if there is none."""
+    if result.rate_limit_per_s in (None, UNLIMITED):
+        return ""
+    return f" rate_limit={result.rate_limit_per_s:g}"
--- a/src/gentianfold/forwarding/header_names.py
+++ b/src/gentianfold/forwarding/header_names.py
@@ -24,6 +24,9 @@
     """Present on a response that the upstream itself produced."""
     not_run: bytes = b"gentianfold-not-run"
     """Present on a response if the upstream did not run the request."""
+    rate_limit: bytes = b"gentianfold-rate-limit"
+    """Requests per second that the upstream takes from all VMs together; absent from
+    responses of an upstream without a limit."""
     key_scheme: bytes = b"bearer"
     """``Authorization`` scheme that carries an API key, in lower case."""
 
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -55,6 +55,7 @@
         outcome: Outcome,
         elapsed_s: float,
         transferred_bytes: int = 0,
+        rate_limit_per_s: float | None = None,
     ) -> None:
         """Free a slot and report the outcome of its attempt.
 
@@ -64,5 +65,7 @@
             elapsed_s: Time since the slot was granted (seconds).
             transferred_bytes: Size of the request and its response (bytes); 0 if it is
                 not known.
+            rate_limit_per_s: Rate limit that the answer states (requests per second);
+                infinite if it states none, ``None`` if there is no answer.
         """
         ...
--- a/src/gentianfold/placement/log_entries.py
+++ b/src/gentianfold/placement/log_entries.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
+MAX_STATE_CHANGES = 500
+"""State changes kept for the log (count): more than a fleet has between two ticks."""
+
 
 @attrs.frozen
 class ServiceLoad:
@@ -62,13 +66,46 @@
     upstream: str
     """Name of the upstream."""
     state: str
-    """``suspect``, ``well``, ``slow`` or ``no longer slow``."""
+    """``suspect``, ``well``, ``slow``, ``no longer slow``, ``rate limited`` or ``not rate
+    limited``."""
     cause: str
     """Outcome in lower case; ``taken`` for a running request that counts as accepted;
-    ``time`` for a change of slowness."""
+    ``time`` for a change of slowness; ``answer`` or ``heartbeat`` for a rate limit."""
     slowness: float
     """Elapsed time of its requests as a multiple of the usual time."""
     recent_failures: float
     """Exponentially decayed number of its failures."""
     last_accepted_age_s: float
     """Time since the last accepted request was sent (seconds)."""
+    rate_limit_per_s: float
+    """Rate limit that it states (requests per second); infinite for none."""
+
+
+@attrs.define
+class StateChangeQueue:
+    """State changes that are not logged yet; the oldest are dropped beyond the limit."""
+
+    _changes: deque[StateChange] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_STATE_CHANGES)
+    )
+
+    def record(
+        self, tracker: UpstreamTracker, state: str, cause: str, now_s: float
+    ) -> None:
+        """Add a state change of an upstream."""
+        self._changes.append(
+            StateChange(
+                tracker.upstream.name,
+                state,
+                cause,
+                tracker.slowness(now_s),
+                tracker.recent_failures(now_s),
+                now_s - tracker.last_accepted_s,
+                tracker.rate_limiter.rate_per_s,
+            )
+        )
+
+    def take_all(self) -> Iterator[StateChange]:
+        """Remove and yield the state changes, oldest first."""
+        while self._changes:
+            yield self._changes.popleft()
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -10,11 +9,17 @@
 from gentianfold.model import Upstream, UpstreamState
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.elapsed_table import ElapsedTable
-from gentianfold.placement.log_entries import ServiceLoad, StateChange, measure_load
+from gentianfold.placement.grant import QUICK_FAILURE_S, Grant, apply_outcome
+from gentianfold.placement.log_entries import (
+    ServiceLoad,
+    StateChangeQueue,
+    measure_load,
+)
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
 from gentianfold.placement.quota_table import QuotaTable
+from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.service_demand import ServiceDemand
 from gentianfold.placement.slot_request import (
@@ -33,19 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-SHED_PAUSE_S = 0.1
-"""How long an upstream counts as full after it shed a request (seconds): about one
-of its slots becomes free in that time."""
-MISDIRECTED_PAUSE_S = 5.0
-"""How long an upstream gets no requests after another upstream answered at its address
-(seconds): its stale entry expires within three heartbeats, 4.5 seconds."""
-QUICK_FAILURE_S = 0.13
-"""Time after which a running request counts as accepted (seconds): longer than a VM
-waits for a connection, and ten times what an upstream takes that fails at once."""
-OVERDUE_FACTOR = 3.0
-"""Multiple of the usual slot time above which a timeout counts as a failure."""
-OVERDUE_SLACK_S = 0.3
-"""Time added to that multiple (seconds), so that jitter fails no short request."""
 MIN_RETRY_AFTER_S = 0.1
 """Shortest retry delay in a refusal (seconds)."""
 NO_UPSTREAM_RETRY_S = 0.5
@@ -54,8 +46,6 @@
 MAX_RUNNING_FACTOR = 6.0
 """Multiple of the expected time up to which a running request counts towards the
 slowness of its upstream: some work takes that long by itself."""
-MAX_STATE_CHANGES = 500
-"""State changes kept for the log (count): more than a fleet has between two ticks."""
 
 SlotRequestKey: TypeAlias = tuple[str, int]
 """Address of the VM and identifier of the slot request, unique on that VM."""
@@ -63,19 +53,6 @@
 """Result of a request for a slot."""
 
 
-@attrs.define(eq=False)
-class _Grant:
-    """A slot held by an attempt."""
-
-    request: SlotRequest
-    tracker: UpstreamTracker
-    granted_at_s: float
-    is_trial: bool
-    """Whether the upstream was suspect when the slot was granted."""
-    is_accepted: bool = False
-    """Whether the request has run for ``QUICK_FAILURE_S`` without failing."""
-
-
 @attrs.define(eq=False)
 class SlotScheduler:
     """Schedules the requests of a whole fleet, or of one VM without a broker."""
@@ -90,13 +67,11 @@
     """Usual elapsed times by route and by service."""
     transfers: TransferTable = attrs.field(factory=TransferTable)
     """Usual sizes of requests with their responses, by route."""
-    state_changes: deque[StateChange] = attrs.field(
-        factory=lambda: deque(maxlen=MAX_STATE_CHANGES)
-    )
+    state_changes: StateChangeQueue = attrs.field(factory=StateChangeQueue)
     """State changes of upstreams that are not logged yet."""
     _trackers: dict[str, UpstreamTracker] = attrs.field(factory=dict)
     _trackers_by_service: dict[str, list[UpstreamTracker]] = attrs.field(factory=dict)
-    _grants: dict[SlotRequestKey, _Grant] = attrs.field(factory=dict)
+    _grants: dict[SlotRequestKey, Grant] = attrs.field(factory=dict)
     _queues: dict[str, dict[SlotRequestKey, QueueEntry]] = attrs.field(factory=dict)
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
@@ -176,6 +151,7 @@
         elapsed_s: float,
         now_s: float,
         transferred_bytes: int = 0,
+        rate_limit_per_s: float | None = None,
     ) -> None:
         """Free the slot and record the outcome, or remove the request from a queue.
 
@@ -186,6 +162,8 @@
             now_s: Current time (seconds).
             transferred_bytes: Size of the request and its response (bytes); 0 if it is
                 not known.
+            rate_limit_per_s: Rate limit that the answer states (requests per second);
+                infinite if it states none, ``None`` if there is no answer.
         """
         grant = self._grants.pop(key, None)
         if grant is None:
@@ -194,9 +172,54 @@
             return
         self._free_slot(grant)
         self._record_outcome(grant, outcome, elapsed_s, now_s)
+        limiter = grant.tracker.rate_limiter
+        if outcome is Outcome.CONNECT_FAILED:
+            limiter.refund_request()
+        if rate_limit_per_s == UNLIMITED:
+            was_limited = limiter.is_limited
+            limiter.record_no_limit(grant.granted_at_s)
+            if was_limited and not limiter.is_limited:
+                self.state_changes.record(
+                    grant.tracker, "not rate limited", "answer", now_s
+                )
+        elif rate_limit_per_s is not None:
+            self._record_rate_limit(
+                grant.tracker, rate_limit_per_s, now_s, now_s, "answer"
+            )
         if outcome is Outcome.SUCCEEDED and transferred_bytes:
             self.transfers.record(grant.request.route, transferred_bytes)
 
+    def record_rate_limit(
+        self, name: str, rate_per_s: float, stated_s: float, now_s: float
+    ) -> None:
+        """Record a rate limit that an upstream stated to another VM.
+
+        Args:
+            name: Name of the upstream; one that is not listed is ignored.
+            rate_per_s: The limit (requests per second).
+            stated_s: When it was stated (seconds); a statement from before the upstream
+                was listed is ignored, as it may be of an earlier start.
+            now_s: Current time (seconds).
+        """
+        tracker = self._trackers.get(name)
+        if tracker is not None and stated_s > tracker.listed_at_s:
+            self._record_rate_limit(tracker, rate_per_s, stated_s, now_s, "heartbeat")
+
+    def _record_rate_limit(
+        self,
+        tracker: UpstreamTracker,
+        rate_per_s: float,
+        stated_s: float,
+        now_s: float,
+        cause: str,
+    ) -> None:
+        limiter = tracker.rate_limiter
+        old_per_s = limiter.rate_per_s
+        limiter.share = self.quota.share
+        limiter.record_limit(rate_per_s, stated_s, now_s)
+        if limiter.rate_per_s != old_per_s:
+            self.state_changes.record(tracker, "rate limited", cause, now_s)
+
     def register_grant(
         self, request: SlotRequest, upstream_name: str, now_s: float
     ) -> None:
@@ -205,7 +228,7 @@
         tracker = self._trackers.get(upstream_name)
         if tracker is None or key in self._grants:
             return
-        self._hold_slot(key, _Grant(request, tracker, now_s, is_trial=False))
+        self._hold_slot(key, Grant(request, tracker, now_s, is_trial=False))
 
     def release_unlisted(
         self, vm: str, slot_request_ids: frozenset[int], granted_before_s: float
@@ -256,6 +279,7 @@
         """Update acceptance and slowness of upstreams from their running requests."""
         for tracker in self._trackers.values():
             tracker.running_s = 0.0
+            tracker.rate_limiter.share = self.quota.share
         for grant in self._grants.values():
             self._record_accepted(grant, now_s)
             expected_s = self._expected_s(grant.request)
@@ -266,12 +290,13 @@
         for tracker in self._trackers.values():
             if tracker.update_slow(now_s):
                 state = "slow" if tracker.is_slow else "no longer slow"
-                self._record_state_change(tracker, state, "time", now_s)
+                self.state_changes.record(tracker, state, "time", now_s)
         self._update_working_sets(now_s)
 
     def _update_working_sets(self, now_s: float) -> None:
         for service, trackers in self._trackers_by_service.items():
-            self._state(service).working_sets.update(trackers, now_s)
+            slot_time_s = self.elapsed.slot_time_s(service)
+            self._state(service).working_sets.update(trackers, slot_time_s, now_s)
 
     def _state(self, service: str) -> ServiceState:
         state = self._states.get(service)
@@ -287,7 +312,7 @@
             trackers = self._trackers_by_service.get(service, [])
             yield measure_load(service, len(queue), trackers, now_s)
 
-    def _record_accepted(self, grant: _Grant, now_s: float) -> None:
+    def _record_accepted(self, grant: Grant, now_s: float) -> None:
         """Count a request as accepted once it has run without failing quickly."""
         if grant.is_accepted or now_s - grant.granted_at_s < QUICK_FAILURE_S:
             return
@@ -298,7 +323,7 @@
             was_suspect = tracker.suspect_since_s is not None
             tracker.confirm_recovery()
             if was_suspect and tracker.suspect_since_s is None:
-                self._record_state_change(tracker, "well", "taken", now_s)
+                self.state_changes.record(tracker, "well", "taken", now_s)
 
     @property
     def waiting_count(self) -> int:
@@ -402,20 +427,21 @@
         is_trial = tracker.suspect_since_s is not None
         self._hold_slot(
             (request.vm, request.slot_request_id),
-            _Grant(request, tracker, now_s, is_trial),
+            Grant(request, tracker, now_s, is_trial),
         )
         return Granted(
             tracker.upstream, reason, self._expected_s(request), candidate_count
         )
 
-    def _hold_slot(self, key: SlotRequestKey, grant: _Grant) -> None:
+    def _hold_slot(self, key: SlotRequestKey, grant: Grant) -> None:
         self._grants[key] = grant
         grant.tracker.in_use += 1
+        grant.tracker.rate_limiter.count_request(grant.granted_at_s)
         grant.tracker.last_used_s = grant.granted_at_s
         grant.tracker.trials_in_use += grant.is_trial
         self._order.count_slot(grant.request, 1)
 
-    def _free_slot(self, grant: _Grant) -> None:
+    def _free_slot(self, grant: Grant) -> None:
         grant.tracker.in_use -= 1
         if not grant.tracker.in_use:
             grant.tracker.running_s = 0.0
@@ -423,62 +449,19 @@
         self._order.count_slot(grant.request, -1)
 
     def _record_outcome(
-        self, grant: _Grant, outcome: Outcome, elapsed_s: float, now_s: float
+        self, grant: Grant, outcome: Outcome, elapsed_s: float, now_s: float
     ) -> None:
         tracker = grant.tracker
         was_suspect = tracker.suspect_since_s is not None
-        self._apply_outcome(grant, outcome, elapsed_s, now_s)
+        demand = self._state(grant.request.service).demand
+        expected_s = self._expected_s(grant.request)
+        apply_outcome(
+            grant, outcome, elapsed_s, expected_s, now_s, demand, self.elapsed
+        )
         is_suspect = tracker.suspect_since_s is not None
         if was_suspect != is_suspect:
             state = "suspect" if is_suspect else "well"
-            self._record_state_change(tracker, state, outcome.name.lower(), now_s)
-
-    def _record_state_change(
-        self, tracker: UpstreamTracker, state: str, cause: str, now_s: float
-    ) -> None:
-        """Keep a state change of an upstream for the log."""
-        self.state_changes.append(
-            StateChange(
-                tracker.upstream.name,
-                state,
-                cause,
-                tracker.slowness(now_s),
-                tracker.recent_failures(now_s),
-                now_s - tracker.last_accepted_s,
-            )
-        )
-
-    def _apply_outcome(
-        self, grant: _Grant, outcome: Outcome, elapsed_s: float, now_s: float
-    ) -> None:
-        tracker, request = grant.tracker, grant.request
-        is_final = not request.idempotent or request.attempt > 1
-        if outcome is Outcome.CANCELLED or (outcome.is_failure and is_final):
-            self._state(request.service).demand.count_unserved(now_s)
-        if outcome is Outcome.SUCCEEDED:
-            tracker.record_success(
-                grant.granted_at_s, is_uncounted=not grant.is_accepted
-            )
-            tracker.record_elapsed(elapsed_s, self._expected_s(request), now_s)
-            self.elapsed.record(request.service, request.route, elapsed_s)
-        elif outcome is Outcome.FAILED:
-            tracker.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
-        elif outcome is Outcome.CANCELLED:
-            tracker.record_elapsed(elapsed_s, 0.0, now_s)
-        elif outcome is Outcome.TIMED_OUT:
-            tracker.record_elapsed(elapsed_s, 0.0, now_s)
-            usual_s = self.elapsed.slot_time_s(request.service)
-            is_long = elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S
-            if is_long and tracker.last_accepted_s <= grant.granted_at_s:
-                # A shorter timeout is due to the setting of the route, and an upstream
-                # that accepted later requests is not the cause.
-                tracker.record_failure(now_s, was_quick=False)
-        elif outcome is Outcome.SHED:
-            tracker.shed_until_s = now_s + SHED_PAUSE_S
-        elif outcome is Outcome.MISDIRECTED:
-            tracker.shed_until_s = now_s + MISDIRECTED_PAUSE_S
-        elif outcome is Outcome.CONNECT_FAILED:
-            tracker.record_connect_failure(request.vm, now_s)
+            self.state_changes.record(tracker, state, outcome.name.lower(), now_s)
 
     def _expected_s(self, request: SlotRequest) -> float:
         target_s = max(request.target_left_s, 0.1)
@@ -488,10 +471,15 @@
         self, trackers: list[UpstreamTracker], service: str, ahead: int
     ) -> float:
         """Return the estimated wait behind ``ahead`` requests (seconds)."""
+        slot_time_s = self.elapsed.slot_time_s(service)
         held = sum(
-            tracker.in_use for tracker in trackers if tracker.suspect_since_s is None
+            tracker.rate_limiter.capacity_slots(tracker.upstream.slots, slot_time_s)
+            if tracker.rate_limiter.is_limited
+            else tracker.in_use
+            for tracker in trackers
+            if tracker.suspect_since_s is None
         )
-        return (ahead + 1) * self.elapsed.slot_time_s(service) / max(held, 1)
+        return (ahead + 1) * slot_time_s / (held or 1)
 
     def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
         waited_s = now_s - entry.queued_at_s
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -7,6 +7,7 @@
 import attrs
 
 from gentianfold.model import Upstream
+from gentianfold.placement.rate_limiter import RateLimiter
 
 NEVER_S = -1e9
 """Time of an event that has not happened (seconds)."""
@@ -103,6 +104,8 @@
     """When it was first listed (seconds)."""
     in_working_set: bool = False
     """Whether it belongs to the working set of its zone."""
+    rate_limiter: RateLimiter = attrs.field(factory=RateLimiter)
+    """Keeps its requests to the rate that it states."""
 
     def is_blocked_for(self, vm: str, now_s: float) -> bool:
         """Tell whether a VM failed to connect within the last ``CONNECT_BLOCK_S``."""
@@ -116,7 +119,11 @@
 
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether the upstream would start a request at once."""
-        return self.in_use < self.upstream.slots and now_s >= self.shed_until_s
+        return (
+            self.in_use < self.upstream.slots
+            and now_s >= self.shed_until_s
+            and self.rate_limiter.allows_request(now_s)
+        )
 
     def recent_failures(self, now_s: float) -> float:
         """Return the exponentially decayed number of failures."""
--- a/src/gentianfold/placement/working_set.py
+++ b/src/gentianfold/placement/working_set.py
@@ -41,8 +41,16 @@
     _updated_s: float = 0.0
     _short_zones: frozenset[str] = frozenset()
 
-    def update(self, trackers: Iterable[UpstreamTracker], now_s: float) -> None:
-        """Mark the members among the upstreams that accept new requests."""
+    def update(
+        self, trackers: Iterable[UpstreamTracker], slot_time_s: float, now_s: float
+    ) -> None:
+        """Mark the members among the upstreams that accept new requests.
+
+        Args:
+            trackers: Upstreams of the service that accept new requests.
+            slot_time_s: Usual time for which a request holds a slot (seconds).
+            now_s: Current time (seconds).
+        """
         by_zone = defaultdict(list)
         for tracker in trackers:
             by_zone[tracker.upstream.zone].append(tracker)
@@ -54,7 +62,7 @@
             in_use = sum(tracker.in_use for tracker in in_zone)
             decayed = self._slots_used.get(zone, 0.0) * decay
             slots_used[zone] = max(float(in_use), decayed)
-            healthy_slots = _mark_members(in_zone, slots_used[zone], now_s)
+            healthy_slots = _mark_members(in_zone, slots_used[zone], slot_time_s, now_s)
             if healthy_slots < (1 + MIN_FREE_SHARE) * in_use + MIN_FREE_SLOTS:
                 short_zones.add(zone)
         self._slots_used = slots_used
@@ -66,31 +74,38 @@
 
 
 def _mark_members(
-    trackers: list[UpstreamTracker], slots_used: float, now_s: float
-) -> int:
+    trackers: list[UpstreamTracker],
+    slots_used: float,
+    slot_time_s: float,
+    now_s: float,
+) -> float:
     """Mark the members of a zone's working set.
 
     Args:
         trackers: Upstreams of the zone that accept new requests.
         slots_used: Slots that the load of the zone uses (count).
+        slot_time_s: Usual time for which a request holds a slot (seconds).
         now_s: Current time (seconds).
 
     Returns:
-        Slots of the zone's healthy upstreams (count).
+        Slots of the zone's healthy upstreams that can be in use (count).
     """
     needed = HEADROOM * slots_used + SPARE_SLOTS
     healthy = [tracker for tracker in trackers if tracker.suspect_since_s is None]
     healthy.sort(
         key=lambda tracker: (
             tracker.is_slow,
+            tracker.rate_limiter.is_limited,
             tracker.recent_failures(now_s) >= 1,
             -tracker.last_accepted_s,
         )
     )
     for tracker in trackers:
         tracker.in_working_set = False
-    slots = 0
+    slots = 0.0
     for tracker in healthy:
         tracker.in_working_set = slots < needed
-        slots += tracker.upstream.slots
+        slots += tracker.rate_limiter.capacity_slots(
+            tracker.upstream.slots, slot_time_s
+        )
     return slots
--- a/src/gentianfold/platform/headers.py
+++ b/src/gentianfold/platform/headers.py
@@ -12,6 +12,7 @@
     upstream=b"target-instance",
     seal=b"response-seal",
     not_run=b"not-executed",
+    rate_limit=b"server-limit",
     key_scheme=b"token",
 )
 """Header names that callers and upstreams on the platform use."""
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -68,6 +68,8 @@
     fault_probability: float = 1.0
     """Probability that ``behaviour`` applies to a request, 0 to 1; otherwise the request
     is handled normally."""
+    rate_limit: bytes = b""
+    """Requests per second stated in each response; empty to state no limit."""
     execution_counts: Counter[bytes] = attrs.field(factory=Counter)
     """Number of runs by request identifier."""
     received_requests: list[ReceivedRequest] = attrs.field(factory=list)
@@ -103,6 +105,8 @@
         self.received_requests.append(request)
         request_id = request.headers.get(HEADERS.request_id, b"")
         headers: Headers = [(HEADERS.request_id, request_id)]
+        if self.rate_limit:
+            headers.append((HEADERS.rate_limit, self.rate_limit))
         if request.headers.get(HEADERS.upstream, b"") != self.name.encode():
             return format_response(421, headers, b"")
         behaviour = self.behaviour
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -31,6 +31,11 @@
             "in_use": tracker.in_use,
             "is_suspect": tracker.suspect_since_s is not None,
             "slowness": round(tracker.slowness(now_s), 2),
+            "rate_limit_per_s": (
+                tracker.rate_limiter.rate_per_s
+                if tracker.rate_limiter.is_limited
+                else None
+            ),
         }
         for tracker in node.scheduler.trackers()
     ]
@@ -68,6 +73,9 @@
         "upstreams_suspect": sum(
             tracker.suspect_since_s is not None for tracker in trackers
         ),
+        "upstreams_rate_limited": sum(
+            tracker.rate_limiter.is_limited for tracker in trackers
+        ),
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
         "configuration_announced_version": node.announced.version,
--- a/tests/placement/model.py
+++ b/tests/placement/model.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -68,6 +69,8 @@
     fails: object
     """Function of an upstream's name and the time (seconds) that tells whether the
     upstream fails a request granted then, after 2 ms."""
+    rate_limits_per_s: dict = attrs.field(factory=dict)
+    """Rate limit that each upstream states (requests per second), by name."""
     work_s: float = 0.2
     """Elapsed time of a request that succeeds (seconds)."""
     now_s: float = 10.0
@@ -87,6 +90,7 @@
     _events: list = attrs.field(factory=list)
     _slot_request_ids: object = attrs.field(factory=lambda: itertools.count(1))
     _sent: dict = attrs.field(factory=dict)
+    _placed_on: dict = attrs.field(factory=dict)
 
     def send(self, **changes):
         """Send one request, with ``changes`` to the defaults of ``make_request``."""
@@ -135,6 +139,7 @@
         if not isinstance(decision, Granted):
             return
         self.grants.append((self.now_s, decision.upstream.name, decision.reason))
+        self._placed_on[request.slot_request_id] = decision.upstream.name
         fails = self.fails(decision.upstream.name, self.now_s)
         outcome = Outcome.FAILED if fails else Outcome.SUCCEEDED
         elapsed_s = 0.002 if fails else self.work_s
@@ -143,8 +148,13 @@
 
     def _end_attempt(self, slot_request_id, outcome, elapsed_s):
         request, sent_s = self._sent[slot_request_id]
+        name = self._placed_on[slot_request_id]
         self.scheduler.release(
-            (request.vm, slot_request_id), outcome, elapsed_s, self.now_s
+            (request.vm, slot_request_id),
+            outcome,
+            elapsed_s,
+            self.now_s,
+            rate_limit_per_s=self.rate_limits_per_s.get(name, math.inf),
         )
         if outcome is Outcome.SUCCEEDED:
             self.served += 1
--- a/tests/vm/test_fleet.py
+++ b/tests/vm/test_fleet.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import json
 import os
 
 import anyio
 import pytest
-from conftest import open_site, request_bytes, send_request, wait_until
+from conftest import (
+    open_site,
+    read_response,
+    request_bytes,
+    send_request,
+    wait_until,
+)
 
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.standins.site import make_configuration
@@ -122,3 +129,34 @@
         assert vm.view.routing.upstreams_current_at_s < before_s
         await wait_until(lambda: vm.view.routing.upstreams_current_at_s > before_s)
         assert (await send_request(vm, request_bytes()))[0] == 200
+
+
+async def test_a_new_broker_keeps_the_rate_limits_of_upstreams():
+    # Guards against a limit that only the broker knew and that was lost with it.
+    async with open_site(upstreams=1, vms=4) as site:
+        broker, *others = site.vms
+        await wait_until(lambda: all(vm.is_member for vm in others))
+        site.upstreams["u1"].rate_limit = b"0.5"
+        await send_request(others[0], request_bytes())
+        assert await read_rate_limits(others[0]) == [0.5]
+        await wait_for_rate_limits(broker, [0.5])
+        broker.stop_requested.set()
+        await wait_until(lambda: sum(vm.is_broker for vm in others) == 1)
+        (successor,) = [vm for vm in others if vm.is_broker]
+        await wait_for_rate_limits(successor, [0.5])
+
+
+async def read_rate_limits(vm):
+    """Return the rate limits of upstreams in the status of a VM."""
+    endpoint = vm.settings.operators
+    async with await anyio.connect_tcp(endpoint.host, endpoint.port) as stream:
+        await stream.send(b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
+        _, _, body, _ = await read_response(stream)
+    rates = (row["rate_limit_per_s"] for row in json.loads(body)["upstreams"])
+    return [rate for rate in rates if rate is not None]
+
+
+async def wait_for_rate_limits(vm, expected):
+    with anyio.fail_after(30):
+        while await read_rate_limits(vm) != expected:
+            await anyio.sleep(0.05)
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -213,6 +213,19 @@
         assert all(float(response[1]["retry-after"]) > 0 for response in refused)
 
 
+async def test_an_upstream_gets_no_more_requests_than_it_states():
+    # Guards against a limit in an answer that is passed on and not obeyed.
+    async with open_site(upstreams=2, vms=2) as site:
+        limited = site.upstreams["u1"]
+        limited.rate_limit = b"0.25"
+        for number in range(200):
+            await send_request(site.vms[number % 2], request_bytes(f"r{number}"))
+        # One token in four seconds; the bound for a longer run is tested without I/O.
+        assert len(limited.received_requests) <= 20
+        other = site.upstreams["u2"]
+        assert len(other.received_requests) >= 180
+
+
 async def test_a_removed_key_is_rejected_and_an_older_version_is_ignored():
     async with open_site(vms=2) as site:
         assert (await send_request(site.vms[1], request_bytes()))[0] == 200
