Allow the handshake of a fetch to take longer

Change: 0.4 s for the handshake of a fetch, as for the store. Ruled out: a broker whose listener is full (its other fetches took 15 to 62 ms in the same second).

--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -27,6 +27,9 @@
 
 FETCH_TIMEOUTS = TransferTimeouts(response_s=0.9, progress_s=0.5, total_s=4.0)
 """Timeouts of a fetch from another VM, which may have to compress the document first."""
+FETCH_CONNECT_TIMEOUT_S = 0.4
+"""Timeout for connecting to another VM (seconds): a read of the store that fills the
+link of this VM delays the packets of the handshake."""
 FETCH_RETRY_S = 0.1
 """Time between a failed fetch and the next one (seconds)."""
 STORE_DELAY_S = 0.5
@@ -144,7 +147,9 @@
         """Fetch the configuration from a VM and apply it."""
         started_s = anyio.current_time()
         address = (source, self.port)
-        connection = await self.pool.acquire(address, "vm")
+        connection = await self.pool.acquire(
+            address, "vm", connect_timeout_s=FETCH_CONNECT_TIMEOUT_S
+        )
         if connection is None:
             self._log_fetch(source, "no connection", started_s)
             return
