Back off reads of the store; share the source of draws between limiters

Found by reading the change: a VM that can't obtain a version read the store every 0.2 s for as long as that lasts; the delay now doubles up to 0.8 s. Each limiter had a random generator of its own, 2.5 KB for each of 5,700 upstreams on every VM.

Ruled out: the same backoff between fetches from VMs, as a newly assigned source would be noticed late. make check and the tests of vm/test_fleet, placement, platform and fleet passed.

--- a/src/gentianfold/placement/rate_limiter.py
+++ b/src/gentianfold/placement/rate_limiter.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -33,8 +34,8 @@
     """When the rate was last stated (seconds)."""
     share: float = 1.0
     """Fraction of the fleet that this scheduler serves, above 0 to 1."""
-    random: random.Random = attrs.field(factory=random.Random)
-    """Source of the draws."""
+    draw: Callable[[], float] = random.random
+    """Returns a random number from 0 to below 1."""
     _unlimited_s: float = -math.inf
     _tokens: float = 0.0
     _updated_s: float = 0.0
@@ -119,6 +120,6 @@
         if self.share >= 1:
             return True
         if now_s >= self._next_draw_s:
-            self._has_won = self.random.random() < self.share
+            self._has_won = self.draw() < self.share
             self._next_draw_s = now_s + 1 / self._effective_rate_per_s
         return self._has_won
--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -39,7 +39,10 @@
 """Upper bound of the random time added to ``STORE_DELAY_S`` (seconds), so that VMs
 without a source do not all read the store at the same time."""
 STORE_RETRY_S = 0.2
-"""Time between a failed read of the store and the next one (seconds)."""
+"""Time between the first failed read of the store and the next one (seconds); doubles
+with each failure."""
+MAX_STORE_RETRY_S = 0.8
+"""Upper bound of that time (seconds)."""
 CHECK_INTERVAL_S = 0.05
 """Time between two checks whether the announced version is in force (seconds)."""
 MAX_DOCUMENT_BYTES = 16 << 20
@@ -129,19 +132,19 @@
             if source not in ("", self.node.vm):
                 failed = source
                 await self._fetch(source)
-            if self._is_pending():
-                await anyio.sleep(FETCH_RETRY_S)
+            await anyio.sleep(FETCH_RETRY_S)
 
     async def _read_store(self) -> None:
         """Read the configuration from the store if the fetches take long."""
         await anyio.sleep(STORE_DELAY_S + random.random() * STORE_JITTER_S)
+        retry_s = STORE_RETRY_S
         while self._is_pending():
             started_s = anyio.current_time()
             failure = await self.synchronizer.read_configuration()
             outcome = "read" if failure is None else failure.reason
             self._log_fetch("the store", outcome, started_s)
-            if self._is_pending():
-                await anyio.sleep(STORE_RETRY_S)
+            await anyio.sleep(retry_s)
+            retry_s = min(retry_s * 2, MAX_STORE_RETRY_S)
 
     async def _fetch(self, source: str) -> None:
         """Fetch the configuration from a VM and apply it."""
--- a/tests/placement/test_rate_limiter.py
+++ b/tests/placement/test_rate_limiter.py
@@ -37,7 +37,7 @@
 
 
 def make_limiter(rate_per_s, share=1.0, seed=1):
-    limiter = RateLimiter(share=share, random=random.Random(seed))
+    limiter = RateLimiter(share=share, draw=random.Random(seed).random)
     limiter.record_limit(rate_per_s, 0.0, 0.0)
     return limiter
 
