Fetch from a source as soon as it is assigned

A VM without a source looked for one every 0.1 s, at each VM through which a configuration spreads within its zone.

Change: the announcement of another source ends that wait. Ruled out: the fetches themselves (0.06 to 0.1 s, as before).

test_a_source_is_used_as_soon_as_it_is_assigned fails on the code before; tests of vm/test_fleet, fleet and platform passed.

--- a/src/gentianfold/fleet/announced_configuration.py
+++ b/src/gentianfold/fleet/announced_configuration.py
@@ -19,6 +19,8 @@
     """Address of the VM that announced it last; empty if none did."""
     available: anyio.Event = attrs.field(factory=anyio.Event)
     """Set when a version is announced that is newer than the one in force."""
+    source_changed: anyio.Event = attrs.field(factory=anyio.Event)
+    """Set when another source is known."""
 
     def record(self, version: int, source: str, in_force: int, broker: str) -> None:
         """Record an announcement.
@@ -41,5 +43,7 @@
             )
         if version > in_force:
             self.broker = broker
-            self.source = source or self.source
             self.available.set()
+            if source and source != self.source:
+                self.source = source
+                self.source_changed.set()
--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -31,7 +31,8 @@
 """Timeout for connecting to another VM (seconds): a read of the store that fills the
 link of this VM delays the packets of the handshake."""
 FETCH_RETRY_S = 0.1
-"""Time between a failed fetch and the next one (seconds)."""
+"""Time between a failed fetch and the next one, unless another source is assigned
+meanwhile (seconds)."""
 STORE_DELAY_S = 0.5
 """Time after which an announced configuration is also read from the store (seconds):
 longer than the fleet usually takes, short enough to be in force in time."""
@@ -126,13 +127,15 @@
         announced = self.node.announced
         failed = ""
         while self._is_pending():
+            announced.source_changed = anyio.Event()
             source = announced.source
             if source and source == failed:
                 source = announced.broker
             if source not in ("", self.node.vm):
                 failed = source
                 await self._fetch(source)
-            await anyio.sleep(FETCH_RETRY_S)
+            with anyio.move_on_after(FETCH_RETRY_S):
+                await announced.source_changed.wait()
 
     async def _read_store(self) -> None:
         """Read the configuration from the store if the fetches take long."""
--- a/tests/vm/test_fleet.py
+++ b/tests/vm/test_fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from itertools import chain, repeat
 
 import anyio
 import pytest
@@ -17,6 +18,7 @@
 
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.standins.site import make_configuration
+from gentianfold.vm import configuration_fetcher
 from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
 
 pytestmark = pytest.mark.anyio
@@ -98,6 +100,23 @@
         await wait_until(lambda: member.view.configuration_version == 5)
 
 
+async def test_a_source_is_used_as_soon_as_it_is_assigned(monkeypatch):
+    # Guards against a delay at each VM through which a configuration spreads.
+    sources = chain(["", "", ""], repeat("127.0.0.1"))
+
+    def source_for(plan, *_):
+        return next(sources) if plan.version == 5 else ""
+
+    monkeypatch.setattr(RelayPlan, "source_for", source_for)
+    monkeypatch.setattr(ConfigurationFetcher, "_read_store", sleep_forever)
+    monkeypatch.setattr(configuration_fetcher, "FETCH_RETRY_S", 3600.0)
+    async with open_site(vms=2) as site:
+        member = site.vms[1]
+        await wait_until(lambda: member.view.configuration_version == 1)
+        site.store.put_configuration(make_configuration(version=5))
+        await wait_until(lambda: member.view.configuration_version == 5)
+
+
 async def test_changed_settings_are_reloaded_without_a_signal(tmp_path):
     async with open_site() as site:
         vm = site.vms[0]
