--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -1,4 +1,4 @@
-"""Fetches newer configurations from other VMs."""
+"""Obtains newer configurations from other VMs and from the store."""
 
 from __future__ import annotations
 
