Log the era that the store states

No line told the hypotheses on a store that comes back from a copy apart: the revision of a poll looks the same before and after. The client now reads the era of a response, and the synchronizer logs a change of it with the store's revision and its own. No decision uses it.

--- a/src/gentianfold/platform/store_client.py
+++ b/src/gentianfold/platform/store_client.py
@@ -17,6 +17,7 @@
 from gentianfold.platform.wire import (
     AFTER_PARAMETER,
     CHANGES_PATH,
+    ERA_HEADER,
     ITEM_PATH,
     KEY_PARAMETER,
     LIST_PATH,
@@ -25,6 +26,7 @@
     EventPage,
     Item,
     ItemPage,
+    decode_era,
     decode_events,
     decode_item,
     decode_items,
@@ -92,8 +94,9 @@
         response = await self._get(LIST_PATH, query, DOCUMENT_TIMEOUTS)
         if isinstance(response, Failure):
             return response
-        page = decode_items(response.body)
-        return page or Failure(STORE_REFUSED, "malformed page of items")
+        era = decode_era(response.header(ERA_HEADER))
+        page = decode_items(response.body, era) if era is not None else None
+        return page or Failure(STORE_REFUSED, "malformed page of items or era")
 
     async def list_changes(
         self, prefix: str, after_revision: int
@@ -117,8 +120,9 @@
         response = await self._get(CHANGES_PATH, query, CHANGES_TIMEOUTS)
         if isinstance(response, Failure):
             return None if response.reason == HISTORY_DROPPED else response
-        page = decode_events(response.body)
-        return page or Failure(STORE_REFUSED, "malformed page of changes")
+        era = decode_era(response.header(ERA_HEADER))
+        page = decode_events(response.body, era) if era is not None else None
+        return page or Failure(STORE_REFUSED, "malformed page of changes or era")
 
     async def _get(
         self, path: str, query: Mapping[str, str | int], timeouts: TransferTimeouts
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -12,7 +12,9 @@
 from gentianfold.platform.wire import (
     CONFIGURATION_KEY,
     UPSTREAM_KEY_PREFIX,
+    EventPage,
     Item,
+    ItemPage,
     decode_configuration,
     decode_upstream,
     decode_value,
@@ -75,6 +77,8 @@
     """Receives what was read."""
     revision: int = 0
     """Store revision up to which all changes were read; 0 before the first list."""
+    era: int = 0
+    """Era that the last response stated; 0 before the first one."""
     is_connected: bool = True
     """Whether the last poll succeeded."""
     failure_count: int = 0
@@ -135,6 +139,7 @@
             failure = await self.read_configuration()
             if failure is not None:
                 return failure
+        self._log_era(page)
         self._check_outage()
         entries = self._process_items(page.events)
         self.revision = max(self.revision, page.store_revision)
@@ -153,6 +158,7 @@
             page = await self.client.list_items(ALL_KEYS, after)
             if isinstance(page, Failure):
                 return page
+            self._log_era(page)
             first_revision = first_revision or page.store_revision
             items += page.items
             if not page.has_more or not page.items:
@@ -173,6 +179,18 @@
             self._relist_after_s = float("inf")
         return None
 
+    def _log_era(self, page: ItemPage | EventPage) -> None:
+        """Log a change of the store's era: since the last response it was restored."""
+        if page.era != self.era:
+            logger.info(
+                "store: era {} after {}, its revision={} read_revision={}",
+                page.era,
+                self.era,
+                page.store_revision,
+                self.revision,
+            )
+        self.era = page.era
+
     def _process_items(self, items: list[Item]) -> list[UpstreamEntry]:
         """Pass a configuration to the sink; return the upstream entries."""
         entries = []
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -45,6 +45,10 @@
 """Query parameter: last key already read (items) or last revision (changes)."""
 WAIT_PARAMETER = "wait_ms"
 """Query parameter: longest time the store waits for a change (milliseconds)."""
+ERA_HEADER = b"store-era"
+"""Response header: how often the store was restored from a copy."""
+MAX_ERA_DIGITS = 18
+"""Longest era that is accepted (digits): it fits into 64 bits."""
 DEFAULT_TIMEOUT_S = 120.0
 """Timeout of a route that sets none (seconds): longer than any caller waits."""
 
@@ -136,6 +140,8 @@
     items: list[Item]
     store_revision: int
     has_more: bool = False
+    # From the header of the response; the body does not hold it.
+    era: int = 0
 
 
 class EventPage(msgspec.Struct):
@@ -143,6 +149,8 @@
 
     events: list[Item]
     store_revision: int
+    # From the header of the response; the body does not hold it.
+    era: int = 0
 
 
 _upstream_decoder = msgspec.json.Decoder(_UpstreamDocument)
@@ -160,22 +168,34 @@
         return None
 
 
-def decode_items(body: bytes) -> ItemPage | None:
+def decode_items(body: bytes, era: int) -> ItemPage | None:
     """Decode a page of items; return ``None`` if it is malformed."""
     try:
-        return _items_decoder.decode(body)
+        return msgspec.structs.replace(_items_decoder.decode(body), era=era)
     except msgspec.MsgspecError:
         return None
 
 
-def decode_events(body: bytes) -> EventPage | None:
+def decode_events(body: bytes, era: int) -> EventPage | None:
     """Decode a page of changes; return ``None`` if it is malformed."""
     try:
-        return _events_decoder.decode(body)
+        return msgspec.structs.replace(_events_decoder.decode(body), era=era)
     except msgspec.MsgspecError:
         return None
 
 
+def decode_era(value: bytes | None) -> int | None:
+    """Decode the era that a response states.
+
+    Returns:
+        The era, 0 if the response states none, ``None`` if it is not a number.
+    """
+    if value is None:
+        return 0
+    text = value.strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else None
+
+
 def decode_value(item: Item) -> bytes | None:
     """Return the value of an item; ``None`` if it is not valid base64."""
     try:
