Order revisions by the era of the store

Cause: a revision number was compared without the history to which it belongs. Class: an identifier that is unique only together with a second one that is dropped. Era and number are now one value, StoreRevision, ordered as a pair, which only the adapter makes. An answer of another era leads to a list of all items; answers and datagrams of an earlier era are ignored; VMs whose knowledge of the lost span exceeds the broker's read the store.

The copy itself may be wrong in both directions. Entries that it lacks are held for as long as after an outage. An entry that is older than the known one by the upstream's own count (start and sequence) doesn't replace it; if the upstream was deleted, its entry is withheld until it would have expired. What is known to drain stays so until it restarts.

Ruled out: tracking the operator's version by era; versions only grow within a VM and the operator writes a lost one again.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node_view import NodeView
+    from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
@@ -270,7 +271,7 @@
             tuple(self.scheduler.quota.customers_near_limit()),
         )
 
-    def _send_changes_after(self, vm: str, revision: int) -> None:
+    def _send_changes_after(self, vm: str, revision: StoreRevision) -> None:
         upstreams = self.view.upstreams
         for _ in range(MAX_CHANGE_DATAGRAMS):
             if revision >= upstreams.last_change_revision:
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from gentianfold.fleet.store_revision import StoreRevision
+
 HEARTBEAT_INTERVAL_S = 0.4
 """Time between heartbeats (seconds): the failure of the broker is detected within this
 time plus the retries, well before a new configuration must be in force."""
@@ -229,7 +231,7 @@
     """Time since the VM's own last read of the store (milliseconds); -1 for never."""
     configuration_version: int
     """Version of the configuration in force on the VM; 0 for none."""
-    upstreams_revision: int
+    upstreams_revision: StoreRevision
     """Revision up to which the VM knows all upstream changes."""
 
     @property
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from gentianfold.fleet.store_revision import StoreRevision
+
 if TYPE_CHECKING:
     from gentianfold.placement.slot_request import SlotRequest
 
@@ -95,7 +97,7 @@
     """Version of the configuration in force; 0 for none."""
     store_age_ms: int
     """Time since the VM's own last read of the store (milliseconds); -1 for never."""
-    upstreams_revision: int
+    upstreams_revision: StoreRevision
     """Revision up to which the VM knows all upstream changes."""
     held_slots: tuple[tuple[int, str, str, str], ...]
     """Identifier, upstream, route and customer of each slot held by the VM."""
@@ -118,19 +120,22 @@
     """VM from which the receiver fetches that version; empty for no transfer now."""
     store_age_ms: int
     """Time since the broker's last read of the store (milliseconds); -1 for never."""
-    upstreams_revision: int
+    upstreams_revision: StoreRevision
     """Revision up to which the broker knows all upstream changes."""
-    last_change_revision: int
+    last_change_revision: StoreRevision
     """Revision of the last of these changes."""
     near_limit_customers: tuple[str, ...] = ()
     """Names of the customers that are near their rate limit."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An upstream, or the deletion of one, at a revision."""
+    """An upstream, or the deletion of one, at a revision.
+
+    A deletion keeps what is known of the deleted start of the upstream.
+    """
 
     name: str
-    revision: int
+    revision: StoreRevision
     is_deleted: bool = False
     service: str = ""
     host: str = ""
@@ -141,14 +146,16 @@
     start_time_ms: int = 0
     """Unix time of the upstream's start (milliseconds)."""
     warmup_remaining_ms: int = 0
+    sequence: int = 0
+    """The upstream's own count of its writes to the store since its start."""
 
 
 class UpstreamChanges(msgspec.Struct, array_like=True, tag=8, frozen=True):
     """Changes of the list of upstreams after a revision, or the whole list."""
 
-    after_revision: int
+    after_revision: StoreRevision
     """Revision after which the changes are complete; a receiver below it lacks some."""
-    through_revision: int
+    through_revision: StoreRevision
     """Last revision that is covered."""
     is_snapshot: bool
     """Whether the entries are the whole list: upstreams not in it are deleted."""
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -291,8 +291,8 @@
             case HeartbeatReply():
                 self._handle_heartbeat_reply(vm, message, now_s)
             case UpstreamChanges():
-                if not is_broker and self.view.upstreams.merge(message):
-                    self.apply_upstreams(now_s)
+                if not is_broker:
+                    self._merge_upstreams(message, now_s)
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
             case BrokerAnnouncement():
@@ -351,11 +351,18 @@
         is_current = self.view.upstreams.advance_revision(
             reply.last_change_revision, reply.upstreams_revision
         )
+        self.view.record_era(now_s)
         if is_current and reply.store_age_ms >= 0:
             read_s = now_s - reply.store_age_ms / 1000
             known_s = self.view.routing.upstreams_current_at_s
             self.view.routing.upstreams_current_at_s = max(read_s, known_s or read_s)
 
+    def _merge_upstreams(self, changes: UpstreamChanges, now_s: float) -> None:
+        has_changed = self.view.upstreams.merge(changes)
+        self.view.record_era(now_s)
+        if has_changed:
+            self.apply_upstreams(now_s)
+
     def _handle_redirect(self, vm: str, redirect: Redirect, now_s: float) -> None:
         if self.is_stopping:
             return
@@ -396,6 +403,9 @@
             logger.warning("fleet: lost the broker, assigning slots locally")
         if target is not None:
             self.transport.send(target, self._make_heartbeat(now_s))
+        if self.view.accept_withheld(now_s):
+            logger.info("upstreams: accepted entries that outlasted the restored copy")
+            self.apply_upstreams(now_s)
         self.scheduler.observe_running(now_s)
         self._placement_log.log_placement(self.scheduler, now_s)
         self._deliver_decisions(now_s)
@@ -442,11 +452,7 @@
         """
         logger.warning("vm: was suspended for {:.1f} s", suspended_s)
         self.membership.last_reply_s -= suspended_s
-        view = self.view
-        if view.store_read_s is not None:
-            view.store_read_s -= suspended_s
-        if view.routing.upstreams_current_at_s is not None:
-            view.routing.upstreams_current_at_s -= suspended_s
+        self.view.record_suspension(suspended_s)
         self.membership.expedite_heartbeat(self._now_s())
 
     def begin_stop(self) -> None:
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -7,6 +7,10 @@
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.routing_state import RoutingState
 
+COPY_EXPIRY_S = 5.0
+"""Time after which entries that only the copy of a restored store held have expired
+(seconds): three heartbeats of 1.5 seconds, and the time until they are read."""
+
 
 @attrs.define(eq=False)
 class NodeView:
@@ -26,6 +30,36 @@
     ``None`` if this VM has never read it.
     """
 
+    restored_s: float = float("-inf")
+    """When this VM learned that the store was restored from a copy (event loop time,
+    seconds); minus infinity if it was not restored since the VM's start."""
+    _era: int = 0
+
+    def record_era(self, now_s: float) -> None:
+        """Record when the era of the list of upstreams has risen."""
+        era = self.upstreams.revision.era
+        if era > self._era > 0:
+            self.restored_s = now_s
+        self._era = era
+
+    def accept_withheld(self, now_s: float) -> bool:
+        """Accept the upstreams that a restored store still lists after a while.
+
+        Returns:
+            Whether any upstream was added.
+        """
+        if now_s - self.restored_s < COPY_EXPIRY_S:
+            return False
+        return self.upstreams.accept_withheld()
+
+    def record_suspension(self, suspended_s: float) -> None:
+        """Age the recorded times by a suspension of this VM (seconds)."""
+        self.restored_s -= suspended_s
+        if self.store_read_s is not None:
+            self.store_read_s -= suspended_s
+        if self.routing.upstreams_current_at_s is not None:
+            self.routing.upstreams_current_at_s -= suspended_s
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 for none."""
--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.model import Upstream
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
@@ -56,7 +57,10 @@
             )
 
     def log_upstreams(
-        self, old: Mapping[str, Upstream], upstreams: Sequence[Upstream], revision: int
+        self,
+        old: Mapping[str, Upstream],
+        upstreams: Sequence[Upstream],
+        revision: StoreRevision,
     ) -> None:
         """Log which upstreams were added, changed state or were deleted."""
         new = {upstream.name: upstream for upstream in upstreams}
--- a/src/gentianfold/fleet/upstream_list.py
+++ b/src/gentianfold/fleet/upstream_list.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
 from gentianfold.fleet.messages import UpstreamChanges, UpstreamEntry
+from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.model import Upstream, UpstreamState
 
 if TYPE_CHECKING:
@@ -20,13 +22,21 @@
 
 @attrs.define
 class UpstreamList:
-    """Replicated list of upstreams; of each, the entry of the highest revision is kept."""
+    """Replicated list of upstreams; of each, the entry of the highest revision is kept.
 
-    revision: int = 0
+    An entry of a later era may stem from the copy from which the store was restored. It
+    replaces a known one only if it is newer by the upstream's own count.
+    """
+
+    revision: StoreRevision = NO_REVISION
     """Revision up to which all changes are known."""
     _entries: dict[str, UpstreamEntry] = attrs.field(factory=dict)
     _tombstones: dict[str, UpstreamEntry] = attrs.field(factory=dict)
-    _purged_revision: int = 0
+    # Entries of the copy for upstreams that are known to be deleted.
+    _withheld: dict[str, UpstreamEntry] = attrs.field(factory=dict)
+    _purged_revision: StoreRevision = NO_REVISION
+    # Revision in the previous era up to which this list knows all changes.
+    _previous_era_revision: StoreRevision = NO_REVISION
 
     def put(self, entry: UpstreamEntry) -> bool:
         """Store an entry if it is newer than the known one.
@@ -37,19 +47,28 @@
         known = self._entries.get(entry.name) or self._tombstones.get(entry.name)
         if known is not None and known.revision >= entry.revision:
             return False
+        self._withheld.pop(entry.name, None)
+        if known is not None and _is_from_copy(known, entry):
+            if known.is_deleted:
+                self._withheld[entry.name] = entry
+            return False
         self._tombstones.pop(entry.name, None)
         old = self._entries.pop(entry.name, None)
         if entry.is_deleted:
-            self._add_tombstone(entry)
+            self._add_tombstone(_to_tombstone(entry.name, entry.revision, known))
             return old is not None
         if old is not None and _is_unchanged(old, entry):
             # Keep the old revision: there is no change to send to other VMs.
-            self._entries[entry.name] = old
+            self._entries[entry.name] = msgspec.structs.replace(
+                old, sequence=entry.sequence
+            )
             return False
         self._entries[entry.name] = entry
         return True
 
-    def replace(self, entries: Iterable[UpstreamEntry], revision: int) -> bool:
+    def replace(
+        self, entries: Iterable[UpstreamEntry], revision: StoreRevision
+    ) -> bool:
         """Replace the list by a snapshot; entries newer than its revision stay.
 
         Args:
@@ -66,19 +85,50 @@
             for name, entry in self._entries.items()
             if name not in listed and entry.revision <= revision
         ]
+        self._withheld = {
+            name: entry for name, entry in self._withheld.items() if name in listed
+        }
         for name in missing:
-            self._add_tombstone(UpstreamEntry(name, revision, is_deleted=True))
-            del self._entries[name]
-        self.revision = max(self.revision, revision)
+            known = self._entries.pop(name)
+            self._add_tombstone(_to_tombstone(name, revision, known))
+        self.advance(revision)
         return any(changed) or bool(missing)
 
-    def changes_after(self, revision: int) -> UpstreamChanges:
+    def advance(self, revision: StoreRevision) -> None:
+        """Record that all changes up to a revision are known."""
+        if revision.era > self.revision.era:
+            self._previous_era_revision = self.revision
+        self.revision = max(self.revision, revision)
+
+    def accept_withheld(self) -> bool:
+        """Accept the upstreams that the store still lists long after it was restored.
+
+        An upstream that drained before its deletion stays deleted until it restarts.
+
+        Returns:
+            Whether any upstream was added.
+        """
+        withheld, self._withheld = self._withheld, {}
+        accepted = [
+            entry
+            for name, entry in withheld.items()
+            if name not in self._tombstones or not self._tombstones[name].is_draining
+        ]
+        for entry in accepted:
+            self._tombstones.pop(entry.name, None)
+            self._entries[entry.name] = entry
+        return bool(accepted)
+
+    def changes_after(self, revision: StoreRevision) -> UpstreamChanges:
         """Return the first changes after a revision that fit into one datagram.
 
-        Below the revision of a forgotten deletion, changes that are no snapshot begin
-        above the receiver's revision: it must read the store.
+        Below the revision of a forgotten deletion, and above what this list knows of an
+        earlier era, changes that are no snapshot begin above the receiver's revision:
+        it must read the store.
         """
-        is_snapshot = revision < self._purged_revision or revision == 0
+        if self._lacks_changes_before(revision):
+            revision = StoreRevision(self.revision.era)
+        is_snapshot = revision < self._purged_revision or revision == NO_REVISION
         known = [*self._entries.values()]
         if not is_snapshot:
             known += self._tombstones.values()
@@ -86,7 +136,8 @@
             (entry for entry in known if is_snapshot or entry.revision > revision),
             key=lambda entry: entry.revision,
         )
-        if is_snapshot and len(newer) > MAX_ENTRIES_PER_DATAGRAM and revision:
+        is_new = revision == NO_REVISION
+        if is_snapshot and len(newer) > MAX_ENTRIES_PER_DATAGRAM and not is_new:
             newer = [entry for entry in newer if entry.revision > revision]
             part = newer[:MAX_ENTRIES_PER_DATAGRAM]
             through_revision = max(self._purged_revision, part[-1].revision)
@@ -100,17 +151,24 @@
         return UpstreamChanges(revision, part[-1].revision, False, tuple(part))
 
     def merge(self, changes: UpstreamChanges) -> bool:
-        """Merge changes from another VM; tell whether any upstream changed."""
+        """Merge changes from another VM; tell whether any upstream changed.
+
+        Changes of an earlier era are ignored: the store may have lost them.
+        """
+        if changes.through_revision.era < self.revision.era:
+            return False
         if changes.is_snapshot:
             if changes.through_revision < self.revision:
                 return False
             return self.replace(changes.entries, changes.through_revision)
         changed = [self.put(entry) for entry in changes.entries]
         if changes.after_revision <= self.revision:
-            self.revision = max(self.revision, changes.through_revision)
+            self.advance(changes.through_revision)
         return any(changed)
 
-    def advance_revision(self, last_change_revision: int, revision: int) -> bool:
+    def advance_revision(
+        self, last_change_revision: StoreRevision, revision: StoreRevision
+    ) -> bool:
         """Record that all changes up to a revision are known.
 
         Args:
@@ -122,14 +180,15 @@
         """
         if self.revision < last_change_revision:
             return False
-        self.revision = max(self.revision, revision)
+        self.advance(revision)
         return True
 
     @property
-    def last_change_revision(self) -> int:
-        """Revision of the last known change; 0 for an empty list."""
+    def last_change_revision(self) -> StoreRevision:
+        """Revision of the last known change; the start of its era counts as one."""
         known = (*self._entries.values(), *self._tombstones.values())
-        return max((entry.revision for entry in known), default=0)
+        start = StoreRevision(self.revision.era)
+        return max([entry.revision for entry in known] + [start])
 
     def is_usable(self, name: str) -> bool:
         """Tell whether an upstream may get requests.
@@ -149,6 +208,13 @@
         """Return the names of all upstreams, draining ones included."""
         return frozenset(self._entries)
 
+    def _lacks_changes_before(self, revision: StoreRevision) -> bool:
+        """Tell whether a VM at a revision may know changes that this list lacks."""
+        if revision == NO_REVISION or revision.era >= self.revision.era:
+            return False
+        previous = self._previous_era_revision
+        return revision.era < previous.era or revision > previous
+
     def _add_tombstone(self, entry: UpstreamEntry) -> None:
         self._tombstones[entry.name] = entry
         if len(self._tombstones) > MAX_TOMBSTONES:
@@ -159,6 +225,33 @@
             del self._tombstones[oldest.name]
 
 
+def _to_tombstone(
+    name: str, revision: StoreRevision, known: UpstreamEntry | None
+) -> UpstreamEntry:
+    """Return the deletion of an upstream, with what is known of its last start."""
+    if known is None:
+        return UpstreamEntry(name, revision, is_deleted=True)
+    return UpstreamEntry(
+        name,
+        revision,
+        is_deleted=True,
+        is_draining=known.is_draining,
+        start_time_ms=known.start_time_ms,
+        sequence=known.sequence,
+    )
+
+
+def _is_from_copy(known: UpstreamEntry, entry: UpstreamEntry) -> bool:
+    """Tell whether an entry of a later era is older than the known one."""
+    if entry.is_deleted or entry.revision.era <= known.revision.era:
+        return False
+    known_count = (known.start_time_ms, known.sequence)
+    count = (entry.start_time_ms, entry.sequence)
+    if count == known_count:
+        return known.is_deleted or known.is_draining
+    return count < known_count
+
+
 def _is_unchanged(old: UpstreamEntry, new: UpstreamEntry) -> bool:
     """Tell whether two entries differ only in revision and remaining warm-up time.
 
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -8,13 +8,13 @@
 import attrs
 from loguru import logger
 
+from gentianfold.codes.platform import STORE_REFUSED
 from gentianfold.errors import Failure
+from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.platform.wire import (
     CONFIGURATION_KEY,
     UPSTREAM_KEY_PREFIX,
-    EventPage,
     Item,
-    ItemPage,
     decode_configuration,
     decode_upstream,
     decode_value,
@@ -36,7 +36,11 @@
 DELETION_HOLD_S = 2.2
 """How long deletions of upstreams are held back after a store outage (seconds): the
 platform states that entries which expired in the outage are registered again within
-about two seconds of its end."""
+about two seconds of its end. The same holds for entries that a restored store lacks."""
+EARLIER_ERA = Failure(STORE_REFUSED, "an answer from before the store was restored")
+"""Failure of a read that arrives late."""
+RESTORED_MEANWHILE = Failure(STORE_REFUSED, "the store was restored during the list")
+"""Failure of a list whose pages do not belong together."""
 
 
 class PublishedStateSink(Protocol):
@@ -52,11 +56,26 @@
         """
         ...
 
-    def update_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+    def known_era(self) -> int:
+        """Return the newest era of the store that this VM knows; 0 for none."""
+        ...
+
+    def restored_s(self) -> float:
+        """Return when this VM learned that the store was restored (seconds).
+
+        Loop time; minus infinity if it was not restored since the VM's start.
+        """
+        ...
+
+    def update_upstreams(
+        self, entries: list[UpstreamEntry], revision: StoreRevision
+    ) -> None:
         """Apply all entries that changed up to a revision."""
         ...
 
-    def replace_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+    def replace_upstreams(
+        self, entries: list[UpstreamEntry], revision: StoreRevision
+    ) -> None:
         """Replace the upstream list by the one at a revision."""
         ...
 
@@ -75,10 +94,8 @@
     """Client of the store."""
     sink: PublishedStateSink
     """Receives what was read."""
-    revision: int = 0
-    """Store revision up to which all changes were read; 0 before the first list."""
-    era: int = 0
-    """Era that the last response stated; 0 before the first one."""
+    revision: StoreRevision = NO_REVISION
+    """Revision up to which all changes were read."""
     is_connected: bool = True
     """Whether the last poll succeeded."""
     failure_count: int = 0
@@ -91,7 +108,7 @@
     async def poll(self) -> bool:
         """Read the changes since the last poll; return whether the read succeeded."""
         now_s = asyncio.get_running_loop().time()
-        needs_list = self.revision == 0 or now_s > self._relist_after_s
+        needs_list = self.revision == NO_REVISION or now_s > self._relist_after_s
         failure = await (self._read_all() if needs_list else self._read_changes())
         if failure is not None:
             self.failure_count += 1
@@ -128,21 +145,26 @@
         age_s = asyncio.get_running_loop().time() - self._read_s
         is_recent = age_s <= MAX_CHANGES_AGE_S
         prefix = ALL_KEYS if is_recent else UPSTREAM_KEY_PREFIX
-        page = await self.client.list_changes(prefix, self.revision)
+        page = await self.client.list_changes(prefix, self.revision.number)
         if page is None:
             logger.info("store: change history was dropped, listing all items")
             return await self._read_all()
         if isinstance(page, Failure):
             return page
+        if page.era != self.revision.era:
+            # The numbers of revisions were given out again: changes may be missing.
+            return await self._read_all()
+        if page.era < self.sink.known_era():
+            return EARLIER_ERA
         if not is_recent:
             # Read after the changes, so that it is no older than their revision.
             failure = await self.read_configuration()
             if failure is not None:
                 return failure
-        self._log_era(page)
         self._check_outage()
-        entries = self._process_items(page.events)
-        self.revision = max(self.revision, page.store_revision)
+        entries = self._process_items(page.events, page.era)
+        revision = StoreRevision(page.era, page.store_revision)
+        self.revision = max(self.revision, revision)
         self.sink.update_upstreams(self._hold_deletions(entries), self.revision)
         return None
 
@@ -152,26 +174,33 @@
         Later pages may be newer than the first; the next poll reads the changes since.
         """
         items: list[Item] = []
-        first_revision = 0
+        first_revision = NO_REVISION
         after = ""
         while True:
             page = await self.client.list_items(ALL_KEYS, after)
             if isinstance(page, Failure):
                 return page
-            self._log_era(page)
-            first_revision = first_revision or page.store_revision
+            if first_revision == NO_REVISION:
+                first_revision = StoreRevision(page.era, page.store_revision)
+            if page.era != first_revision.era:
+                return RESTORED_MEANWHILE
             items += page.items
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
+        if first_revision.era < self.sink.known_era():
+            return EARLIER_ERA
         self._check_outage()
+        self._check_restored(first_revision)
         entries = [
-            entry for entry in self._process_items(items) if not entry.is_deleted
+            entry
+            for entry in self._process_items(items, first_revision.era)
+            if not entry.is_deleted
         ]
         self.revision = first_revision
         if asyncio.get_running_loop().time() < self._hold_until_s:
-            # A missing entry may have expired in the outage and come back, so nothing
-            # is deleted before the list that follows the hold.
+            # A missing entry may have expired in the outage, or be missing in the copy,
+            # and come back, so nothing is deleted before the list after the hold.
             self.sink.update_upstreams(entries, first_revision)
             self._relist_after_s = self._hold_until_s
         else:
@@ -179,26 +208,31 @@
             self._relist_after_s = float("inf")
         return None
 
-    def _log_era(self, page: ItemPage | EventPage) -> None:
-        """Log a change of the store's era: since the last response it was restored."""
-        if page.era != self.era:
-            logger.info(
-                "store: era {} after {}, its revision={} read_revision={}",
-                page.era,
-                self.era,
-                page.store_revision,
+    def _check_restored(self, revision: StoreRevision) -> None:
+        """Start to hold back deletions if the store was restored.
+
+        Another VM may have learned of it before and passed it on.
+        """
+        restored_s = self.sink.restored_s()
+        if 0 < self.sink.known_era() < revision.era:
+            restored_s = asyncio.get_running_loop().time()
+            logger.warning(
+                "store: restored from a copy, revision={} known_era={} read_revision={},"
+                " holding back deletions",
+                revision,
+                self.sink.known_era(),
                 self.revision,
             )
-        self.era = page.era
+        self._hold_until_s = max(self._hold_until_s, restored_s + DELETION_HOLD_S)
 
-    def _process_items(self, items: list[Item]) -> list[UpstreamEntry]:
+    def _process_items(self, items: list[Item], era: int) -> list[UpstreamEntry]:
         """Pass a configuration to the sink; return the upstream entries."""
         entries = []
         for item in items:
             if item.key == CONFIGURATION_KEY:
                 self._update_configuration(item)
             elif item.key.startswith(UPSTREAM_KEY_PREFIX):
-                entry = decode_upstream(item)
+                entry = decode_upstream(item, era)
                 if entry.is_deleted and not item.tombstone:
                     logger.warning("store: entry {} is malformed", item.key[:80])
                 entries.append(entry)
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -8,13 +8,14 @@
 
 import base64
 import binascii
-from typing import Literal
+from typing import Annotated, Literal, TypeAlias
 
 import msgspec
 
 from gentianfold.codes.platform import CONFIGURATION_MALFORMED
 from gentianfold.errors import Failure
 from gentianfold.fleet.messages import UpstreamEntry
+from gentianfold.fleet.store_revision import StoreRevision
 from gentianfold.model import (
     CallerLimits,
     Configuration,
@@ -53,6 +54,10 @@
 """Timeout of a route that sets none (seconds): longer than any caller waits."""
 
 
+# Fits into the integers of messages between VMs.
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class _UpstreamInfo(msgspec.Struct):
     service: str
     zone: str
@@ -63,11 +68,12 @@
     state: Literal["ready", "draining"]
     # Time until the upstream has warmed up and responds at its usual speed.
     warmup_left_ms: float = 0
+    sequence: _Count = 0
 
 
 class _UpstreamDocument(msgspec.Struct):
     address: str
-    born: int
+    born: _Count
     info: _UpstreamInfo
     status: _UpstreamStatus
 
@@ -134,7 +140,7 @@
     tombstone: bool = False
 
 
-class ItemPage(msgspec.Struct):
+class ItemPage(msgspec.Struct, omit_defaults=True):
     """A page of items, in the order of their keys."""
 
     items: list[Item]
@@ -144,7 +150,7 @@
     era: int = 0
 
 
-class EventPage(msgspec.Struct):
+class EventPage(msgspec.Struct, omit_defaults=True):
     """Items that changed after a revision, tombstones included."""
 
     events: list[Item]
@@ -204,14 +210,15 @@
         return None
 
 
-def decode_upstream(item: Item) -> UpstreamEntry:
-    """Decode the entry of an upstream.
+def decode_upstream(item: Item, era: int) -> UpstreamEntry:
+    """Decode the entry of an upstream that the store stated in an era.
 
     A tombstone or a malformed value yields an entry with ``is_deleted`` set, so that
     no requests are sent to the upstream.
     """
     name = item.key.removeprefix(UPSTREAM_KEY_PREFIX)
-    deleted = UpstreamEntry(name, item.rev, is_deleted=True)
+    revision = StoreRevision(era, item.rev)
+    deleted = UpstreamEntry(name, revision, is_deleted=True)
     value = None if item.tombstone else decode_value(item)
     if value is None:
         return deleted
@@ -224,7 +231,7 @@
         return deleted
     return UpstreamEntry(
         name=name,
-        revision=item.rev,
+        revision=revision,
         service=entry.info.service,
         host=host,
         port=int(port),
@@ -233,6 +240,7 @@
         is_draining=entry.status.state == "draining",
         start_time_ms=entry.born,
         warmup_remaining_ms=int(max(entry.status.warmup_left_ms, 0)),
+        sequence=entry.status.sequence,
     )
 
 
@@ -320,7 +328,7 @@
 
     Args:
         upstream: The upstream that registers.
-        sequence: Sequence number of the entry; the decoder ignores it.
+        sequence: Number of times that the upstream has written its entry.
     """
     is_draining = upstream.state is UpstreamState.DRAINING
     status = {
--- a/src/gentianfold/standins/store.py
+++ b/src/gentianfold/standins/store.py
@@ -25,12 +25,23 @@
 """Time between two pieces of a response that is sent at a limited rate (seconds)."""
 
 
+@attrs.frozen
+class StoreCopy:
+    """Contents of the store at a revision."""
+
+    revision: int
+    items: dict[str, wire.Item]
+    history: list[wire.Item]
+
+
 @attrs.define(eq=False)
 class StandinStore:
     """Key-value store with a change history and faults that tests can inject."""
 
     revision: int = 1
     """Revision of the newest change; increases by one with each change."""
+    era: int = 1
+    """How often the store was restored; increases by one each time."""
     status: int = 200
     """Status of all responses; with any value but 200, every request is rejected."""
     is_unresponsive: bool = False
@@ -70,10 +81,11 @@
         document = wire.encode_configuration(configuration)
         self.put(wire.CONFIGURATION_KEY, document)
 
-    def put_upstream(self, upstream: Upstream) -> None:
+    def put_upstream(self, upstream: Upstream, sequence: int = 1) -> None:
         """Create or replace the entry of an upstream."""
         self.put(
-            wire.UPSTREAM_KEY_PREFIX + upstream.name, wire.encode_upstream(upstream)
+            wire.UPSTREAM_KEY_PREFIX + upstream.name,
+            wire.encode_upstream(upstream, sequence),
         )
 
     def delete_upstream(self, name: str) -> None:
@@ -89,6 +101,18 @@
         self._compacted_revision = self.revision
         self._history.clear()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(self.revision, dict(self._items), list(self._history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy; later changes are lost, their revisions given out again."""
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self.era += 1
+
     async def _handle(self, request: ReceivedRequest) -> bytes:
         response = await self._make_response(request)
         if self.bytes_per_s:
@@ -111,16 +135,19 @@
         if self.is_unresponsive:
             await anyio.sleep_forever()
         if self.status != 200:
-            return format_response(self.status, [], b"{}")
+            return self._format(self.status, b"{}")
         if url.path == wire.ITEM_PATH:
             item = self._items.get(query.get(wire.KEY_PARAMETER, ""))
             if item is not None:
-                return format_response(200, [], wire.encode_page(item))
+                return self._format(200, wire.encode_page(item))
         if url.path == wire.LIST_PATH:
-            return format_response(200, [], self._list_items(query))
+            return self._format(200, self._list_items(query))
         if url.path == wire.CHANGES_PATH:
             return self._list_changes(query)
-        return format_response(404, [], b"{}")
+        return self._format(404, b"{}")
+
+    def _format(self, status: int, body: bytes) -> bytes:
+        return format_response(status, [(wire.ERA_HEADER, b"%d" % self.era)], body)
 
     def _list_items(self, query: dict[str, str]) -> bytes:
         prefix = query.get(wire.PREFIX_PARAMETER, "")
@@ -135,8 +162,8 @@
 
     def _list_changes(self, query: dict[str, str]) -> bytes:
         after = int(query[wire.AFTER_PARAMETER])
-        if after < self._compacted_revision:
-            return format_response(410, [], b"{}")
+        if not self._compacted_revision <= after <= self.revision:
+            return self._format(410, b"{}")
         prefix = query.get(wire.PREFIX_PARAMETER, "")
         events = [
             item
@@ -144,4 +171,4 @@
             if item.rev > after and item.key.startswith(prefix)
         ]
         page = wire.EventPage(events, self.revision)
-        return format_response(200, [], wire.encode_page(page))
+        return self._format(200, wire.encode_page(page))
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -45,7 +45,8 @@
         "broker": node.membership.broker,
         "members": node.fleet_size,
         "configuration": node.view.configuration_version,
-        "upstreams_revision": node.view.upstreams.revision,
+        "store_era": node.view.upstreams.revision.era,
+        "upstreams_revision": node.view.upstreams.revision.number,
         "upstreams_age_s": min(node.view.upstreams_age_s(now_s), 1e9),
         "requests_under_way": handler.running_count,
         "requests_waiting": node.scheduler.waiting_count,
@@ -76,6 +77,7 @@
         "upstreams_rate_limited": sum(
             tracker.rate_limiter.is_limited for tracker in trackers
         ),
+        "store_era": node.view.upstreams.revision.era,
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
         "configuration_announced_version": node.announced.version,
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from gentianfold.fleet.messages import UpstreamEntry
     from gentianfold.fleet.node import Node
+    from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.model import Configuration
     from gentianfold.platform.store_synchronizer import StoreSynchronizer
 
@@ -113,17 +114,32 @@
         """
         return self.node.view.routing.upstreams_current_at_s
 
-    def update_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+    def known_era(self) -> int:
+        """Return the newest era of the store that this VM knows; 0 for none."""
+        return self.node.view.upstreams.revision.era
+
+    def restored_s(self) -> float:
+        """Return when this VM learned that the store was restored (loop time)."""
+        return self.node.view.restored_s
+
+    def update_upstreams(
+        self, entries: list[UpstreamEntry], revision: StoreRevision
+    ) -> None:
         """Apply changed upstream entries, complete up to a store revision."""
         upstreams = self.node.view.upstreams
         changed = [upstreams.put(entry) for entry in entries]
-        upstreams.revision = max(upstreams.revision, revision)
+        upstreams.advance(revision)
+        self.node.view.record_era(self._now_s())
         if any(changed):
             self.node.apply_upstreams(self._now_s())
 
-    def replace_upstreams(self, entries: list[UpstreamEntry], revision: int) -> None:
+    def replace_upstreams(
+        self, entries: list[UpstreamEntry], revision: StoreRevision
+    ) -> None:
         """Replace all upstream entries by those at a store revision."""
-        if self.node.view.upstreams.replace(entries, revision):
+        has_changed = self.node.view.upstreams.replace(entries, revision)
+        self.node.view.record_era(self._now_s())
+        if has_changed:
             self.node.apply_upstreams(self._now_s())
 
     def update_configuration(
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -19,10 +19,11 @@
     Role,
 )
 from gentianfold.fleet.relay_plan import ASSIGNMENT_TIMEOUT_S, RelayPlan
+from gentianfold.fleet.store_revision import NO_REVISION
 
 
 def make_member(**changes):
-    member = Member(1, 0.0, "z1", 1.0, 100.0, -1, 0, 0)
+    member = Member(1, 0.0, "z1", 1.0, 100.0, -1, 0, NO_REVISION)
     return attrs.evolve(member, **changes)
 
 
--- a/tests/fleet/test_upstream_list.py
+++ b/tests/fleet/test_upstream_list.py
@@ -15,6 +15,7 @@
     decode,
     encode,
 )
+from gentianfold.fleet.store_revision import StoreRevision
 from gentianfold.fleet.upstream_list import (
     MAX_ENTRIES_PER_DATAGRAM,
     MAX_TOMBSTONES,
@@ -23,9 +24,17 @@
 from gentianfold.placement.slot_request import GrantReason, RefusalReason
 
 
-def entry(name, revision, **changes):
+def at(number, era=1):
+    return StoreRevision(era, number)
+
+
+def entry(name, number, era=1, **changes):
     fields = {"service": "s", "host": "h", "port": 1, "slots": 3, "start_time_ms": 1}
-    return UpstreamEntry(name, revision, **{**fields, **changes})
+    return UpstreamEntry(name, at(number, era), **{**fields, **changes})
+
+
+def deletion(name, number, era=1):
+    return UpstreamEntry(name, at(number, era), is_deleted=True)
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
@@ -36,11 +45,11 @@
     for revision in range(1, 120):
         name = f"u{rng.randrange(30)}"
         if rng.random() < 0.2:
-            primary.put(UpstreamEntry(name, revision, is_deleted=True))
+            primary.put(deletion(name, revision))
         else:
             draining = rng.random() < 0.2
             primary.put(entry(name, revision, is_draining=draining))
-        primary.revision = revision
+        primary.revision = at(revision)
         changes = primary.changes_after(replica.revision)
         assert len(changes.entries) <= MAX_ENTRIES_PER_DATAGRAM
         if rng.random() > loss:
@@ -60,7 +69,7 @@
     upstreams = UpstreamList()
     assert upstreams.put(entry("u", 5, is_draining=True))
     assert not upstreams.put(entry("u", 4))
-    assert upstreams.put(UpstreamEntry("u", 6, is_deleted=True))
+    assert upstreams.put(deletion("u", 6))
     assert not upstreams.put(entry("u", 5))
     assert not upstreams.is_usable("u")
 
@@ -69,14 +78,14 @@
     upstreams = UpstreamList()
     assert upstreams.put(entry("u", 5, warmup_remaining_ms=3000))
     assert not upstreams.put(entry("u", 6, warmup_remaining_ms=2000))
-    assert upstreams.last_change_revision == 5
+    assert upstreams.last_change_revision == at(5)
 
 
 def test_a_replica_that_lacks_changes_does_not_advance_its_revision():
-    upstreams = UpstreamList(revision=3)
-    assert not upstreams.advance_revision(last_change_revision=4, revision=9)
-    assert upstreams.advance_revision(last_change_revision=3, revision=9)
-    assert upstreams.revision == 9
+    upstreams = UpstreamList(revision=at(3))
+    assert not upstreams.advance_revision(at(4), at(9))
+    assert upstreams.advance_revision(at(3), at(9))
+    assert upstreams.revision == at(9)
 
 
 @pytest.mark.parametrize(
@@ -97,7 +106,7 @@
     primary, replica = UpstreamList(), UpstreamList()
     for number in range(60):
         primary.put(entry(f"u{number}", number + 1))
-    primary.revision = 60
+    primary.revision = at(60)
     for _ in range(10):
         replica.merge(primary.changes_after(replica.revision))
     assert replica.names() == primary.names()
@@ -105,26 +114,26 @@
     for number in range(MAX_TOMBSTONES + 40):
         revision += 2
         primary.put(entry(f"v{number}", revision - 1))
-        primary.put(UpstreamEntry(f"v{number}", revision, is_deleted=True))
+        primary.put(deletion(f"v{number}", revision))
     for number in range(0, 60, 2):
         revision += 1
-        primary.put(UpstreamEntry(f"u{number}", revision, is_deleted=True))
+        primary.put(deletion(f"u{number}", revision))
     for number in range(MAX_TOMBSTONES):
         revision += 2
         primary.put(entry(f"w{number}", revision - 1))
-        primary.put(UpstreamEntry(f"w{number}", revision, is_deleted=True))
+        primary.put(deletion(f"w{number}", revision))
     for number in range(30):
         revision += 1
         primary.put(entry(f"x{number}", revision))
-    primary.revision = revision
+    primary.revision = at(revision)
     for _ in range(200):
         changes = primary.changes_after(replica.revision)
         assert all(row.revision > replica.revision for row in changes.entries)
         replica.merge(changes)
-    current = replica.advance_revision(primary.last_change_revision, revision)
+    current = replica.advance_revision(primary.last_change_revision, at(revision))
     assert not current
-    replica.replace(list(primary._entries.values()), revision)
-    assert replica.advance_revision(primary.last_change_revision, revision)
+    replica.replace(list(primary._entries.values()), at(revision))
+    assert replica.advance_revision(primary.last_change_revision, at(revision))
     assert replica.names() == primary.names()
 
 
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from gentianfold.fleet.store_revision import StoreRevision
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.connection_pool import ConnectionPool
 from gentianfold.forwarding.document_request import TransferTimeouts
@@ -15,6 +16,7 @@
 from gentianfold.platform import store_client, store_synchronizer, wire
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
+from gentianfold.standins.http_server import format_response
 from gentianfold.standins.site import make_configuration
 from gentianfold.standins.store import StandinStore
 
@@ -26,13 +28,21 @@
     upstreams: UpstreamList = attrs.field(factory=UpstreamList)
     versions: list[int] = attrs.field(factory=list)
     last_read_time_s: float | None = None
+    restored_time_s: float = float("-inf")
 
     def last_read_s(self):
         return self.last_read_time_s
 
+    def known_era(self):
+        return self.upstreams.revision.era
+
+    def restored_s(self):
+        return self.restored_time_s
+
     def update_upstreams(self, entries, revision):
         for entry in entries:
             self.upstreams.put(entry)
+        self.upstreams.advance(revision)
 
     def replace_upstreams(self, entries, revision):
         self.upstreams.replace(entries, revision)
@@ -199,3 +209,49 @@
     store.put_upstream(make_upstream("u1"))
     assert await synchronizer.poll()
     assert sink.versions == [1, 5] and sink.upstreams.names() == {"u1"}
+
+
+async def test_answers_from_before_a_restoration_are_ignored(store_setup):
+    store, sink, synchronizer = store_setup
+    store.put_upstream(make_upstream("u1"))
+    await synchronizer.poll()
+    # Another VM has passed on that the store was restored.
+    sink.upstreams.advance(StoreRevision(store.era + 1, 1))
+    store.delete_upstream("u1")
+    store.put_configuration(make_configuration(9))
+    assert not await synchronizer.poll()
+    assert sink.upstreams.is_usable("u1") and not sink.versions
+
+
+async def test_pages_of_two_eras_are_not_joined(store_setup, monkeypatch):
+    store, sink, synchronizer = store_setup
+    for number in range(120):
+        store.put_upstream(make_upstream(f"u{number:03}"))
+    copy = store.make_copy()
+    list_items = synchronizer.client.list_items
+
+    async def list_items_around_a_restoration(client, prefix, after=""):
+        page = await list_items(prefix, after)
+        if not after:
+            store.restore(copy)
+        return page
+
+    monkeypatch.setattr(StoreClient, "list_items", list_items_around_a_restoration)
+    assert not await synchronizer.poll()
+    assert not sink.upstreams.names()
+    monkeypatch.undo()
+    assert await synchronizer.poll()
+    assert len(sink.upstreams.names()) == 120
+
+
+@pytest.mark.parametrize("era", [b"", b"x", b"-1", b"1" * 30])
+async def test_an_invalid_era_fails_the_read(store_setup, monkeypatch, era):
+    store, sink, synchronizer = store_setup
+    store.put_upstream(make_upstream("u1"))
+    monkeypatch.setattr(
+        StandinStore,
+        "_format",
+        lambda _, status, body: format_response(status, [(wire.ERA_HEADER, era)], body),
+    )
+    assert not await synchronizer.poll()
+    assert not sink.upstreams.names()
