Send changes that were held back to all VMs

Cause: a change that is applied after its revision was passed on is invisible to replicas that ask for changes after that revision. Such changes now get a step after the revision.

--- a/src/gentianfold/fleet/upstream_list.py
+++ b/src/gentianfold/fleet/upstream_list.py
@@ -88,10 +88,11 @@
         self._withheld = {
             name: entry for name, entry in self._withheld.items() if name in listed
         }
+        self.advance(revision)
         for name in missing:
             known = self._entries.pop(name)
-            self._add_tombstone(_to_tombstone(name, revision, known))
-        self.advance(revision)
+            self.advance(self.revision.next_step())
+            self._add_tombstone(_to_tombstone(name, self.revision, known))
         return any(changed) or bool(missing)
 
     def advance(self, revision: StoreRevision) -> None:
@@ -116,7 +117,10 @@
         ]
         for entry in accepted:
             self._tombstones.pop(entry.name, None)
-            self._entries[entry.name] = entry
+            self.advance(self.revision.next_step())
+            self._entries[entry.name] = msgspec.structs.replace(
+                entry, revision=self.revision
+            )
         return bool(accepted)
 
     def changes_after(self, revision: StoreRevision) -> UpstreamChanges:
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -103,7 +103,6 @@
     _read_s: float = float("-inf")
     _hold_until_s: float = 0.0
     _relist_after_s: float = float("inf")
-    _held_deletions: dict[str, UpstreamEntry] = attrs.field(factory=dict)
 
     async def poll(self) -> bool:
         """Read the changes since the last poll; return whether the read succeeded."""
@@ -126,11 +125,6 @@
         if not self.is_connected:
             logger.info("store: reachable again, revision {}", self.revision)
             self.is_connected = True
-        if self._held_deletions and now_s > self._hold_until_s:
-            self.sink.update_upstreams(
-                list(self._held_deletions.values()), self.revision
-            )
-            self._held_deletions.clear()
         return True
 
     async def read_configuration(self) -> Failure | None:
@@ -262,13 +256,13 @@
             self._hold_until_s = now_s + DELETION_HOLD_S
 
     def _hold_deletions(self, entries: list[UpstreamEntry]) -> list[UpstreamEntry]:
-        """Hold back deletions after an outage; return the entries to apply now."""
-        now_s = asyncio.get_running_loop().time()
-        applied = []
-        for entry in entries:
-            if entry.is_deleted and now_s < self._hold_until_s:
-                self._held_deletions[entry.name] = entry
-            else:
-                self._held_deletions.pop(entry.name, None)
-                applied.append(entry)
+        """Return the entries to apply now: after an outage, all but the deletions.
+
+        What is still missing after the hold is found by listing all items.
+        """
+        if asyncio.get_running_loop().time() >= self._hold_until_s:
+            return entries
+        applied = [entry for entry in entries if not entry.is_deleted]
+        if len(applied) < len(entries):
+            self._relist_after_s = self._hold_until_s
         return applied
--- a/tests/fleet/test_upstream_list.py
+++ b/tests/fleet/test_upstream_list.py
@@ -140,3 +140,18 @@
 def test_numbers_of_newer_builds_are_read_as_the_usual_reasons():
     assert GrantReason(200) is GrantReason.BEST
     assert RefusalReason(200) is RefusalReason.NO_ROOM
+
+
+def test_all_upstreams_that_a_list_lacks_are_deleted_on_a_replica():
+    # Deletions of one revision did not fit into one datagram, and the rest was not sent.
+    primary, replica = UpstreamList(), UpstreamList()
+    for number in range(3 * MAX_ENTRIES_PER_DATAGRAM):
+        primary.put(entry(f"u{number}", number + 1))
+    primary.advance(at(99))
+    for _ in range(4):
+        replica.merge(primary.changes_after(replica.revision))
+    replica.advance(at(99))
+    primary.replace([entry("u0", 1)], at(99))
+    for _ in range(4):
+        replica.merge(primary.changes_after(replica.revision))
+    assert replica.names() == primary.names() == {"u0"}
--- a/tests/vm/test_fleet.py
+++ b/tests/vm/test_fleet.py
@@ -66,6 +66,22 @@
         assert polls <= 2 + 10 * len(site.vms)
 
 
+async def test_a_deletion_that_was_held_back_reaches_all_vms(monkeypatch):
+    # The members counted its revision as known when the broker applied it.
+    monkeypatch.setattr("gentianfold.platform.store_synchronizer.DELETION_HOLD_S", 0.5)
+    monkeypatch.setattr(
+        "gentianfold.platform.store_synchronizer.OUTAGE_THRESHOLD_S", 0.8
+    )
+    async with open_site(vms=3) as site:
+        await wait_until(lambda: all(vm.is_member for vm in site.vms[1:]))
+        site.store.status = 503
+        await anyio.sleep(1.2)
+        site.store.delete_upstream("u1")
+        site.store.status = 200
+        for vm in site.vms:
+            await wait_until(lambda vm=vm: "u1" not in vm.view.upstreams.names())
+
+
 @pytest.mark.parametrize("source", ["none", "outdated"])
 async def test_a_vm_reads_the_store_if_no_other_vm_provides_the_configuration(
     monkeypatch, source
--- a/tests/vm/test_restored_store.py
+++ b/tests/vm/test_restored_store.py
@@ -121,6 +121,18 @@
             await wait_until(lambda vm=vm: "u2" not in vm.view.upstreams.names())
 
 
+async def test_an_upstream_that_outlasts_the_copy_is_used_again(monkeypatch):
+    # Its deletion was lost, and as it lives, its entry does not change.
+    monkeypatch.setattr("gentianfold.fleet.node_view.COPY_EXPIRY_S", 0.5)
+    async with open_site(vms=2) as site:
+        copy = site.store.make_copy()
+        site.store.delete_upstream("u1")
+        await wait_until(lambda: "u1" not in site.vms[1].view.upstreams.names())
+        site.store.restore(copy)
+        for vm in site.vms:
+            await wait_until(lambda vm=vm: "u1" in vm.view.upstreams.names())
+
+
 async def test_no_vm_returns_to_the_configuration_of_the_copy():
     async with open_site(vms=2) as site:
         copy = site.store.make_copy()
