Let a broker obtain a newer configuration from a member

A VM that starts while a restored store still holds an older configuration may become the broker.

Cause: announcements went from the broker to members only. Class: the newest state of a fleet must flow from whoever has it. The broker now treats the version in a member's heartbeat like an announcement by that member, and fetches it the same way.

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -328,6 +328,10 @@
             membership.become_broker()
             self._start_as_broker()
         self.broker.handle_heartbeat(vm, heartbeat, now_s)
+        # A broker that started while the store held an older copy knows less.
+        self.announced.record(
+            heartbeat.configuration_version, vm, self.view.configuration_version, vm
+        )
 
     def _handle_heartbeat_reply(
         self, vm: str, reply: HeartbeatReply, now_s: float
--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -121,8 +121,8 @@
     async def _fetch_from_vms(self) -> None:
         """Fetch from the source that the broker assigns, once it has assigned one.
 
-        After a failure the broker itself and the source take turns: the source may be
-        unreachable, and the broker learns of that only with time.
+        After a failure the announcer itself and the source take turns: the source may be
+        unreachable, and a broker learns of that only with time.
         """
         announced = self.node.announced
         failed = ""
@@ -130,7 +130,7 @@
             announced.source_changed = anyio.Event()
             source = announced.source
             if source and source == failed:
-                source = announced.broker
+                source = announced.announcer
             if source not in ("", self.node.vm):
                 failed = source
                 await self._fetch(source)
--- a/tests/vm/test_restored_store.py
+++ b/tests/vm/test_restored_store.py
@@ -8,7 +8,9 @@
 from conftest import open_site, request_bytes, send_request, wait_until
 
 from gentianfold.model import UpstreamState
+from gentianfold.platform.wire import encode_configuration
 from gentianfold.standins.site import make_configuration
+from gentianfold.vm.store_poller import StateSink
 
 pytestmark = pytest.mark.anyio
 
@@ -133,6 +135,18 @@
             await wait_until(lambda vm=vm: "u1" in vm.view.upstreams.names())
 
 
+async def test_a_broker_with_the_configuration_of_the_copy_gets_that_of_a_member():
+    async with open_site(vms=2) as site:
+        broker, member = site.vms
+        await wait_until(lambda: member.is_member)
+        newer = make_configuration(4)
+        document = encode_configuration(newer)
+        StateSink(member._node).update_configuration(document, newer)
+        await wait_until(lambda: broker.view.configuration_version == 4)
+        started = await site.add_vm()
+        await wait_until(lambda: started.view.configuration_version == 4)
+
+
 async def test_no_vm_returns_to_the_configuration_of_the_copy():
     async with open_site(vms=2) as site:
         copy = site.store.make_copy()
