Block requests under which upstreams crash in succession

Cause: a request was known by the identifier of one attempt, and a crash counted against the upstream alone. Class: a failure that follows the work was charged to the worker. A request is now known by a digest of method, host, target, customer and body, computed only on a crash or while some request is suspect. Evidence of a crash is an ended connection and a refused new one, which resets, lost answers and cuts don't give. A request sent after one crash that meets another is blocked; crashes at the same moment count once, and any later answer clears it, so a popular request goes on being served while many upstreams crash.

The fleet learns by heartbeats (at most 8 records, the newest and others in turn), at once after a change; a new broker learns from its members. The broker alone grants trials: 5 s, 1 min and 10 min after the last crash, three in all, then none. Callers get 503 with Retry-After before the first trial and 400, which is final, after a failed one. The table holds 256 requests; the customer with most of them loses its oldest.

Ruled out: counting lost answers (they block innocent requests under resets); blocking at the first crash (every request that ran beside the cause); a digest in each slot request.

--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -124,3 +124,20 @@
     RunState.NOT_RUN,
     Retry.LATER,
 )
+CRASHED_UPSTREAMS = define_code(
+    7034,
+    "crashed-upstreams",
+    "Upstreams crashed under this request; it is tried again later.",
+    "Retry after the stated time; operators look for the fingerprint in the log.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
+CRASHES_UPSTREAMS = define_code(
+    7035,
+    "crashes-upstreams",
+    "Upstreams crash whenever they run this request; it is not sent to them.",
+    "Do not send it again; operators look for the fingerprint in the log.",
+    400,
+    RunState.NOT_RUN,
+)
--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -11,6 +11,7 @@
 from gentianfold.fleet.messages import (
     AcquireSlot,
     BrokerAnnouncement,
+    CrashReport,
     Heartbeat,
     HeartbeatReply,
     Redirect,
@@ -40,6 +41,8 @@
 effect within the required 2 s."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
+MAX_RETRY_AFTER_S = 86_400.0
+"""Longest retry delay in a refusal (seconds); stands for one that never ends."""
 MAX_CHANGE_DATAGRAMS = 4
 """Datagrams of upstream changes sent to one member at a time (count)."""
 
@@ -98,6 +101,7 @@
             time_left_s=message.time_left_ms / 1000,
             target_left_s=message.target_left_ms / 1000,
             zone=message.zone,
+            fingerprint=message.fingerprint,
         )
         decision = self.scheduler.request_slot(request, now_s)
         if isinstance(decision, Granted | Refused):
@@ -110,7 +114,7 @@
     ) -> None:
         """Send a grant or a refusal to the VM that requested the slot."""
         if isinstance(decision, Refused):
-            retry_after_ms = int(decision.retry_after_s * 1000)
+            retry_after_ms = int(min(decision.retry_after_s, MAX_RETRY_AFTER_S) * 1000)
             message = SlotRefused(
                 slot_request_id, decision.reason, retry_after_ms, decision.ahead
             )
@@ -168,6 +172,8 @@
         for name, rate_per_s, age_ms in heartbeat.rate_limits:
             stated_s = now_s - age_ms / 1000
             self.scheduler.record_rate_limit(name, rate_per_s, stated_s, now_s)
+        if self.scheduler.crashes.merge(heartbeat.crash_records, now_s):
+            self.send_crash_records(now_s)
         self._update_relay_plan()
         self.transport.send(vm, self._make_heartbeat_reply(vm, now_s))
         self._send_changes_after(vm, heartbeat.upstreams_revision)
@@ -204,6 +210,12 @@
         if deputies:
             self.hand_over(deputies[0])
 
+    def send_crash_records(self, now_s: float) -> None:
+        """Send the requests under which upstreams crashed to all members."""
+        report = CrashReport(tuple(self.scheduler.crashes.report(now_s)))
+        for vm in self.member_table.members:
+            self.transport.send(vm, report)
+
     def send_upstream_changes(self, now_s: float) -> None:
         """Send upstream changes to all members without waiting for heartbeats."""
         for vm, member in self.member_table.members.items():
@@ -269,6 +281,7 @@
             view.upstreams.revision,
             view.upstreams.last_change_revision,
             tuple(self.scheduler.quota.customers_near_limit()),
+            tuple(self.scheduler.crashes.report(now_s)),
         )
 
     def _send_changes_after(self, vm: str, revision: StoreRevision) -> None:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
+from gentianfold.placement.crash_record import CrashRecord
 
 if TYPE_CHECKING:
     from gentianfold.placement.slot_request import SlotRequest
@@ -33,6 +34,7 @@
     time_left_ms: int
     target_left_ms: int
     zone: str
+    fingerprint: bytes = b""
 
 
 class SlotGranted(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -103,6 +105,8 @@
     """Identifier, upstream, route and customer of each slot held by the VM."""
     rate_limits: tuple[tuple[str, float, int], ...] = ()
     """Upstream, rate limit and milliseconds since it was stated, newest first."""
+    crash_records: tuple[CrashRecord, ...] = ()
+    """Requests under which upstreams crashed."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -126,6 +130,8 @@
     """Revision of the last of these changes."""
     near_limit_customers: tuple[str, ...] = ()
     """Names of the customers that are near their rate limit."""
+    crash_records: tuple[CrashRecord, ...] = ()
+    """Requests under which upstreams crashed."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -177,6 +183,12 @@
     """Members of its fleet besides the broker."""
 
 
+class CrashReport(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """Tells VMs at once that a request is blocked, or no longer."""
+
+    crash_records: tuple[CrashRecord, ...]
+
+
 Message: TypeAlias = (
     AcquireSlot
     | SlotGranted
@@ -188,6 +200,7 @@
     | UpstreamChanges
     | Redirect
     | BrokerAnnouncement
+    | CrashReport
 )
 """Any message between VMs."""
 
@@ -223,4 +236,5 @@
         int(request.time_left_s * 1000),
         int(request.target_left_s * 1000),
         request.zone,
+        request.fingerprint,
     )
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -15,6 +15,7 @@
 from gentianfold.fleet.messages import (
     AcquireSlot,
     BrokerAnnouncement,
+    CrashReport,
     Heartbeat,
     HeartbeatReply,
     Message,
@@ -27,9 +28,11 @@
     to_acquire_slot,
 )
 from gentianfold.fleet.pending_request import (
+    REQUEST_RETRY_S,
     PendingRequest,
     PlacementDecision,
     to_decision,
+    to_placement,
 )
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.forwarding.placer import Placement
@@ -48,13 +51,8 @@
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
-REQUEST_RETRY_S = 0.05
-"""Time after which an unacknowledged slot request is sent again (seconds): more than
-ten round trips between zones."""
 MAX_UNANSWERED_REQUESTS = 3
 """Consecutive unacknowledged requests after which a slot is assigned locally (count)."""
-QUEUED_RETRY_S = 0.25
-"""Time between repeated requests for a slot that the broker has queued (seconds)."""
 TICK_INTERVAL_S = 0.05
 """Time between two calls of ``Node.advance`` (seconds)."""
 DEADLINE_MARGIN_S = 0.5
@@ -149,6 +147,13 @@
             self.transport.send(broker, message)
         self._deliver_decisions(now_s)
 
+    def share_crashes(self) -> None:
+        """Tell the other VMs of a changed request under which upstreams crashed."""
+        if self.membership.role is Role.BROKER:
+            self.broker.send_crash_records(self._now_s())
+        else:
+            self.membership.expedite_heartbeat(self._now_s())
+
     # Slot requests
 
     async def _request_from_broker(
@@ -170,7 +175,7 @@
             while unanswered < MAX_UNANSWERED_REQUESTS and self._now_s() < deadline_s:
                 pending.acknowledged = False
                 self.transport.send(broker, message)
-                decision = await self._await_decision(pending)
+                decision = await pending.await_decision()
                 if decision is not None:
                     return self._accept_grant(request, decision, broker)
                 unanswered = 0 if pending.acknowledged else unanswered + 1
@@ -187,22 +192,6 @@
         finally:
             self._pending.pop(request.slot_request_id, None)
 
-    async def _await_decision(
-        self, pending: PendingRequest
-    ) -> PlacementDecision | None:
-        """Wait for a decision until the next retry; ``None`` if there is none yet.
-
-        The retry comes sooner while the broker has not acknowledged the request.
-        """
-        for delay_s in (REQUEST_RETRY_S, QUEUED_RETRY_S - REQUEST_RETRY_S):
-            with anyio.move_on_after(delay_s):
-                await asyncio.shield(pending.decided)
-            if pending.decided.done():
-                return pending.decided.result()
-            if not pending.acknowledged:
-                break
-        return None
-
     def _accept_grant(
         self, request: SlotRequest, decision: PlacementDecision, broker: str
     ) -> Placement | Refused | None:
@@ -233,7 +222,7 @@
         if isinstance(decision, Refused):
             return decision
         if isinstance(decision, Granted):
-            return self._to_placement(request, decision)
+            return to_placement(request, decision, self.membership.role.value)
         pending = self._add_pending(request)
         try:
             with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
@@ -256,18 +245,6 @@
         self._pending[request.slot_request_id] = pending
         return pending
 
-    def _to_placement(self, request: SlotRequest, granted: Granted) -> Placement:
-        upstream = granted.upstream
-        return Placement(
-            request.slot_request_id,
-            upstream.name,
-            upstream.host,
-            upstream.port,
-            granted.expected_s,
-            granted.reason,
-            self.membership.role.value,
-        )
-
     # Messages
 
     def receive(self, vm: str, message: Message) -> None:
@@ -293,6 +270,8 @@
             case UpstreamChanges():
                 if not is_broker:
                     self._merge_upstreams(message, now_s)
+            case CrashReport():
+                self.scheduler.crashes.merge(message.crash_records, now_s)
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
             case BrokerAnnouncement():
@@ -346,6 +325,7 @@
         self.scheduler.quota.share = 1 / self.fleet_size
         self.scheduler.quota.fleet_near_limit = frozenset(reply.near_limit_customers)
         self.scheduler.budget.share = 1 / self.fleet_size
+        self.scheduler.crashes.merge(reply.crash_records, now_s)
         self.announced.record(
             reply.configuration_version,
             reply.configuration_source,
@@ -396,7 +376,9 @@
         target = (
             None if self.is_stopping else self.membership.next_heartbeat_target(now_s)
         )
-        if self.membership.role is Role.BROKER:
+        is_broker = self.membership.role is Role.BROKER
+        self.scheduler.crashes.grants_trials = is_broker
+        if is_broker:
             if previous_role is not Role.BROKER:
                 self._start_as_broker()
             reader = self.broker.advance(now_s)
@@ -457,6 +439,7 @@
         logger.warning("vm: was suspended for {:.1f} s", suspended_s)
         self.membership.last_reply_s -= suspended_s
         self.view.record_suspension(suspended_s)
+        self.scheduler.crashes.age(suspended_s)
         self.membership.expedite_heartbeat(self._now_s())
 
     def begin_stop(self) -> None:
@@ -484,22 +467,26 @@
             if pending is None or pending.decided.done():
                 self._cancel_locally(slot_request_id)
             elif isinstance(decision, Granted):
-                placement = self._to_placement(pending.request, decision)
+                placement = to_placement(
+                    pending.request, decision, self.membership.role.value
+                )
                 pending.decided.set_result(placement)
             else:
                 pending.decided.set_result(decision)
 
     def _make_heartbeat(self, now_s: float) -> Heartbeat:
+        scheduler, view = self.scheduler, self.view
         return Heartbeat(
             self.incarnation,
             self.zone,
             self.cpu_share,
             self.link_mbps,
-            self.view.configuration_version,
-            self.view.store_age_ms(now_s),
-            self.view.upstreams.revision,
-            tuple(self.scheduler.held_slots(self.vm)),
-            tuple(report_rate_limits(self.scheduler.trackers(), now_s)),
+            view.configuration_version,
+            view.store_age_ms(now_s),
+            view.upstreams.revision,
+            tuple(scheduler.held_slots(self.vm)),
+            tuple(report_rate_limits(scheduler.trackers(), now_s)),
+            tuple(scheduler.crashes.report(now_s)),
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -5,17 +5,25 @@
 import asyncio
 from typing import TypeAlias
 
+import anyio
 import attrs
 
 from gentianfold.fleet.messages import SlotGranted, SlotRefused
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.slot_request import (
+    Granted,
     GrantReason,
     RefusalReason,
     Refused,
     SlotRequest,
 )
 
+REQUEST_RETRY_S = 0.05
+"""Time after which an unacknowledged slot request is sent again (seconds): more than
+ten round trips between zones."""
+QUEUED_RETRY_S = 0.25
+"""Time between repeated requests for a slot that the broker has queued (seconds)."""
+
 PlacementDecision: TypeAlias = Placement | Refused
 """A granted slot, or the refusal of one."""
 
@@ -31,6 +39,34 @@
     acknowledged: bool = False
     """Whether the broker has answered the last transmission of the request."""
 
+    async def await_decision(self) -> PlacementDecision | None:
+        """Wait for a decision until the next retry; ``None`` if there is none yet.
+
+        The retry comes sooner while the broker has not acknowledged the request.
+        """
+        for delay_s in (REQUEST_RETRY_S, QUEUED_RETRY_S - REQUEST_RETRY_S):
+            with anyio.move_on_after(delay_s):
+                await asyncio.shield(self.decided)
+            if self.decided.done():
+                return self.decided.result()
+            if not self.acknowledged:
+                break
+        return None
+
+
+def to_placement(request: SlotRequest, granted: Granted, granted_by: str) -> Placement:
+    """Return the placement that a grant of this VM's own scheduler carries."""
+    upstream = granted.upstream
+    return Placement(
+        request.slot_request_id,
+        upstream.name,
+        upstream.host,
+        upstream.port,
+        granted.expected_s,
+        granted.reason,
+        granted_by,
+    )
+
 
 def to_decision(message: SlotGranted | SlotRefused, broker: str) -> PlacementDecision:
     """Return the decision that a message of the broker at an address carries."""
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -7,6 +7,7 @@
 
 import anyio
 import attrs
+from loguru import logger
 
 from gentianfold.forwarding.connection_pool import MAX_IDLE_S, NON_IDEMPOTENT_MAX_IDLE_S
 from gentianfold.forwarding.header_names import HOP_BY_HOP
@@ -19,12 +20,18 @@
 )
 from gentianfold.forwarding.rate_limit_header import parse_limit
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
+from gentianfold.placement.crash_table import (
+    TRIAL_DELAYS_S,
+    Crash,
+    RequestStanding,
+)
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.slot_request import RefusalReason, Refused, SlotRequest
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.placer import Placement
+    from gentianfold.forwarding.request_fingerprint import RequestFingerprint
     from gentianfold.forwarding.request_forwarder import RequestForwarder
     from gentianfold.forwarding.request_record import RequestRecord
     from gentianfold.forwarding.upstream_connection import (
@@ -38,6 +45,8 @@
 MIN_TIME_LEFT_S = 0.02
 """Time left before the deadline below which a request is not sent (seconds): no
 upstream processes a request faster."""
+LOGGED_FINGERPRINT_DIGITS = 8
+"""Hexadecimal digits of a fingerprint in the log (count)."""
 _SEVERITY = {
     Outcome.SUCCEEDED: 0,
     Outcome.FAILED: 2,
@@ -67,6 +76,8 @@
     """Priority; 0 is the highest."""
     deadline_s: float
     """Time by which the caller must get a response (loop time)."""
+    fingerprint: RequestFingerprint
+    """Digest of the request's content."""
     strips_authorization: bool = True
     """Whether ``Authorization`` holds a key of this product and is not forwarded."""
 
@@ -121,6 +132,7 @@
     """Names of the upstreams on which the attempt was placed."""
     on_sent: Callable[[float], None] | None = None
     """Called with the expected duration (seconds) just before the request is sent."""
+    _is_trial: bool = False
     _exchanged_bytes: int = 0
 
     async def run(self, number: int, excluded: tuple[str, ...]) -> AttemptResult:
@@ -162,6 +174,11 @@
     ) -> Placement | Refused:
         forwarder, plan = self.forwarder, self.plan
         now_s = forwarder.now_s()
+        fingerprint = self._suspect_fingerprint()
+        if self._is_trial:
+            retry_after_s = forwarder.crashes.retry_after_s(fingerprint, now_s)
+            if retry_after_s > 0:
+                return Refused(RefusalReason.CRASHES_UPSTREAMS, retry_after_s)
         target_at_s = plan.request.received_at_s + plan.route.target_latency_s
         request = SlotRequest(
             vm=forwarder.vm,
@@ -177,9 +194,28 @@
             time_left_s=plan.deadline_s - now_s,
             target_left_s=target_at_s - now_s,
             zone=forwarder.zone,
+            fingerprint=fingerprint,
         )
         return await forwarder.placer.place(request)
 
+    def _suspect_fingerprint(self) -> bytes:
+        """Return the fingerprint of a request under which upstreams crashed, or b""."""
+        crashes = self.forwarder.crashes
+        if crashes.is_empty:
+            return b""
+        fingerprint = self.plan.fingerprint.digest()
+        standing = crashes.standing(fingerprint)
+        # A grant for a blocked request is a trial.
+        self._is_trial = standing.is_blocked
+        return b"" if standing is RequestStanding.CLEAR else fingerprint
+
+    def _was_blocked_meanwhile(self) -> bool:
+        """Tell whether the request was blocked while it waited for its slot."""
+        crashes = self.forwarder.crashes
+        if self._is_trial or crashes.is_empty:
+            return False
+        return crashes.standing(self.plan.fingerprint.digest()).is_blocked
+
     async def _send(self, placement: Placement) -> AttemptResult:
         forwarder = self.forwarder
         started_at_s = forwarder.now_s()
@@ -215,8 +251,12 @@
         if time_left_s < MIN_TIME_LEFT_S:
             self.forwarder.pool.release(address, placement.upstream, connection)
             return AttemptResult(Outcome.CANCELLED, refused=NO_TIME_LEFT)
+        if self._was_blocked_meanwhile():
+            self.forwarder.pool.release(address, placement.upstream, connection)
+            return AttemptResult(Outcome.CANCELLED, refused=BLOCKED_MEANWHILE)
         if not self.plan.route.idempotent:
             self.plan.request.is_committed = True
+        sent_s = self.forwarder.now_s()
         if self.on_sent is not None:
             self.on_sent(placement.expected_duration_s)
         exchange: ExchangeResult | None = None
@@ -232,9 +272,16 @@
         if exchange is None:
             return AttemptResult(Outcome.TIMED_OUT, detail="no answer in time")
         if isinstance(exchange, ExchangeFailure):
-            return AttemptResult(Outcome.FAILED, detail=exchange.value)
+            detail = exchange.value
+            if exchange.is_end_of_connection and await self._record_crash(
+                placement, sent_s
+            ):
+                detail = "upstream crashed"
+            return AttemptResult(Outcome.FAILED, detail=detail)
         self.forwarder.pool.release(address, placement.upstream, connection)
         result = self._classify(exchange)
+        if result.response is not None:
+            self._record_survival(sent_s)
         if result.outcome is Outcome.MISDIRECTED:
             return result
         limit = parse_limit(exchange, self.forwarder.header_names.rate_limit)
@@ -243,6 +290,51 @@
             limit = None
         return attrs.evolve(result, rate_limit_per_s=limit)
 
+    async def _record_crash(self, placement: Placement, sent_s: float) -> bool:
+        """Record a crash if the upstream no longer accepts connections.
+
+        Returns:
+            Whether it crashed: a connection may end for other reasons.
+        """
+        forwarder, plan = self.forwarder, self.plan
+        crashed_s = forwarder.now_s()
+        if not await forwarder.pool.is_refused((placement.host, placement.port)):
+            return False
+        fingerprint = plan.fingerprint.digest()
+        crash = Crash(placement.upstream, sent_s, crashed_s)
+        forwarder.crashes.record_crash(
+            fingerprint, plan.customer, crash, forwarder.now_s()
+        )
+        logger.warning(
+            "request: upstream {} crashed under id={} fingerprint={} ms={:.0f}"
+            " standing={}",
+            placement.upstream,
+            self.record.request_id,
+            fingerprint.hex()[:LOGGED_FINGERPRINT_DIGITS],
+            (crashed_s - sent_s) * 1000,
+            forwarder.crashes.standing(fingerprint).value,
+        )
+        forwarder.placer.share_crashes()
+        return True
+
+    def _record_survival(self, sent_s: float) -> None:
+        """Clear the request if upstreams crashed under it and one answered now."""
+        crashes = self.forwarder.crashes
+        if crashes.is_empty:
+            return
+        fingerprint = self.plan.fingerprint.digest()
+        standing = crashes.standing(fingerprint)
+        if standing is RequestStanding.CLEAR:
+            return
+        crashes.record_success(fingerprint, sent_s, self.forwarder.now_s())
+        logger.info(
+            "request: fingerprint={} succeeded, standing={} before={}",
+            fingerprint.hex()[:LOGGED_FINGERPRINT_DIGITS],
+            crashes.standing(fingerprint).value,
+            standing.value,
+        )
+        self.forwarder.placer.share_crashes()
+
     async def _connect(self, placement: Placement) -> UpstreamConnection | None:
         """Return a connection, or ``None`` if none can be opened.
 
@@ -309,6 +401,8 @@
         return encode_request(request.method, request.target, headers, request.body)
 
 
+BLOCKED_MEANWHILE = Refused(RefusalReason.CRASHES_UPSTREAMS, TRIAL_DELAYS_S[0])
+"""Refusal of an attempt whose request was blocked while it waited for its slot."""
 NO_TIME_LEFT = Refused(RefusalReason.NO_ROOM, 0.2)
 """Refusal of an attempt that got slot and connection too late to send the request."""
 
--- a/src/gentianfold/forwarding/connection_pool.py
+++ b/src/gentianfold/forwarding/connection_pool.py
@@ -70,6 +70,24 @@
             connection.close()
         return await self._open(address, connect_timeout_s)
 
+    async def is_refused(self, address: Address) -> bool:
+        """Tell whether nothing listens at an address, as after a crash.
+
+        False if the server accepts a connection or does not respond.
+        """
+        self.opened_count += 1
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                _, protocol = await asyncio.get_running_loop().create_connection(
+                    UpstreamConnection, address[0], address[1]
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        protocol.close()
+        return False
+
     def release(
         self, address: Address, server_name: str, connection: UpstreamConnection
     ) -> None:
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -69,3 +69,7 @@
                 infinite if it states none, ``None`` if there is no answer.
         """
         ...
+
+    def share_crashes(self) -> None:
+        """Tell the other VMs of a changed request under which upstreams crashed."""
+        ...
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -13,6 +13,8 @@
 from gentianfold.codes.limits import OVER_RATE
 from gentianfold.codes.requests import (
     ANSWER_TIMEOUT,
+    CRASHED_UPSTREAMS,
+    CRASHES_UPSTREAMS,
     KEY_MISSING,
     KEY_UNKNOWN,
     NO_ROUTE,
@@ -27,6 +29,8 @@
 from gentianfold.errors import Failure
 from gentianfold.forwarding.attempt import Attempt, AttemptResult, ForwardPlan
 from gentianfold.forwarding.error_response import error_response
+from gentianfold.forwarding.request_fingerprint import RequestFingerprint
+from gentianfold.placement.crash_table import TRIAL_DELAYS_S
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import RefusalReason, Refused
 
@@ -39,6 +43,7 @@
     from gentianfold.forwarding.routing_state import RoutingState
     from gentianfold.forwarding.service_selector import ServiceSelector
     from gentianfold.model import Configuration, Route
+    from gentianfold.placement.crash_table import CrashTable
 
 CALLER_DEADLINE_MARGIN_S = 0.03
 """Time by which the deadline precedes the caller's own (seconds): ten times the
@@ -73,6 +78,8 @@
     """Reusable connections to upstreams."""
     selector: ServiceSelector
     """Selects one of the services of a route."""
+    crashes: CrashTable
+    """Requests under which upstreams crashed."""
     vm: str
     """Address of this VM."""
     zone: str
@@ -140,6 +147,7 @@
             customer,
             priority,
             deadline_s,
+            RequestFingerprint(request, customer),
             bool(configuration.customers),
         )
 
@@ -242,6 +250,8 @@
         return Failure(OUTCOME_UNKNOWN, result.detail)
 
     def _refusal_failure(self, refused: Refused) -> Failure:
+        if refused.reason is RefusalReason.CRASHES_UPSTREAMS:
+            return _crash_failure(refused)
         return Failure(_REFUSAL_CODES[refused.reason], "", refused.retry_after_s)
 
     def count_exchange(self, upstream_name: str, exchanged_bytes: int) -> None:
@@ -259,5 +269,12 @@
 """``Retry-After`` of a response when no upstream ran the request (seconds)."""
 
 
+def _crash_failure(refused: Refused) -> Failure:
+    """Return a final failure unless the request is tried again soon."""
+    if refused.retry_after_s > TRIAL_DELAYS_S[0]:
+        return Failure(CRASHES_UPSTREAMS)
+    return Failure(CRASHED_UPSTREAMS, "", refused.retry_after_s)
+
+
 def _is_success(result: AttemptResult) -> bool:
     return result.severity == 0
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -40,6 +40,11 @@
     TOO_LARGE = "answer too large"
     """The response or its head is larger than the limit."""
 
+    @property
+    def is_end_of_connection(self) -> bool:
+        """Whether the server, or something on the way, ended the connection."""
+        return self in (ExchangeFailure.CLOSED, ExchangeFailure.CUT)
+
 
 ExchangeResult: TypeAlias = Response | ExchangeFailure
 """A complete response, or why there is none."""
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -38,6 +38,8 @@
     """The customer is over its rate limit."""
     RETRY_BUDGET = 3
     """The retry budget of the service is used up."""
+    CRASHES_UPSTREAMS = 4
+    """Upstreams crashed under the request."""
 
     @classmethod
     def _missing_(cls, value: object) -> RefusalReason:
@@ -76,6 +78,8 @@
     """Time until the target latency is exceeded (seconds); negative afterwards."""
     zone: str
     """Availability zone of the VM."""
+    fingerprint: bytes = b""
+    """Digest of the request's content if upstreams crashed under it, else empty."""
 
 
 @attrs.frozen
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -8,6 +8,7 @@
 
 from gentianfold.model import Upstream, UpstreamState
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
+from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.grant import QUICK_FAILURE_S, Grant, apply_outcome
 from gentianfold.placement.log_entries import (
@@ -67,6 +68,8 @@
     """Usual elapsed times by route and by service."""
     transfers: TransferTable = attrs.field(factory=TransferTable)
     """Usual sizes of requests with their responses, by route."""
+    crashes: CrashTable = attrs.field(factory=CrashTable)
+    """Requests under which upstreams crashed."""
     state_changes: StateChangeQueue = attrs.field(factory=StateChangeQueue)
     """State changes of upstreams that are not logged yet."""
     _trackers: dict[str, UpstreamTracker] = attrs.field(factory=dict)
@@ -127,6 +130,13 @@
         queue = self._queues.setdefault(request.service, {})
         if key in queue:
             return Queued(self._order.count_ahead(queue, request, now_s))
+        if request.fingerprint and not self.crashes.try_acquire(
+            request.fingerprint, now_s
+        ):
+            retry_after_s = self.crashes.retry_after_s(request.fingerprint, now_s)
+            return Refused(
+                RefusalReason.CRASHES_UPSTREAMS, max(retry_after_s, NO_UPSTREAM_RETRY_S)
+            )
         demand = self._state(request.service).demand
         if request.attempt == 1:
             demand.count_request(request.idempotent, now_s)
--- a/src/gentianfold/standins/http_server.py
+++ b/src/gentianfold/standins/http_server.py
@@ -128,6 +128,11 @@
     """Open connections."""
     _server: asyncio.Server | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the server listens."""
+        return self._server is not None and self._server.is_serving()
+
     async def open(self, host: str = "127.0.0.1") -> None:
         """Start listening for connections."""
         loop = asyncio.get_running_loop()
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,10 @@
     is handled normally."""
     rate_limit: bytes = b""
     """Requests per second stated in each response; empty to state no limit."""
+    crash_target: bytes = b""
+    """Target of requests under which the server crashes; empty for none."""
+    crash_count: int = 0
+    """Number of crashes."""
     execution_counts: Counter[bytes] = attrs.field(factory=Counter)
     """Number of runs by request identifier."""
     received_requests: list[ReceivedRequest] = attrs.field(factory=list)
@@ -101,6 +105,11 @@
             start_time_ms=start_time_ms,
         )
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections; ``server.open`` starts it again."""
+        self.crash_count += 1
+        self.server.close()
+
     async def _handle(self, request: ReceivedRequest) -> bytes:
         self.received_requests.append(request)
         request_id = request.headers.get(HEADERS.request_id, b"")
@@ -115,6 +124,9 @@
         if behaviour is Behaviour.SHED or self.slots_in_use >= self.slots:
             return format_response(503, [*headers, (HEADERS.not_run, b"1")], b"")
         self.execution_counts[request_id] += 1
+        if self.crash_target and request.target == self.crash_target:
+            self.crash()
+            return b""
         self.slots_in_use += 1
         try:
             return await self._run_request(request, headers, behaviour)
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -50,6 +50,14 @@
         "upstreams_age_s": min(node.view.upstreams_age_s(now_s), 1e9),
         "requests_under_way": handler.running_count,
         "requests_waiting": node.scheduler.waiting_count,
+        "blocked_requests": [
+            {
+                "fingerprint": fingerprint.hex(),
+                "standing": standing.value,
+                "crashes": crash_count,
+            }
+            for fingerprint, standing, crash_count in node.scheduler.crashes.blocked()
+        ],
         "upstreams": upstreams,
     }
     headers = [(b"content-type", b"application/json")]
@@ -78,6 +86,7 @@
             tracker.rate_limiter.is_limited for tracker in trackers
         ),
         "store_era": node.view.upstreams.revision.era,
+        "requests_blocked": sum(1 for _ in node.scheduler.crashes.blocked()),
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
         "configuration_announced_version": node.announced.version,
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -198,6 +198,7 @@
             node,
             self.pool,
             ServiceSelector(),
+            node.scheduler.crashes,
             self.settings.address,
             self.settings.zone,
         )
