Stop to use upstreams that say in their answers that they leave

Callers' requests were sent to an upstream that had announced its end to this VM, for as long as the store's entry was late, wrong, missing or unreadable (DRAIN).

Hypotheses: the header is not read (the cause); it is read by one VM and the others don't know; an older list, grant or pooled connection undoes it. A test for each.

Cause: what an upstream states about itself reached no decision. Class: a fact known to one VM that has no way into the fleet's state. A VM now keeps the starts of upstreams that say so: they count as draining whatever the list says, until another start. A grant of a broker that hasn't heard is returned, a request granted before is placed anew, idle connections are closed. The broker and the other VMs learn by heartbeats, at once after the answer. An answer with status 421 is of another upstream and says nothing about this one.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -131,6 +131,7 @@
                 upstream.port,
                 expected_ms,
                 decision.reason,
+                upstream.start_time_ms,
             ),
         )
 
@@ -282,6 +283,7 @@
             view.upstreams.last_change_revision,
             tuple(self.scheduler.quota.customers_near_limit()),
             tuple(self.scheduler.crashes.report(now_s)),
+            tuple(self.view.leaving.report(now_s)),
         )
 
     def _send_changes_after(self, vm: str, revision: StoreRevision) -> None:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -49,6 +49,8 @@
     """Usual duration of such a request (milliseconds)."""
     reason: int
     """Number of a ``GrantReason``."""
+    start_time_ms: int = 0
+    """Unix time of the upstream's start (milliseconds)."""
 
 
 class SlotQueued(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -107,6 +109,8 @@
     """Upstream, rate limit and milliseconds since it was stated, newest first."""
     crash_records: tuple[CrashRecord, ...] = ()
     """Requests under which upstreams crashed."""
+    leaving: tuple[tuple[str, int], ...] = ()
+    """Upstream and start (Unix time in milliseconds) that say that they leave."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -132,6 +136,8 @@
     """Names of the customers that are near their rate limit."""
     crash_records: tuple[CrashRecord, ...] = ()
     """Requests under which upstreams crashed."""
+    leaving: tuple[tuple[str, int], ...] = ()
+    """Upstream and start (Unix time in milliseconds) that say that they leave."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -46,9 +46,12 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from gentianfold.fleet.broker import Broker
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.transport import Transport
+    from gentianfold.forwarding.upstream_notice import UpstreamNotice
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 MAX_UNANSWERED_REQUESTS = 3
@@ -147,6 +150,34 @@
             self.transport.send(broker, message)
         self._deliver_decisions(now_s)
 
+    def record_notice(self, placement: Placement, notice: UpstreamNotice) -> None:
+        """Record what the upstream of a placement states about itself."""
+        now_s = self._now_s()
+        leaving = ((placement.upstream, placement.start_time_ms),)
+        if notice.is_leaving and self._merge_leaving("answer", leaving, now_s):
+            self.membership.expedite_heartbeat(now_s)
+
+    def is_withdrawn(self, placement: Placement) -> bool:
+        """Tell whether the upstream has refused further requests since the grant."""
+        return not self.view.is_usable(placement.upstream, placement.start_time_ms)
+
+    def _merge_leaving(
+        self, cause: str, leaving: Iterable[tuple[str, int]], now_s: float
+    ) -> bool:
+        """Stop to use upstreams that say that they leave; tell whether any is new."""
+        names = self.view.leaving.merge(leaving, now_s)
+        for name in names:
+            logger.info(
+                "upstream: {} is leaving, cause={} revision={} list_age_ms={:.0f}",
+                name,
+                cause,
+                self.view.upstreams.revision,
+                min(self.view.upstreams_age_s(now_s), 1e6) * 1000,
+            )
+        if names:
+            self.apply_upstreams(now_s)
+        return bool(names)
+
     def share_crashes(self) -> None:
         """Tell the other VMs of a changed request under which upstreams crashed."""
         if self.membership.role is Role.BROKER:
@@ -201,9 +232,9 @@
         """
         if isinstance(decision, Refused):
             return decision
-        if not self.view.upstreams.is_usable(decision.upstream):
+        if not self.view.is_usable(decision.upstream, decision.start_time_ms):
             logger.info(
-                "fleet: broker {} granted a slot of {}, which is draining or deleted",
+                "fleet: broker {} granted a slot of {}, which is leaving or deleted",
                 broker,
                 decision.upstream,
             )
@@ -306,6 +337,7 @@
                 return
             membership.become_broker()
             self._start_as_broker()
+        self._merge_leaving(vm, heartbeat.leaving, now_s)
         self.broker.handle_heartbeat(vm, heartbeat, now_s)
         # A broker that started while the store held an older copy knows less.
         self.announced.record(
@@ -326,6 +358,7 @@
         self.scheduler.quota.fleet_near_limit = frozenset(reply.near_limit_customers)
         self.scheduler.budget.share = 1 / self.fleet_size
         self.scheduler.crashes.merge(reply.crash_records, now_s)
+        self._merge_leaving(vm, reply.leaving, now_s)
         self.announced.record(
             reply.configuration_version,
             reply.configuration_source,
@@ -398,7 +431,7 @@
 
     def apply_upstreams(self, now_s: float) -> None:
         """Apply the merged list of upstreams; as broker, send the changes to members."""
-        upstreams = self.view.upstreams.upstreams()
+        upstreams = self.view.list_upstreams()
         self._placement_log.log_upstreams(
             self.view.routing.upstreams, upstreams, self.view.upstreams.revision
         )
@@ -487,6 +520,7 @@
             tuple(scheduler.held_slots(self.vm)),
             tuple(report_rate_limits(scheduler.trackers(), now_s)),
             tuple(scheduler.crashes.report(now_s)),
+            tuple(view.leaving.report(now_s)),
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -4,8 +4,10 @@
 
 import attrs
 
+from gentianfold.fleet.leaving_table import LeavingTable
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.routing_state import RoutingState
+from gentianfold.model import Upstream, UpstreamState
 
 COPY_EXPIRY_S = 5.0
 """Time after which entries that only the copy of a restored store held have expired
@@ -30,6 +32,8 @@
     ``None`` if this VM has never read it.
     """
 
+    leaving: LeavingTable = attrs.field(factory=LeavingTable)
+    """Upstreams that told a VM of the fleet that they are about to end."""
     restored_s: float = float("-inf")
     """When this VM learned that the store was restored from a copy (event loop time,
     seconds); minus infinity if it was not restored since the VM's start."""
@@ -42,6 +46,20 @@
             self.restored_s = now_s
         self._era = era
 
+    def is_usable(self, name: str, start_time_ms: int) -> bool:
+        """Tell whether a start of an upstream may get requests."""
+        is_leaving = self.leaving.is_leaving(name, start_time_ms)
+        return not is_leaving and self.upstreams.is_usable(name)
+
+    def list_upstreams(self) -> list[Upstream]:
+        """Return all upstreams; those that are leaving count as draining."""
+        return [
+            attrs.evolve(upstream, state=UpstreamState.DRAINING)
+            if self.leaving.is_leaving(upstream.name, upstream.start_time_ms)
+            else upstream
+            for upstream in self.upstreams.upstreams()
+        ]
+
     def accept_withheld(self, now_s: float) -> bool:
         """Accept the upstreams that a restored store still lists after a while.
 
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -65,6 +65,7 @@
         granted.expected_s,
         granted.reason,
         granted_by,
+        upstream.start_time_ms,
     )
 
 
@@ -81,4 +82,5 @@
         message.expected_ms / 1000,
         GrantReason(message.reason),
         broker,
+        message.start_time_ms,
     )
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -20,6 +20,7 @@
 )
 from gentianfold.forwarding.rate_limit_header import parse_limit
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
+from gentianfold.forwarding.upstream_notice import NO_NOTICE, read_notice
 from gentianfold.placement.crash_table import (
     TRIAL_DELAYS_S,
     Crash,
@@ -97,6 +98,8 @@
     rate_limit_per_s: float | None = None
     """Rate limit that the upstream's answer states (requests per second); infinite if it
     states none, ``None`` without an answer."""
+    is_withdrawn: bool = False
+    """Whether nothing was sent, as the upstream had refused further requests."""
 
     @property
     def severity(self) -> int:
@@ -148,11 +151,13 @@
             placement = await self._place(number, excluded + self.used_upstreams)
             if isinstance(placement, Refused):
                 self._record_refusal(placement, self.forwarder.now_s() - started_at_s)
-                if result.outcome is Outcome.TIMED_OUT:
+                if result.outcome is Outcome.TIMED_OUT or result.is_withdrawn:
                     result = AttemptResult(Outcome.CANCELLED, refused=placement)
                 break
             self.used_upstreams += (placement.upstream,)
             result = await self._send(placement)
+            if result.is_withdrawn:
+                continue
             if result.outcome in (Outcome.SHED, Outcome.MISDIRECTED):
                 # A server got the request, so the next placement uses the retry budget.
                 number = max(number, 2)
@@ -251,6 +256,14 @@
         if time_left_s < MIN_TIME_LEFT_S:
             self.forwarder.pool.release(address, placement.upstream, connection)
             return AttemptResult(Outcome.CANCELLED, refused=NO_TIME_LEFT)
+        if self.forwarder.placer.is_withdrawn(placement):
+            connection.close()
+            return AttemptResult(
+                Outcome.CANCELLED,
+                detail="withdrawn",
+                refused=WITHDRAWN,
+                is_withdrawn=True,
+            )
         if self._was_blocked_meanwhile():
             self.forwarder.pool.release(address, placement.upstream, connection)
             return AttemptResult(Outcome.CANCELLED, refused=BLOCKED_MEANWHILE)
@@ -280,6 +293,8 @@
             return AttemptResult(Outcome.FAILED, detail=detail)
         self.forwarder.pool.release(address, placement.upstream, connection)
         result = self._classify(exchange)
+        if result.outcome is not Outcome.MISDIRECTED:
+            self._record_notice(placement, exchange)
         if result.response is not None:
             self._record_survival(sent_s)
         if result.outcome is Outcome.MISDIRECTED:
@@ -317,6 +332,16 @@
         forwarder.placer.share_crashes()
         return True
 
+    def _record_notice(self, placement: Placement, response: Response) -> None:
+        """Record what the upstream states about itself; close idle connections."""
+        notice = read_notice(response, self.forwarder.header_names)
+        if notice is NO_NOTICE:
+            return
+        self.forwarder.placer.record_notice(placement, notice)
+        if notice.is_leaving:
+            address = (placement.host, placement.port)
+            self.forwarder.pool.close_server(address, placement.upstream)
+
     def _record_survival(self, sent_s: float) -> None:
         """Clear the request if upstreams crashed under it and one answered now."""
         crashes = self.forwarder.crashes
@@ -403,6 +428,8 @@
 
 BLOCKED_MEANWHILE = Refused(RefusalReason.CRASHES_UPSTREAMS, TRIAL_DELAYS_S[0])
 """Refusal of an attempt whose request was blocked while it waited for its slot."""
+WITHDRAWN = Refused(RefusalReason.NO_UPSTREAM, 0.2)
+"""Refusal of an attempt whose upstreams all refused further requests after the grant."""
 NO_TIME_LEFT = Refused(RefusalReason.NO_ROOM, 0.2)
 """Refusal of an attempt that got slot and connection too late to send the request."""
 
--- a/src/gentianfold/forwarding/connection_pool.py
+++ b/src/gentianfold/forwarding/connection_pool.py
@@ -99,6 +99,11 @@
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def close_server(self, address: Address, server_name: str) -> None:
+        """Close the idle connections to a server."""
+        for connection in self._idle.pop((address, server_name), ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close idle connections that are too old or no longer open."""
         now_s = asyncio.get_running_loop().time()
--- a/src/gentianfold/forwarding/header_names.py
+++ b/src/gentianfold/forwarding/header_names.py
@@ -27,6 +27,8 @@
     rate_limit: bytes = b"gentianfold-rate-limit"
     """Requests per second that the upstream takes from all VMs together; absent from
     responses of an upstream without a limit."""
+    leaving: bytes = b"gentianfold-leaving"
+    """Set to 1 on all responses of an upstream that is about to end."""
     key_scheme: bytes = b"bearer"
     """``Authorization`` scheme that carries an API key, in lower case."""
 
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import GrantReason, Refused, SlotRequest
 
+if TYPE_CHECKING:
+    from gentianfold.forwarding.upstream_notice import UpstreamNotice
+
 
 @attrs.frozen
 class Placement:
@@ -29,6 +32,8 @@
     granted_by: str
     """Address of the broker that granted the slot; this VM's role in the fleet, such
     as ``alone``, if its own scheduler did."""
+    start_time_ms: int = 0
+    """Unix time of the upstream's start (milliseconds)."""
 
 
 class Placer(Protocol):
@@ -70,6 +75,14 @@
         """
         ...
 
+    def record_notice(self, placement: Placement, notice: UpstreamNotice) -> None:
+        """Record what the upstream of a placement states about itself."""
+        ...
+
+    def is_withdrawn(self, placement: Placement) -> bool:
+        """Tell whether the upstream has refused further requests since the grant."""
+        ...
+
     def share_crashes(self) -> None:
         """Tell the other VMs of a changed request under which upstreams crashed."""
         ...
--- a/src/gentianfold/platform/headers.py
+++ b/src/gentianfold/platform/headers.py
@@ -13,6 +13,7 @@
     seal=b"response-seal",
     not_run=b"not-executed",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
     key_scheme=b"token",
 )
 """Header names that callers and upstreams on the platform use."""
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,8 @@
     is handled normally."""
     rate_limit: bytes = b""
     """Requests per second stated in each response; empty to state no limit."""
+    is_leaving: bool = False
+    """Whether each response says that the server is about to end."""
     crash_target: bytes = b""
     """Target of requests under which the server crashes; empty for none."""
     crash_count: int = 0
@@ -116,6 +118,8 @@
         headers: Headers = [(HEADERS.request_id, request_id)]
         if self.rate_limit:
             headers.append((HEADERS.rate_limit, self.rate_limit))
+        if self.is_leaving:
+            headers.append((HEADERS.leaving, b"1"))
         if request.headers.get(HEADERS.upstream, b"") != self.name.encode():
             return format_response(421, headers, b"")
         behaviour = self.behaviour
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -30,6 +30,9 @@
             "slots": tracker.upstream.slots,
             "in_use": tracker.in_use,
             "is_suspect": tracker.suspect_since_s is not None,
+            "is_leaving": node.view.leaving.is_leaving(
+                tracker.upstream.name, tracker.upstream.start_time_ms
+            ),
             "slowness": round(tracker.slowness(now_s), 2),
             "rate_limit_per_s": (
                 tracker.rate_limiter.rate_per_s
@@ -82,6 +85,12 @@
         "upstreams_suspect": sum(
             tracker.suspect_since_s is not None for tracker in trackers
         ),
+        "upstreams_leaving": sum(
+            node.view.leaving.is_leaving(
+                tracker.upstream.name, tracker.upstream.start_time_ms
+            )
+            for tracker in trackers
+        ),
         "upstreams_rate_limited": sum(
             tracker.rate_limiter.is_limited for tracker in trackers
         ),
--- /dev/null
+++ b/tests/vm/test_notices.py
@@ -0,0 +1,153 @@
+"""Upstreams that state in their responses that they leave or want a pause."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import open_site, request_bytes, send_request, wait_until
+
+from gentianfold.forwarding.header_names import HeaderNames
+from gentianfold.forwarding.messages import Response
+from gentianfold.forwarding.upstream_notice import read_notice
+from gentianfold.model import UpstreamState
+
+pytestmark = pytest.mark.anyio
+
+
+async def send_many(site, count, prefix, vms=None):
+    """Send idempotent and non-idempotent requests in turn; return their statuses."""
+    vms = vms or site.vms
+    statuses = []
+    for number in range(count):
+        path, method = ("/search/1", "GET") if number % 2 else ("/claim/1", "POST")
+        body = b"b" if method == "POST" else b""
+        data = request_bytes(f"{prefix}{number}", path, method, body)
+        statuses.append((await send_request(vms[number % len(vms)], data))[0])
+    return statuses
+
+
+def received(site, name):
+    return len(site.upstreams[name].received_requests)
+
+
+def is_leaving(vm, name="u1", start_time_ms=1):
+    return vm.view.leaving.is_leaving(name, start_time_ms)
+
+
+async def be_told(site, vm, name="u1"):
+    """Let an upstream say that it leaves, and send until the VM was told."""
+    site.upstreams[name].is_leaving = True
+    number = 0
+    while not is_leaving(vm, name):
+        number += 1
+        await send_many(site, 2, f"t{number}-", [vm])
+
+
+async def test_an_upstream_that_says_that_it_leaves_gets_no_further_requests():
+    # Only the store's entry ended its use, which may be late, wrong or missing.
+    async with open_site(vms=2) as site:
+        await wait_until(lambda: site.vms[1].is_member)
+        site.store.status = 503
+        await be_told(site, site.vms[1])
+        count = received(site, "u1")
+        assert await send_many(site, 40, "r", [site.vms[1]]) == [200] * 40
+        assert received(site, "u1") == count
+
+
+async def test_all_vms_learn_that_an_upstream_leaves():
+    async with open_site(vms=3) as site:
+        await wait_until(lambda: all(vm.is_member for vm in site.vms[1:]))
+        await be_told(site, site.vms[2])
+        for vm in site.vms:
+            await wait_until(lambda vm=vm: is_leaving(vm))
+        count = received(site, "u1")
+        site.vms[0].stop_requested.set()
+        await wait_until(lambda: any(vm.is_broker for vm in site.vms[1:]))
+        assert await send_many(site, 30, "r", site.vms[1:]) == [200] * 30
+        assert received(site, "u1") == count
+
+
+async def test_an_entry_of_the_store_does_not_undo_what_an_upstream_said():
+    async with open_site(vms=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        await be_told(site, vm)
+        site.store.delete_upstream("u1")
+        await wait_until(lambda: "u1" not in vm.view.upstreams.names())
+        site.store.put_upstream(site.upstreams["u1"].store_entry(), sequence=9)
+        await wait_until(lambda: "u1" in vm.view.upstreams.names())
+        count = received(site, "u1")
+        assert await send_many(site, 30, "r") == [200] * 30
+        assert received(site, "u1") == count
+        state = vm.view.routing.upstreams["u1"].state
+        assert state is UpstreamState.DRAINING
+
+
+async def test_a_new_start_of_a_leaving_upstream_is_used():
+    async with open_site(upstreams=2, vms=2) as site:
+        await wait_until(lambda: site.vms[1].is_member)
+        await be_told(site, site.vms[1])
+        site.upstreams["u1"].is_leaving = False
+        site.store.put_upstream(site.upstreams["u1"].store_entry(2))
+        count = received(site, "u1")
+        number = 0
+        while received(site, "u1") == count:
+            number += 1
+            await send_many(site, 2, f"n{number}-", [site.vms[1]])
+
+
+async def test_idle_connections_to_a_leaving_upstream_are_closed():
+    async with open_site(upstreams=1) as site:
+        (vm,) = site.vms
+        upstream = site.upstreams["u1"]
+        assert await send_many(site, 4, "r") == [200] * 4
+        upstream.is_leaving = True
+        await send_many(site, 1, "s")
+        await wait_until(lambda: not upstream.server.connections)
+        assert not any(name == "u1" for _, name in vm.pool._idle)
+
+
+async def test_a_request_granted_before_the_notice_is_placed_anew(monkeypatch):
+    async with open_site(upstreams=2, vms=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        acquire = vm.pool.acquire
+
+        async def acquire_and_be_told(address, name, *args, **kwargs):
+            connection = await acquire(address, name, *args, **kwargs)
+            if name.startswith("u") and not told:
+                vm.view.leaving.record(name, 1, 0.0)
+                told.append(name)
+            return connection
+
+        told = []
+        monkeypatch.setattr(
+            type(vm.pool),
+            "acquire",
+            lambda _, *args, **kw: acquire_and_be_told(*args, **kw),
+        )
+        assert (await send_request(vm, request_bytes("r1", "/claim/1", "POST", b"b")))[
+            0
+        ] == 200
+        other = ({"u1", "u2"} - {told[0]}).pop()
+        assert received(site, told[0]) == 0 and received(site, other) == 1
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving"),
+    [(b"1", True), (b" 1 ", True), (b"0", False), (b"", False), (b"true", False)],
+)
+def test_only_the_value_1_says_that_an_upstream_leaves(value, leaving):
+    names = HeaderNames()
+    response = Response(200, [(names.leaving, value)], b"")
+    assert read_notice(response, names).is_leaving is leaving
+    assert not read_notice(Response(200, [], b""), names).is_leaving
+
+
+async def test_the_answer_of_another_upstream_at_the_address_says_nothing():
+    async with open_site(upstreams=2) as site:
+        (vm,) = site.vms
+        upstream = site.upstreams["u1"]
+        upstream.name, upstream.is_leaving = "u9", True
+        while not upstream.received_requests:
+            await send_many(site, 2, f"r{received(site, 'u2')}-")
+        assert not is_leaving(vm, "u1") and not is_leaving(vm, "u9")
