Send nothing to an upstream for as long as it asks

Hypotheses: the header is not read (the cause); the VM knows and the broker, or a new one, grants the upstream; a grant under way is sent after the answer.

Cause: a refusal was a fact about the upstream for all VMs and for a fixed time; what it asks is of one VM and for its own time. The VM that was told keeps it by upstream and start, on the monotonic clock, and returns grants meanwhile; the broker learns with the release of the slot and again by heartbeats, and grants the upstream to others. If all upstreams of a service pause, a request is refused at once, with the time until the first one wants requests again. The latest answer counts, up to ten minutes; of several values the longest; others than decimal numbers are ignored and logged once.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -149,6 +149,7 @@
             now_s,
             release.transferred_bytes,
             release.rate_limit_per_s,
+            release.pause_ms / 1000 if release.pause_ms is not None else None,
         )
 
     def handle_heartbeat(self, vm: str, heartbeat: Heartbeat, now_s: float) -> None:
@@ -173,6 +174,9 @@
         for name, rate_per_s, age_ms in heartbeat.rate_limits:
             stated_s = now_s - age_ms / 1000
             self.scheduler.record_rate_limit(name, rate_per_s, stated_s, now_s)
+        for name, start_time_ms, left_ms in heartbeat.pauses:
+            until_s = now_s + left_ms / 1000
+            self.scheduler.record_pause(name, start_time_ms, vm, until_s)
         if self.scheduler.crashes.merge(heartbeat.crash_records, now_s):
             self.send_crash_records(now_s)
         self._update_relay_plan()
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -85,6 +85,9 @@
     rate_limit_per_s: float | None = None
     """Rate limit that the answer states; infinite if it states none, ``None`` if there
     is no answer."""
+    pause_ms: int | None = None
+    """Time for which the upstream wants no requests of the VM (milliseconds); ``None``
+    if it states none."""
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -111,6 +114,8 @@
     """Requests under which upstreams crashed."""
     leaving: tuple[tuple[str, int], ...] = ()
     """Upstream and start (Unix time in milliseconds) that say that they leave."""
+    pauses: tuple[tuple[str, int, int], ...] = ()
+    """Upstream, start, and milliseconds for which it wants no requests of the VM."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -27,6 +27,7 @@
     UpstreamChanges,
     to_acquire_slot,
 )
+from gentianfold.fleet.pause_table import PauseTable
 from gentianfold.fleet.pending_request import (
     REQUEST_RETRY_S,
     PendingRequest,
@@ -89,6 +90,8 @@
     """Published configuration and upstreams as this VM knows them."""
     announced: AnnouncedConfiguration = attrs.field(factory=AnnouncedConfiguration)
     """Newest configuration version that brokers have announced."""
+    pauses: PauseTable = attrs.field(factory=PauseTable)
+    """Upstreams that want no requests of this VM for a while."""
     fleet_size: int = 1
     """VMs of the fleet, this one included, by the broker's last heartbeat reply."""
     started_s: float = 0.0
@@ -127,13 +130,20 @@
         elapsed_s: float,
         transferred_bytes: int = 0,
         rate_limit_per_s: float | None = None,
+        pause_s: float | None = None,
     ) -> None:
         """Free the slot and report the outcome of the attempt."""
         now_s = self._now_s()
         slot_request_id = placement.slot_request_id
         key = (self.vm, slot_request_id)
         self.scheduler.release(
-            key, outcome, elapsed_s, now_s, transferred_bytes, rate_limit_per_s
+            key,
+            outcome,
+            elapsed_s,
+            now_s,
+            transferred_bytes,
+            rate_limit_per_s,
+            pause_s,
         )
         broker = self._granted_by.pop(slot_request_id, "")
         message = ReleaseSlot(
@@ -142,6 +152,7 @@
             int(elapsed_s * 1000),
             transferred_bytes,
             rate_limit_per_s,
+            int(pause_s * 1000) if pause_s is not None else None,
         )
         if self.membership.role is Role.MEMBER and self.membership.broker:
             # A broker that does not know the slot ignores the message.
@@ -156,10 +167,29 @@
         leaving = ((placement.upstream, placement.start_time_ms),)
         if notice.is_leaving and self._merge_leaving("answer", leaving, now_s):
             self.membership.expedite_heartbeat(now_s)
+        if notice.pause_s is not None:
+            logger.info(
+                "upstream: {} wants no requests of this VM, cause=answer s={:.3g}",
+                placement.upstream,
+                notice.pause_s,
+            )
+            until_s = now_s + notice.pause_s
+            self.pauses.record(placement.upstream, placement.start_time_ms, until_s)
+            self._apply_pauses(now_s)
 
     def is_withdrawn(self, placement: Placement) -> bool:
         """Tell whether the upstream has refused further requests since the grant."""
-        return not self.view.is_usable(placement.upstream, placement.start_time_ms)
+        return not self._is_usable(placement)
+
+    def _is_usable(self, placement: Placement) -> bool:
+        name, start_time_ms = placement.upstream, placement.start_time_ms
+        return self.view.is_usable(name, start_time_ms) and not self.pauses.is_paused(
+            name, start_time_ms, self._now_s()
+        )
+
+    def _apply_pauses(self, now_s: float) -> None:
+        for name, start_time_ms, until_s in self.pauses.running(now_s):
+            self.scheduler.record_pause(name, start_time_ms, self.vm, until_s)
 
     def _merge_leaving(
         self, cause: str, leaving: Iterable[tuple[str, int]], now_s: float
@@ -232,9 +262,9 @@
         """
         if isinstance(decision, Refused):
             return decision
-        if not self.view.is_usable(decision.upstream, decision.start_time_ms):
+        if not self._is_usable(decision):
             logger.info(
-                "fleet: broker {} granted a slot of {}, which is leaving or deleted",
+                "fleet: broker {} granted a slot of {}, which takes no requests",
                 broker,
                 decision.upstream,
             )
@@ -439,6 +469,7 @@
             upstream.name: upstream for upstream in upstreams
         }
         self.scheduler.replace_upstreams(upstreams, now_s)
+        self._apply_pauses(now_s)
         if self.membership.role is Role.BROKER:
             self.broker.send_upstream_changes(now_s)
 
@@ -472,6 +503,7 @@
         logger.warning("vm: was suspended for {:.1f} s", suspended_s)
         self.membership.last_reply_s -= suspended_s
         self.view.record_suspension(suspended_s)
+        self.pauses.age(suspended_s)
         self.scheduler.crashes.age(suspended_s)
         self.membership.expedite_heartbeat(self._now_s())
 
@@ -521,6 +553,7 @@
             tuple(report_rate_limits(scheduler.trackers(), now_s)),
             tuple(scheduler.crashes.report(now_s)),
             tuple(view.leaving.report(now_s)),
+            tuple(self.pauses.report(now_s)),
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -20,7 +20,7 @@
 )
 from gentianfold.forwarding.rate_limit_header import parse_limit
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
-from gentianfold.forwarding.upstream_notice import NO_NOTICE, read_notice
+from gentianfold.forwarding.upstream_notice import NO_NOTICE
 from gentianfold.placement.crash_table import (
     TRIAL_DELAYS_S,
     Crash,
@@ -98,6 +98,9 @@
     rate_limit_per_s: float | None = None
     """Rate limit that the upstream's answer states (requests per second); infinite if it
     states none, ``None`` without an answer."""
+    pause_s: float | None = None
+    """Time for which the upstream wants no requests of this VM (seconds); ``None`` if it
+    states none."""
     is_withdrawn: bool = False
     """Whether nothing was sent, as the upstream had refused further requests."""
 
@@ -236,6 +239,7 @@
                 elapsed_s,
                 self._exchanged_bytes,
                 result.rate_limit_per_s,
+                result.pause_s,
             )
             forwarder.count_exchange(placement.upstream, self._exchanged_bytes)
             self.record.attempts.append(
@@ -294,7 +298,8 @@
         self.forwarder.pool.release(address, placement.upstream, connection)
         result = self._classify(exchange)
         if result.outcome is not Outcome.MISDIRECTED:
-            self._record_notice(placement, exchange)
+            pause_s = self._record_notice(placement, exchange)
+            result = attrs.evolve(result, pause_s=pause_s)
         if result.response is not None:
             self._record_survival(sent_s)
         if result.outcome is Outcome.MISDIRECTED:
@@ -332,15 +337,16 @@
         forwarder.placer.share_crashes()
         return True
 
-    def _record_notice(self, placement: Placement, response: Response) -> None:
-        """Record what the upstream states about itself; close idle connections."""
-        notice = read_notice(response, self.forwarder.header_names)
+    def _record_notice(self, placement: Placement, response: Response) -> float | None:
+        """Record what the upstream states about itself; return the pause it wants."""
+        notice = self.forwarder.notice_reader.read(response)
         if notice is NO_NOTICE:
-            return
+            return None
         self.forwarder.placer.record_notice(placement, notice)
         if notice.is_leaving:
             address = (placement.host, placement.port)
             self.forwarder.pool.close_server(address, placement.upstream)
+        return notice.pause_s
 
     def _record_survival(self, sent_s: float) -> None:
         """Clear the request if upstreams crashed under it and one answered now."""
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -61,6 +61,7 @@
         elapsed_s: float,
         transferred_bytes: int = 0,
         rate_limit_per_s: float | None = None,
+        pause_s: float | None = None,
     ) -> None:
         """Free a slot and report the outcome of its attempt.
 
@@ -72,6 +73,8 @@
                 not known.
             rate_limit_per_s: Rate limit that the answer states (requests per second);
                 infinite if it states none, ``None`` if there is no answer.
+            pause_s: Time for which the upstream wants no requests of this VM (seconds);
+                ``None`` if it states none.
         """
         ...
 
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -30,6 +30,7 @@
 from gentianfold.forwarding.attempt import Attempt, AttemptResult, ForwardPlan
 from gentianfold.forwarding.error_response import error_response
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
+from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.placement.crash_table import TRIAL_DELAYS_S
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import RefusalReason, Refused
@@ -84,10 +85,15 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
+    notice_reader: NoticeReader = attrs.field(init=False)
+    """Reads what upstreams state about themselves."""
     exchanged_bytes: Counter[str] = attrs.field(factory=Counter)
     """Bytes of requests and responses, by whether the upstream is in the ``own`` or in
     an ``other`` availability zone."""
 
+    def __attrs_post_init__(self) -> None:
+        self.notice_reader = NoticeReader(self.header_names)
+
     async def forward(self, request: CallerRequest, record: RequestRecord) -> Response:
         """Forward a request.
 
--- a/src/gentianfold/forwarding/upstream_notice.py
+++ b/src/gentianfold/forwarding/upstream_notice.py
@@ -1,15 +1,21 @@
-"""Reads what an upstream states about itself in a response."""
+"""Reads what an upstream states about itself in a response: leaving, pausing."""
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.header_names import HeaderNames
     from gentianfold.forwarding.messages import Response
 
+MAX_PAUSE_S = 600.0
+"""Longest pause that is kept (seconds); a longer one is shortened to it."""
+_SECONDS = re.compile(rb"[0-9]{1,32}(\.[0-9]{1,32})?")
+
 
 @attrs.frozen
 class UpstreamNotice:
@@ -17,15 +23,45 @@
 
     is_leaving: bool = False
     """Whether the upstream is about to end."""
+    pause_s: float | None = None
+    """Time for which it wants no requests of this VM (seconds); ``None`` if it states
+    none."""
 
 
 NO_NOTICE = UpstreamNotice()
 """Notice of a response that states nothing."""
 
 
-def read_notice(response: Response, names: HeaderNames) -> UpstreamNotice:
-    """Return what a response states about its upstream."""
-    leaving = response.header(names.leaving)
-    if leaving is None or leaving.strip() != b"1":
-        return NO_NOTICE
-    return UpstreamNotice(is_leaving=True)
+@attrs.define(eq=False)
+class NoticeReader:
+    """Reads notices; logs the first invalid one only."""
+
+    names: HeaderNames
+    """Header names of the deployment."""
+    _has_logged: bool = False
+
+    def read(self, response: Response) -> UpstreamNotice:
+        """Return what a response states about its upstream.
+
+        A pause counts only with status 503. An invalid one is ignored, and of several
+        the longest counts.
+        """
+        leaving = response.header(self.names.leaving)
+        is_leaving = leaving is not None and leaving.strip() == b"1"
+        pause_s = self._read_pause_s(response) if response.status == 503 else None
+        if not is_leaving and pause_s is None:
+            return NO_NOTICE
+        return UpstreamNotice(is_leaving, pause_s)
+
+    def _read_pause_s(self, response: Response) -> float | None:
+        values = [
+            value.strip()
+            for name, field in response.headers
+            if name == b"retry-after"
+            for value in field.split(b",")
+        ]
+        pauses_s = [float(value) for value in values if _SECONDS.fullmatch(value)]
+        if values and not pauses_s and not self._has_logged:
+            self._has_logged = True
+            logger.warning("upstream: ignored invalid pause {!r}", values[0][:32])
+        return min(max(pauses_s), MAX_PAUSE_S) if pauses_s else None
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -162,6 +162,7 @@
         now_s: float,
         transferred_bytes: int = 0,
         rate_limit_per_s: float | None = None,
+        pause_s: float | None = None,
     ) -> None:
         """Free the slot and record the outcome, or remove the request from a queue.
 
@@ -174,6 +175,8 @@
                 not known.
             rate_limit_per_s: Rate limit that the answer states (requests per second);
                 infinite if it states none, ``None`` if there is no answer.
+            pause_s: Time for which the upstream wants no requests of the VM (seconds);
+                ``None`` if the answer states none.
         """
         grant = self._grants.pop(key, None)
         if grant is None:
@@ -182,6 +185,8 @@
             return
         self._free_slot(grant)
         self._record_outcome(grant, outcome, elapsed_s, now_s)
+        if pause_s is not None:
+            grant.tracker.paused_until_s[key[0]] = now_s + pause_s
         limiter = grant.tracker.rate_limiter
         if outcome is Outcome.CONNECT_FAILED:
             limiter.refund_request()
@@ -199,6 +204,14 @@
         if outcome is Outcome.SUCCEEDED and transferred_bytes:
             self.transfers.record(grant.request.route, transferred_bytes)
 
+    def record_pause(
+        self, name: str, start_time_ms: int, vm: str, until_s: float
+    ) -> None:
+        """Record until when a start of an upstream wants no requests of a VM."""
+        tracker = self._trackers.get(name)
+        if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
+            tracker.paused_until_s[vm] = until_s
+
     def record_rate_limit(
         self, name: str, rate_per_s: float, stated_s: float, now_s: float
     ) -> None:
@@ -368,6 +381,10 @@
         wait_s = estimated_s * self._wait_table.factor(
             self._order.wait_class(entry), now_s
         )
+        # No slot is granted before the first of the upstreams wants requests again.
+        wait_s = max(
+            wait_s, min(tracker.pause_s(request.vm, now_s) for tracker in trackers)
+        )
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
             degraded = self._grant_degraded(request, trackers, now_s)
             if degraded is not None:
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -96,6 +96,8 @@
     """Until when it counts as full after it shed or misdirected a request (seconds)."""
     blocked_until_s: dict[str, float] = attrs.field(factory=dict)
     """Until when each VM avoids it (seconds), by address of the VM."""
+    paused_until_s: dict[str, float] = attrs.field(factory=dict)
+    """Until when it wants no requests of each VM (seconds), by address of the VM."""
     connect_failed_s: dict[str, float] = attrs.field(factory=dict)
     """When each VM last failed to connect (seconds), by address of the VM."""
     last_used_s: float = NEVER_S
@@ -108,7 +110,9 @@
     """Keeps its requests to the rate that it states."""
 
     def is_blocked_for(self, vm: str, now_s: float) -> bool:
-        """Tell whether a VM failed to connect within the last ``CONNECT_BLOCK_S``."""
+        """Tell whether a VM failed to connect recently, or was told to pause."""
+        if self.pause_s(vm, now_s) > 0:
+            return True
         until_s = self.blocked_until_s.get(vm)
         if until_s is None:
             return False
@@ -117,6 +121,16 @@
             return False
         return True
 
+    def pause_s(self, vm: str, now_s: float) -> float:
+        """Return the time for which it wants no requests of a VM (seconds)."""
+        until_s = self.paused_until_s.get(vm)
+        if until_s is None:
+            return 0.0
+        if until_s <= now_s:
+            del self.paused_until_s[vm]
+            return 0.0
+        return until_s - now_s
+
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether the upstream would start a request at once."""
         return (
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -72,6 +72,8 @@
     """Requests per second stated in each response; empty to state no limit."""
     is_leaving: bool = False
     """Whether each response says that the server is about to end."""
+    pause: bytes = b""
+    """Value of ``Retry-After`` in responses that shed a request; empty for none."""
     crash_target: bytes = b""
     """Target of requests under which the server crashes; empty for none."""
     crash_count: int = 0
@@ -126,7 +128,10 @@
         if self.random.random() >= self.fault_probability:
             behaviour = Behaviour.NORMAL
         if behaviour is Behaviour.SHED or self.slots_in_use >= self.slots:
-            return format_response(503, [*headers, (HEADERS.not_run, b"1")], b"")
+            headers.append((HEADERS.not_run, b"1"))
+            if self.pause:
+                headers.append((b"retry-after", self.pause))
+            return format_response(503, headers, b"")
         self.execution_counts[request_id] += 1
         if self.crash_target and request.target == self.crash_target:
             self.crash()
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -33,6 +33,7 @@
             "is_leaving": node.view.leaving.is_leaving(
                 tracker.upstream.name, tracker.upstream.start_time_ms
             ),
+            "pause_s": round(tracker.pause_s(node.vm, now_s), 3),
             "slowness": round(tracker.slowness(now_s), 2),
             "rate_limit_per_s": (
                 tracker.rate_limiter.rate_per_s
@@ -85,6 +86,9 @@
         "upstreams_suspect": sum(
             tracker.suspect_since_s is not None for tracker in trackers
         ),
+        "upstreams_pausing": sum(
+            tracker.pause_s(node.vm, now_s) > 0 for tracker in trackers
+        ),
         "upstreams_leaving": sum(
             node.view.leaving.is_leaving(
                 tracker.upstream.name, tracker.upstream.start_time_ms
--- a/tests/vm/test_notices.py
+++ b/tests/vm/test_notices.py
@@ -5,10 +5,13 @@
 import pytest
 from conftest import open_site, request_bytes, send_request, wait_until
 
+from gentianfold.fleet.messages import ReleaseSlot
+from gentianfold.fleet.transport import UdpTransport
 from gentianfold.forwarding.header_names import HeaderNames
 from gentianfold.forwarding.messages import Response
-from gentianfold.forwarding.upstream_notice import read_notice
+from gentianfold.forwarding.upstream_notice import MAX_PAUSE_S, NoticeReader
 from gentianfold.model import UpstreamState
+from gentianfold.standins.upstream import Behaviour
 
 pytestmark = pytest.mark.anyio
 
@@ -138,9 +141,10 @@
 )
 def test_only_the_value_1_says_that_an_upstream_leaves(value, leaving):
     names = HeaderNames()
+    reader = NoticeReader(names)
     response = Response(200, [(names.leaving, value)], b"")
-    assert read_notice(response, names).is_leaving is leaving
-    assert not read_notice(Response(200, [], b""), names).is_leaving
+    assert reader.read(response).is_leaving is leaving
+    assert not reader.read(Response(200, [], b"")).is_leaving
 
 
 async def test_the_answer_of_another_upstream_at_the_address_says_nothing():
@@ -151,3 +155,125 @@
         while not upstream.received_requests:
             await send_many(site, 2, f"r{received(site, 'u2')}-")
         assert not is_leaving(vm, "u1") and not is_leaving(vm, "u9")
+
+
+def ask_for_pause(site, pause, *names):
+    for name in names or site.upstreams:
+        upstream = site.upstreams[name]
+        upstream.behaviour, upstream.pause = Behaviour.SHED, pause
+
+
+def pause_s(vm, name="u1"):
+    tracker = vm._node.scheduler.tracker(name)
+    return tracker.pause_s(vm.settings.address, vm._node._now_s())
+
+
+async def be_told_to_pause(site, vm):
+    ask_for_pause(site, b"300", "u1")
+    number = 0
+    while not pause_s(vm):
+        number += 1
+        await send_many(site, 2, f"p{number}-", [vm])
+    site.upstreams["u1"].behaviour = Behaviour.NORMAL
+
+
+async def test_an_upstream_that_wants_a_pause_gets_no_requests_of_the_vm():
+    # A shed request made it count as full for a tenth of a second only.
+    async with open_site(vms=3) as site:
+        await wait_until(lambda: all(vm.is_member for vm in site.vms[1:]))
+        told, other = site.vms[1:]
+        await be_told_to_pause(site, told)
+        count = received(site, "u1")
+        assert await send_many(site, 40, "r", [told]) == [200] * 40
+        assert received(site, "u1") == count
+        number = 0
+        while received(site, "u1") == count:
+            number += 1
+            assert await send_many(site, 2, f"o{number}-", [other]) == [200] * 2
+
+
+async def test_a_pause_holds_though_the_broker_has_not_heard_of_it(monkeypatch):
+    async with open_site(vms=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        send = UdpTransport.send
+
+        def send_all_but_releases(transport, receiver, message):
+            if transport is not vm._node.transport or not isinstance(
+                message, ReleaseSlot
+            ):
+                send(transport, receiver, message)
+
+        monkeypatch.setattr(UdpTransport, "send", send_all_but_releases)
+        await be_told_to_pause(site, vm)
+        count = received(site, "u1")
+        await send_many(site, 20, "r", [vm])
+        assert received(site, "u1") == count
+
+
+async def test_a_new_broker_knows_which_vm_an_upstream_wants_nothing_of():
+    async with open_site(vms=3) as site:
+        await wait_until(lambda: all(vm.is_member for vm in site.vms[1:]))
+        await be_told_to_pause(site, site.vms[2])
+        site.vms[0].stop_requested.set()
+        await wait_until(lambda: any(vm.is_broker for vm in site.vms[1:]))
+        count = received(site, "u1")
+        assert await send_many(site, 30, "r", [site.vms[2]]) == [200] * 30
+        assert received(site, "u1") == count
+
+
+async def test_requests_are_refused_at_once_if_all_upstreams_want_a_pause():
+    async with open_site(upstreams=2, vms=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        ask_for_pause(site, b"240.5")
+        number = 0
+        while not (pause_s(vm, "u1") and pause_s(vm, "u2")):
+            number += 1
+            await send_many(site, 2, f"p{number}-", [vm])
+        counts = received(site, "u1"), received(site, "u2")
+        for path, method in (("/search/1", "GET"), ("/claim/1", "POST")):
+            data = request_bytes(f"r-{method}", path, method)
+            status, headers, *_ = await send_request(vm, data)
+            assert status == 503 and 200 < float(headers["retry-after"]) <= 240.5
+        assert (received(site, "u1"), received(site, "u2")) == counts
+
+
+async def test_an_upstream_is_used_again_after_its_pause():
+    async with open_site(upstreams=1) as site:
+        (vm,) = site.vms
+        ask_for_pause(site, b"0.4")
+        await send_many(site, 1, "p")
+        site.upstreams["u1"].behaviour = Behaviour.NORMAL
+        await wait_until(lambda: not pause_s(vm))
+        assert await send_many(site, 2, "r") == [200] * 2
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "pause_s"),
+    [
+        (503, [b"2"], 2.0),
+        (503, [b" 0.25 "], 0.25),
+        (503, [b"0"], 0.0),
+        (503, [b"1", b"3"], 3.0),
+        (503, [b"1, 3"], 3.0),
+        (503, [b"9" * 30], MAX_PAUSE_S),
+        (503, [b"-1"], None),
+        (503, [b"nan"], None),
+        (503, [b"inf"], None),
+        (503, [b"1e3"], None),
+        (503, [b"9" * 40], None),
+        (503, [b"Sat, 05 Dec 2026 07:28:00 GMT"], None),
+        (503, [b""], None),
+        (503, [b"soon", b"2"], 2.0),
+        (503, [], None),
+        (200, [b"2"], None),
+        (500, [b"2"], None),
+    ],
+)
+def test_pauses_are_read_from_responses_with_status_503(status, values, pause_s):
+    headers = [(b"retry-after", value) for value in values]
+    assert (
+        NoticeReader(HeaderNames()).read(Response(status, headers, b"")).pause_s
+        == pause_s
+    )
