--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from typing import TYPE_CHECKING
 
-import anyio
 import attrs
 from loguru import logger
 
@@ -25,23 +23,14 @@
     SlotQueued,
     SlotRefused,
     UpstreamChanges,
-    to_acquire_slot,
 )
 from gentianfold.fleet.pause_table import PauseTable
-from gentianfold.fleet.pending_request import (
-    REQUEST_RETRY_S,
-    PendingRequest,
-    PlacementDecision,
-    to_decision,
-    to_placement,
-)
 from gentianfold.fleet.placement_log import PlacementLog
+from gentianfold.fleet.slot_client import SlotClient
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.rate_limit_report import report_rate_limits
 from gentianfold.placement.slot_request import (
-    Granted,
-    RefusalReason,
     Refused,
     SlotRequest,
 )
@@ -55,13 +44,8 @@
     from gentianfold.forwarding.upstream_notice import UpstreamNotice
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
-MAX_UNANSWERED_REQUESTS = 3
-"""Consecutive unacknowledged requests after which a slot is assigned locally (count)."""
 TICK_INTERVAL_S = 0.05
 """Time between two calls of ``Node.advance`` (seconds)."""
-DEADLINE_MARGIN_S = 0.5
-"""Time past a request's deadline after which its wait for a slot is cancelled
-(seconds); a safeguard against lost decisions."""
 
 
 @attrs.define(eq=False)
@@ -98,30 +82,24 @@
     """Start of the VM (event loop time, seconds)."""
     is_stopping: bool = False
     """Whether a planned stop has begun."""
-    _slot_request_ids: itertools.count[int] = attrs.field(
-        factory=lambda: itertools.count(1)
-    )
-    _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _placement_log: PlacementLog = attrs.field(factory=PlacementLog)
-    _granted_by: dict[int, str] = attrs.field(factory=dict)
+    slots: SlotClient = attrs.field(init=False)
+    """Obtains the slots of this VM's requests."""
+
+    def __attrs_post_init__(self) -> None:
+        self.slots = SlotClient(
+            self.vm, self.scheduler, self.membership, self.transport, self._is_usable
+        )
 
     # Placer
 
     def next_slot_request_id(self) -> int:
         """Return an identifier for a slot request, unique on this VM."""
-        return next(self._slot_request_ids)
+        return self.slots.next_slot_request_id()
 
     async def place(self, request: SlotRequest) -> Placement | Refused:
         """Wait for a slot; assign one locally if the broker does not answer."""
-        now_s = self._now_s()
-        if self.membership.role is Role.MEMBER and self.membership.has_live_broker(
-            now_s
-        ):
-            decision = await self._request_from_broker(request)
-            if decision is not None:
-                return decision
-            request = attrs.evolve(request, slot_request_id=self.next_slot_request_id())
-        return await self._place_locally(request)
+        return await self.slots.place(request)
 
     def release(
         self,
@@ -145,7 +123,7 @@
             rate_limit_per_s,
             pause_s,
         )
-        broker = self._granted_by.pop(slot_request_id, "")
+        broker = self.slots.end_grant(slot_request_id)
         message = ReleaseSlot(
             slot_request_id,
             outcome,
@@ -215,97 +193,6 @@
         else:
             self.membership.expedite_heartbeat(self._now_s())
 
-    # Slot requests
-
-    async def _request_from_broker(
-        self, request: SlotRequest
-    ) -> Placement | Refused | None:
-        """Request a slot from the broker.
-
-        Returns:
-            ``None`` if the broker did not decide in time or granted an unusable slot.
-        """
-        broker = self.membership.broker
-        if broker is None:
-            return None
-        pending = self._add_pending(request)
-        message = to_acquire_slot(request)
-        deadline_s = self._now_s() + request.time_left_s + DEADLINE_MARGIN_S
-        unanswered = 0
-        try:
-            while unanswered < MAX_UNANSWERED_REQUESTS and self._now_s() < deadline_s:
-                pending.acknowledged = False
-                self.transport.send(broker, message)
-                decision = await pending.await_decision()
-                if decision is not None:
-                    return self._accept_grant(request, decision, broker)
-                unanswered = 0 if pending.acknowledged else unanswered + 1
-            self.membership.expedite_heartbeat(self._now_s())
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
-            return None
-        except BaseException:
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
-            raise
-        finally:
-            self._pending.pop(request.slot_request_id, None)
-
-    def _accept_grant(
-        self, request: SlotRequest, decision: PlacementDecision, broker: str
-    ) -> Placement | Refused | None:
-        """Register a granted slot, or return it if the upstream is unusable.
-
-        This VM may know of a drain or deletion earlier than the broker.
-        """
-        if isinstance(decision, Refused):
-            return decision
-        if not self._is_usable(decision):
-            logger.info(
-                "fleet: broker {} granted a slot of {}, which takes no requests",
-                broker,
-                decision.upstream,
-            )
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
-            return None
-        self.scheduler.register_grant(request, decision.upstream, self._now_s())
-        self._granted_by[request.slot_request_id] = broker
-        return decision
-
-    async def _place_locally(self, request: SlotRequest) -> Placement | Refused:
-        """Assign a slot with this VM's own scheduler, waiting if necessary."""
-        now_s = self._now_s()
-        decision = self.scheduler.request_slot(request, now_s)
-        if isinstance(decision, Refused):
-            return decision
-        if isinstance(decision, Granted):
-            return to_placement(request, decision, self.membership.role.value)
-        pending = self._add_pending(request)
-        try:
-            with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
-                return await asyncio.shield(pending.decided)
-            self._cancel_locally(request.slot_request_id)
-            return Refused(RefusalReason.NO_ROOM, REQUEST_RETRY_S)
-        except BaseException:
-            self._cancel_locally(request.slot_request_id)
-            raise
-        finally:
-            self._pending.pop(request.slot_request_id, None)
-
-    def _cancel_locally(self, slot_request_id: int) -> None:
-        key = (self.vm, slot_request_id)
-        self.scheduler.release(key, Outcome.CANCELLED, 0.0, self._now_s())
-
-    def _add_pending(self, request: SlotRequest) -> PendingRequest:
-        decided = asyncio.get_running_loop().create_future()
-        pending = PendingRequest(request, decided)
-        self._pending[request.slot_request_id] = pending
-        return pending
-
     # Messages
 
     def receive(self, vm: str, message: Message) -> None:
@@ -323,7 +210,7 @@
                     self.broker.handle_release(vm, message, now_s)
                     self._deliver_decisions(now_s)
             case SlotGranted() | SlotRefused() | SlotQueued():
-                self._handle_slot_reply(vm, message)
+                self.slots.handle_reply(vm, message)
             case Heartbeat():
                 self._handle_heartbeat(vm, message, now_s)
             case HeartbeatReply():
@@ -338,23 +225,6 @@
             case BrokerAnnouncement():
                 self._handle_announcement(vm, message, now_s)
 
-    def _handle_slot_reply(
-        self, vm: str, message: SlotGranted | SlotRefused | SlotQueued
-    ) -> None:
-        """Resolve a pending request; return a grant for which none is pending."""
-        pending = self._pending.get(message.slot_request_id)
-        if pending is None or pending.decided.done():
-            if (
-                isinstance(message, SlotGranted)
-                and message.slot_request_id not in self._granted_by
-            ):
-                release = ReleaseSlot(message.slot_request_id, Outcome.CANCELLED, 0)
-                self.transport.send(vm, release)
-            return
-        pending.acknowledged = True
-        if not isinstance(message, SlotQueued):
-            pending.decided.set_result(to_decision(message, vm))
-
     def _handle_heartbeat(self, vm: str, heartbeat: Heartbeat, now_s: float) -> None:
         membership = self.membership
         if self.is_stopping or vm == self.vm:
@@ -528,16 +398,7 @@
             if vm != self.vm:
                 self.broker.send_decision(vm, slot_request_id, decision)
                 continue
-            pending = self._pending.get(slot_request_id)
-            if pending is None or pending.decided.done():
-                self._cancel_locally(slot_request_id)
-            elif isinstance(decision, Granted):
-                placement = to_placement(
-                    pending.request, decision, self.membership.role.value
-                )
-                pending.decided.set_result(placement)
-            else:
-                pending.decided.set_result(decision)
+            self.slots.resolve(slot_request_id, decision)
 
     def _make_heartbeat(self, now_s: float) -> Heartbeat:
         scheduler, view = self.scheduler, self.view
--- /dev/null
+++ b/src/gentianfold/fleet/slot_client.py
@@ -0,0 +1,209 @@
+"""Obtains slots for the requests of one VM, from the broker or its own scheduler."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+
+from gentianfold.fleet.membership import Membership, Role
+from gentianfold.fleet.messages import (
+    ReleaseSlot,
+    SlotGranted,
+    SlotQueued,
+    SlotRefused,
+    to_acquire_slot,
+)
+from gentianfold.fleet.pending_request import (
+    REQUEST_RETRY_S,
+    PendingRequest,
+    PlacementDecision,
+    to_decision,
+    to_placement,
+)
+from gentianfold.forwarding.placer import Placement
+from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.slot_request import (
+    Granted,
+    RefusalReason,
+    Refused,
+    SlotRequest,
+)
+
+if TYPE_CHECKING:
+    from gentianfold.fleet.transport import Transport
+    from gentianfold.placement.slot_scheduler import SlotScheduler
+
+MAX_UNANSWERED_REQUESTS = 3
+"""Consecutive unacknowledged requests after which a slot is assigned locally (count)."""
+DEADLINE_MARGIN_S = 0.5
+"""Time past a request's deadline after which its wait for a slot is cancelled
+(seconds); a safeguard against lost decisions."""
+
+
+@attrs.define(eq=False)
+class SlotClient:
+    """Requests slots and keeps the requests that await a decision."""
+
+    vm: str
+    """Address of this VM."""
+    scheduler: SlotScheduler
+    """Assigns slots without a broker, and registers those that it granted."""
+    membership: Membership
+    """Role of this VM and the broker that it uses."""
+    transport: Transport
+    """Sends messages to the broker."""
+    is_usable: Callable[[Placement], bool]
+    """Tells whether this VM may send requests to the upstream of a grant."""
+    _slot_request_ids: itertools.count[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
+    _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
+    _granted_by: dict[int, str] = attrs.field(factory=dict)
+
+    def next_slot_request_id(self) -> int:
+        """Return an identifier for a slot request, unique on this VM."""
+        return next(self._slot_request_ids)
+
+    async def place(self, request: SlotRequest) -> Placement | Refused:
+        """Wait for a slot; assign one locally if the broker does not answer."""
+        now_s = self._now_s()
+        if self.membership.role is Role.MEMBER and self.membership.has_live_broker(
+            now_s
+        ):
+            decision = await self._request_from_broker(request)
+            if decision is not None:
+                return decision
+            request = attrs.evolve(request, slot_request_id=self.next_slot_request_id())
+        return await self._place_locally(request)
+
+    async def _request_from_broker(
+        self, request: SlotRequest
+    ) -> Placement | Refused | None:
+        """Request a slot from the broker.
+
+        Returns:
+            ``None`` if the broker did not decide in time or granted an unusable slot.
+        """
+        broker = self.membership.broker
+        if broker is None:
+            return None
+        pending = self._add_pending(request)
+        message = to_acquire_slot(request)
+        deadline_s = self._now_s() + request.time_left_s + DEADLINE_MARGIN_S
+        unanswered = 0
+        try:
+            while unanswered < MAX_UNANSWERED_REQUESTS and self._now_s() < deadline_s:
+                pending.acknowledged = False
+                self.transport.send(broker, message)
+                decision = await pending.await_decision()
+                if decision is not None:
+                    return self._accept_grant(request, decision, broker)
+                unanswered = 0 if pending.acknowledged else unanswered + 1
+            self.membership.expedite_heartbeat(self._now_s())
+            self.transport.send(
+                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
+            )
+            return None
+        except BaseException:
+            self.transport.send(
+                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
+            )
+            raise
+        finally:
+            self._pending.pop(request.slot_request_id, None)
+
+    def _accept_grant(
+        self, request: SlotRequest, decision: PlacementDecision, broker: str
+    ) -> Placement | Refused | None:
+        """Register a granted slot, or return it if the upstream is unusable.
+
+        This VM may know of a drain or deletion earlier than the broker.
+        """
+        if isinstance(decision, Refused):
+            return decision
+        if not self.is_usable(decision):
+            logger.info(
+                "fleet: broker {} granted a slot of {}, which takes no requests",
+                broker,
+                decision.upstream,
+            )
+            self.transport.send(
+                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
+            )
+            return None
+        self.scheduler.register_grant(request, decision.upstream, self._now_s())
+        self._granted_by[request.slot_request_id] = broker
+        return decision
+
+    async def _place_locally(self, request: SlotRequest) -> Placement | Refused:
+        """Assign a slot with this VM's own scheduler, waiting if necessary."""
+        now_s = self._now_s()
+        decision = self.scheduler.request_slot(request, now_s)
+        if isinstance(decision, Refused):
+            return decision
+        if isinstance(decision, Granted):
+            return to_placement(request, decision, self.membership.role.value)
+        pending = self._add_pending(request)
+        try:
+            with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
+                return await asyncio.shield(pending.decided)
+            self._cancel_locally(request.slot_request_id)
+            return Refused(RefusalReason.NO_ROOM, REQUEST_RETRY_S)
+        except BaseException:
+            self._cancel_locally(request.slot_request_id)
+            raise
+        finally:
+            self._pending.pop(request.slot_request_id, None)
+
+    def _cancel_locally(self, slot_request_id: int) -> None:
+        key = (self.vm, slot_request_id)
+        self.scheduler.release(key, Outcome.CANCELLED, 0.0, self._now_s())
+
+    def _add_pending(self, request: SlotRequest) -> PendingRequest:
+        decided = asyncio.get_running_loop().create_future()
+        pending = PendingRequest(request, decided)
+        self._pending[request.slot_request_id] = pending
+        return pending
+
+    def end_grant(self, slot_request_id: int) -> str:
+        """Forget a grant; return the broker that made it, empty for this VM."""
+        return self._granted_by.pop(slot_request_id, "")
+
+    def handle_reply(
+        self, vm: str, message: SlotGranted | SlotRefused | SlotQueued
+    ) -> None:
+        """Resolve a pending request; return a grant for which none is pending."""
+        pending = self._pending.get(message.slot_request_id)
+        if pending is None or pending.decided.done():
+            if (
+                isinstance(message, SlotGranted)
+                and message.slot_request_id not in self._granted_by
+            ):
+                release = ReleaseSlot(message.slot_request_id, Outcome.CANCELLED, 0)
+                self.transport.send(vm, release)
+            return
+        pending.acknowledged = True
+        if not isinstance(message, SlotQueued):
+            pending.decided.set_result(to_decision(message, vm))
+
+    def resolve(self, slot_request_id: int, decision: Granted | Refused) -> None:
+        """Pass a decision of this VM's own scheduler to the request that awaits it."""
+        pending = self._pending.get(slot_request_id)
+        if pending is None or pending.decided.done():
+            self._cancel_locally(slot_request_id)
+        elif isinstance(decision, Granted):
+            placement = to_placement(
+                pending.request, decision, self.membership.role.value
+            )
+            pending.decided.set_result(placement)
+        else:
+            pending.decided.set_result(decision)
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -33,6 +33,7 @@
 )
 from gentianfold.placement.transfer_table import TransferTable
 from gentianfold.placement.upstream_tracker import UpstreamTracker
+from gentianfold.placement.wait_estimate import estimate_wait_s, shortest_pause_s
 from gentianfold.placement.wait_table import WaitTable
 from gentianfold.placement.working_set import WorkingSets
 
@@ -134,9 +135,8 @@
             request.fingerprint, now_s
         ):
             retry_after_s = self.crashes.retry_after_s(request.fingerprint, now_s)
-            return Refused(
-                RefusalReason.CRASHES_UPSTREAMS, max(retry_after_s, NO_UPSTREAM_RETRY_S)
-            )
+            retry_after_s = max(retry_after_s, NO_UPSTREAM_RETRY_S)
+            return Refused(RefusalReason.CRASHES_UPSTREAMS, retry_after_s)
         demand = self._state(request.service).demand
         if request.attempt == 1:
             demand.count_request(request.idempotent, now_s)
@@ -376,15 +376,12 @@
             granted = self._grant(request, trackers, now_s)
             if granted is not None:
                 return granted
-        estimated_s = self._expected_wait_s(trackers, request.service, ahead)
+        slot_time_s = self.elapsed.slot_time_s(request.service)
+        estimated_s = estimate_wait_s(trackers, slot_time_s, ahead)
         entry = QueueEntry(request, now_s, estimated_s)
-        wait_s = estimated_s * self._wait_table.factor(
-            self._order.wait_class(entry), now_s
-        )
-        # No slot is granted before the first of the upstreams wants requests again.
-        wait_s = max(
-            wait_s, min(tracker.pause_s(request.vm, now_s) for tracker in trackers)
-        )
+        wait_class = self._order.wait_class(entry)
+        wait_s = estimated_s * self._wait_table.factor(wait_class, now_s)
+        wait_s = max(wait_s, shortest_pause_s(trackers, request.vm, now_s))
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
             degraded = self._grant_degraded(request, trackers, now_s)
             if degraded is not None:
@@ -417,7 +414,8 @@
                 self._state(service).demand.count_unserved(now_s)
                 if entry.request.attempt == 1:
                     self.quota.refund(entry.request.customer)
-                wait_s = self._expected_wait_s(trackers, service, len(queue))
+                slot_time_s = self.elapsed.slot_time_s(service)
+                wait_s = estimate_wait_s(trackers, slot_time_s, len(queue))
                 retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
                 yield key, Refused(RefusalReason.NO_ROOM, retry_after_s, len(queue))
 
@@ -494,20 +492,6 @@
         target_s = max(request.target_left_s, 0.1)
         return self.elapsed.expected_s(request.route, target_s)
 
-    def _expected_wait_s(
-        self, trackers: list[UpstreamTracker], service: str, ahead: int
-    ) -> float:
-        """Return the estimated wait behind ``ahead`` requests (seconds)."""
-        slot_time_s = self.elapsed.slot_time_s(service)
-        held = sum(
-            tracker.rate_limiter.capacity_slots(tracker.upstream.slots, slot_time_s)
-            if tracker.rate_limiter.is_limited
-            else tracker.in_use
-            for tracker in trackers
-            if tracker.suspect_since_s is None
-        )
-        return (ahead + 1) * slot_time_s / (held or 1)
-
     def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
         waited_s = now_s - entry.queued_at_s
         self._wait_table.record(
