Refuse requests that still wait when a planned stop ends

Cause: the end of acceptance bounded what is read, not what is passed on. Requests that no upstream got yet are now refused when acceptance ends: 503, not run, another VM takes them at once. Retries of requests that ran in part go on, as they did.

--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -45,6 +45,9 @@
 """Time past a request's deadline after which its wait for a slot is cancelled
 (seconds); a safeguard against lost decisions."""
 
+STOPPING = Refused(RefusalReason.STOPPING, 0.05)
+"""Refusal by a VM that is about to end; another VM can take the request at once."""
+
 
 @attrs.define(eq=False)
 class SlotClient:
@@ -65,6 +68,8 @@
     )
     _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _granted_by: dict[int, str] = attrs.field(factory=dict)
+    _new_requests: set[anyio.CancelScope] = attrs.field(factory=set)
+    _refuses_new: bool = False
 
     def next_slot_request_id(self) -> int:
         """Return an identifier for a slot request, unique on this VM."""
@@ -72,6 +77,25 @@
 
     async def place(self, request: SlotRequest) -> Placement | Refused:
         """Wait for a slot; assign one locally if the broker does not answer."""
+        if request.attempt > 1:
+            return await self._place(request)
+        if self._refuses_new:
+            return STOPPING
+        with anyio.CancelScope() as scope:
+            self._new_requests.add(scope)
+            try:
+                return await self._place(request)
+            finally:
+                self._new_requests.discard(scope)
+        return STOPPING
+
+    def refuse_new_requests(self) -> None:
+        """Refuse requests that no upstream got yet: the end of the VM would cut them."""
+        self._refuses_new = True
+        for scope in self._new_requests:
+            scope.cancel()
+
+    async def _place(self, request: SlotRequest) -> Placement | Refused:
         now_s = self._now_s()
         if self.membership.role is Role.MEMBER and self.membership.has_live_broker(
             now_s
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -22,6 +22,7 @@
     OUTCOME_UNKNOWN,
     REQUEST_MALFORMED,
     RETRY_BUDGET_SPENT,
+    STOPPING,
     UPSTREAM_CONNECT_FAILED,
     UPSTREAM_SHED,
 )
@@ -62,6 +63,7 @@
     RefusalReason.NO_UPSTREAM: NO_UPSTREAM,
     RefusalReason.OVER_RATE: OVER_RATE,
     RefusalReason.RETRY_BUDGET: RETRY_BUDGET_SPENT,
+    RefusalReason.STOPPING: STOPPING,
 }
 
 
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -40,6 +40,8 @@
     """The retry budget of the service is used up."""
     CRASHES_UPSTREAMS = 4
     """Upstreams crashed under the request."""
+    STOPPING = 5
+    """The VM stops and sends no further requests."""
 
     @classmethod
     def _missing_(cls, value: object) -> RefusalReason:
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -74,6 +74,8 @@
     """Whether each response says that the server is about to end."""
     pause: bytes = b""
     """Value of ``Retry-After`` in responses that shed a request; empty for none."""
+    stale_response: bytes = b""
+    """Bytes that precede each response, such as an earlier one; empty for none."""
     crash_target: bytes = b""
     """Target of requests under which the server crashes; empty for none."""
     crash_count: int = 0
@@ -90,7 +92,7 @@
     """HTTP server of the upstream."""
 
     def __attrs_post_init__(self) -> None:
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self._handle_behind_stale_response)
 
     def store_entry(self, start_time_ms: int = 1) -> Upstream:
         """Return the upstream as the store publishes it.
@@ -109,6 +111,10 @@
             start_time_ms=start_time_ms,
         )
 
+    async def _handle_behind_stale_response(self, request: ReceivedRequest) -> bytes:
+        response = await self._handle(request)
+        return self.stale_response + response if response else response
+
     def crash(self) -> None:
         """Stop listening and reset all connections; ``server.open`` starts it again."""
         self.crash_count += 1
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -356,6 +356,7 @@
         with anyio.move_on_after(max(stop.grace_s - STOP_MARGIN_S, 0.0)) as scope:
             await anyio.sleep(stop.settle_s)
             self._stop_accepting(handler)
+            node.slots.refuse_new_requests()
             while handler.running_count or any(
                 connection.is_busy for connection in self.caller_connections
             ):
--- a/tests/forwarding/test_upstream_connection.py
+++ b/tests/forwarding/test_upstream_connection.py
@@ -150,3 +150,37 @@
         connection, [b"HTTP/1.1 200 OK\r\nid: r1\r\n" + framing + b"\r\n" + body]
     )
     assert result is ExchangeFailure.CUT
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+async def test_a_response_that_ends_within_its_head_is_no_response(has_length):
+    # Callers got status 200 with an empty or short body, framed as whole.
+    whole = answer(b"r1")
+    if not has_length:
+        whole = whole.replace(b"content-length: 4\r\n", b"")
+    head_bytes = whole.index(b"\r\n\r\n") + 4
+    for size in range(head_bytes):
+        connection = open_connection()
+        result = await exchange_until_eof(connection, whole[:size])
+        assert result in (ExchangeFailure.CUT, ExchangeFailure.CLOSED)
+        assert not connection.is_reusable
+    result = await exchange_until_eof(open_connection(), whole)
+    assert isinstance(result, Response) and result.body == b"done"
+
+
+async def exchange_until_eof(connection, data):
+    """Return the result of an exchange in which the server sends bytes and closes."""
+    results = []
+
+    async def run():
+        results.append(await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", bool))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        await anyio.lowlevel.checkpoint()
+        await anyio.lowlevel.checkpoint()
+        if data:
+            connection.data_received(data)
+        connection.eof_received()
+        connection.connection_lost(None)
+    return results[0]
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import attrs
 import pytest
 from conftest import (
     CUSTOMER,
@@ -16,6 +17,7 @@
 )
 
 from gentianfold.platform.headers import HEADERS
+from gentianfold.standins.http_server import format_response
 from gentianfold.standins.site import make_configuration
 from gentianfold.standins.upstream import Behaviour
 
@@ -308,3 +310,69 @@
         data = request_bytes().replace(b"4000", value.encode(), 1)
         assert (await send_request(site.vms[0], data))[0] == 400
         assert execution_count(site, "r1") == 0
+
+
+@pytest.mark.parametrize("path", ["/claim/1", "/search/1"])
+async def test_an_earlier_refusal_that_is_sent_again_answers_no_other_request(path):
+    # Callers were told that a request had not run which an upstream was running.
+    method, body = ("POST", b"b") if path == "/claim/1" else ("GET", b"")
+    async with open_site(upstreams=2) as site:
+        refusal = format_response(
+            503, [(HEADERS.request_id, b"r0"), (HEADERS.not_run, b"1")], b""
+        )
+        set_behaviour(site, Behaviour.SHED)
+        data = request_bytes("r0", path, method, body)
+        assert (await send_request(site.vms[0], data))[0] == 503
+        set_behaviour(site, Behaviour.NORMAL)
+        for upstream in site.upstreams.values():
+            upstream.stale_response = refusal
+        for number in range(1, 9):
+            data = request_bytes(f"r{number}", path, method, body)
+            response = await send_request(site.vms[0], data)
+            assert response[0] == 200 and response[2] == b"answer to r%d" % number
+            assert execution_count(site, f"r{number}") == 1
+
+
+async def test_a_request_behind_an_earlier_refusal_is_not_said_not_to_have_run():
+    async with open_site(upstreams=1) as site:
+        upstream = site.upstreams["u1"]
+        assert (await send_request(site.vms[0], request_bytes("r0")))[0] == 200
+        upstream.stale_response = format_response(
+            503, [(HEADERS.request_id, b"r0"), (HEADERS.not_run, b"1")], b""
+        )
+        upstream.behaviour = Behaviour.RESET
+        data = request_bytes("r1", "/claim/1", "POST", b"b")
+        assert (await send_request(site.vms[0], data))[0] == 502
+        assert execution_count(site, "r1") == 1
+
+
+async def test_a_request_that_waits_at_the_end_of_a_planned_stop_is_refused():
+    # It was granted a slot late in the grace period and cut by the end of the process.
+    configuration = make_configuration()
+    routes = tuple(
+        attrs.evolve(row, timeout_s=30.0, target_latency_s=10.0)
+        for row in configuration.routes
+    )
+    configuration = attrs.evolve(configuration, routes=routes)
+    async with open_site(upstreams=1, configuration=configuration) as site:
+        (vm,) = site.vms
+        upstream = site.upstreams["u1"]
+        upstream.slots, upstream.processing_time_s = 1, 4.0
+        site.store.put_upstream(upstream.store_entry(2))
+        await wait_until(lambda: vm.view.routing.upstreams["u1"].slots == 1)
+        first_data, second_data = (
+            request_bytes(name, "/claim/1", "POST", b"b").replace(b"4000", b"20000", 1)
+            for name in ("r1", "r2")
+        )
+        async with connect_caller(vm) as first, connect_caller(vm) as second:
+            await first.send(first_data)
+            await wait_until(lambda: execution_count(site, "r1") == 1)
+            await second.send(second_data)
+            await wait_until(lambda: vm._node.scheduler.waiting_count == 1)
+            vm.stop_requested.set()
+            with anyio.fail_after(30):
+                status, headers, body, _ = await read_response(second)
+            assert (status, headers["connection"]) == (503, "close")
+            assert b"7033" in body and float(headers["retry-after"]) > 0
+            assert (await read_response(first))[0] == 200
+        assert execution_count(site, "r2") == 0
