--- a/src/gentianfold/cli/status.py
+++ b/src/gentianfold/cli/status.py
@@ -97,7 +97,16 @@
         )
         for state in states
     ]
-    upstream_header = ("UPSTREAM", "SERVICE", "STATE", "SLOTS", "IN USE", "SUSPECT")
+    upstream_header = (
+        "UPSTREAM",
+        "SERVICE",
+        "STATE",
+        "SLOTS",
+        "IN USE",
+        "SUSPECT",
+        "LEAVING",
+        "PAUSE S",
+    )
     upstream_rows = [
         (
             upstream["name"],
@@ -106,6 +115,8 @@
             upstream["slots"],
             upstream["in_use"],
             "yes" if upstream["is_suspect"] else "no",
+            "yes" if upstream["is_leaving"] else "no",
+            upstream["pause_s"],
         )
         for upstream in states[0]["upstreams"]
     ]
--- a/tests/vm/test_notices.py
+++ b/tests/vm/test_notices.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import json
+
+import anyio
 import pytest
-from conftest import open_site, request_bytes, send_request, wait_until
+from conftest import (
+    open_site,
+    read_response,
+    request_bytes,
+    send_request,
+    wait_until,
+)
 
+from gentianfold.cli.status import format_states
 from gentianfold.fleet.messages import ReleaseSlot
 from gentianfold.fleet.transport import UdpTransport
 from gentianfold.forwarding.header_names import HeaderNames
@@ -277,3 +287,26 @@
         NoticeReader(HeaderNames()).read(Response(status, headers, b"")).pause_s
         == pause_s
     )
+
+
+async def test_status_and_gauges_show_leaving_and_pausing_upstreams():
+    async with open_site(vms=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        await be_told(site, vm, "u2")
+        await be_told_to_pause(site, vm)
+        operators = vm.settings.operators
+        bodies = {}
+        for path in ("/status", "/metrics"):
+            stream = await anyio.connect_tcp(operators.host, operators.port)
+            async with stream:
+                await stream.send(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+                bodies[path] = (await read_response(stream))[2]
+        state = json.loads(bodies["/status"])
+        rows = {row["name"]: row for row in state["upstreams"]}
+        assert rows["u2"]["is_leaving"] and not rows["u1"]["is_leaving"]
+        assert rows["u1"]["pause_s"] > 200 and not rows["u2"]["pause_s"]
+        table = format_states([state])
+        assert "LEAVING" in table and "PAUSE S" in table
+        assert b"gentianfold_upstreams_leaving 1" in bodies["/metrics"]
+        assert b"gentianfold_upstreams_pausing 1" in bodies["/metrics"]
