List again after a hold only if the list lacks a known upstream

Each VM that had listed all items while deletions were held back listed them once more, also when nothing was missing: a call for each VM and outage. A list that lacks no known upstream is complete.

--- a/src/gentianfold/placement/crash_table.py
+++ b/src/gentianfold/placement/crash_table.py
@@ -30,10 +30,16 @@
 BLOCKED_RETENTION_S = 7200.0
 """Time after the last crash or trial at which a blocked request is forgotten
 (seconds)."""
+EXPIRY_INTERVAL_S = 1.0
+"""Time between two searches for old entries (seconds): a broker makes a report for each
+heartbeat of each member."""
 MAX_FINGERPRINTS = 256
 """Requests in the table (count); the customer with most of them loses its oldest."""
 MAX_CRASHES = 4
 """Crashes kept for one request (count)."""
+SAME_S = 0.5
+"""Difference below which two times of a crash of one upstream are of the same crash
+(seconds): an upstream needs longer to start again."""
 NEWEST_REPORTED = 6
 """Records in one report that are the newest (count)."""
 OTHERS_REPORTED = 2
@@ -109,6 +115,7 @@
     """Whether this table decides on trials; only one table of a fleet should."""
     _entries: dict[bytes, _Entry] = attrs.field(factory=dict)
     _turn: int = 0
+    _expired_s: float = -math.inf
 
     @property
     def is_empty(self) -> bool:
@@ -260,11 +267,13 @@
         return True
 
     def _evict(self, now_s: float) -> None:
-        for fingerprint, entry in list(self._entries.items()):
-            is_blocked = entry.count_successive() >= BLOCKING_CRASHES
-            limit_s = BLOCKED_RETENTION_S if is_blocked else SUSPECT_RETENTION_S
-            if now_s - entry.changed_s > limit_s:
-                del self._entries[fingerprint]
+        if now_s - self._expired_s >= EXPIRY_INTERVAL_S:
+            self._expired_s = now_s
+            for fingerprint, entry in list(self._entries.items()):
+                is_blocked = entry.count_successive() >= BLOCKING_CRASHES
+                limit_s = BLOCKED_RETENTION_S if is_blocked else SUSPECT_RETENTION_S
+                if now_s - entry.changed_s > limit_s:
+                    del self._entries[fingerprint]
         while len(self._entries) > MAX_FINGERPRINTS:
             counts = Counter(entry.customer for entry in self._entries.values())
             largest = counts.most_common(1)[0][0]
@@ -279,11 +288,6 @@
             del self._entries[oldest]
 
 
-SAME_S = 0.5
-"""Difference below which two times of a crash of one upstream are of the same crash
-(seconds): an upstream needs longer to start again."""
-
-
 def _age_ms(at_s: float, now_s: float) -> int:
     """Return an age in milliseconds; -1 for an event that has not happened."""
     return max(int((now_s - at_s) * 1000), 0) if at_s > -math.inf else -1
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -81,8 +81,12 @@
 
     def add_upstreams(
         self, entries: list[UpstreamEntry], revision: StoreRevision
-    ) -> None:
-        """Add the upstreams listed at a revision; keep those that the list lacks."""
+    ) -> bool:
+        """Add the upstreams listed at a revision; keep those that the list lacks.
+
+        Returns:
+            Whether the list lacks any known upstream.
+        """
         ...
 
     def update_configuration(
@@ -205,8 +209,8 @@
         if asyncio.get_running_loop().time() < self._hold_until_s:
             # A missing entry may have expired in the outage, or be missing in the copy,
             # and come back, so nothing is deleted before the list after the hold.
-            self.sink.add_upstreams(entries, first_revision)
-            self._relist_after_s = self._hold_until_s
+            has_kept = self.sink.add_upstreams(entries, first_revision)
+            self._relist_after_s = self._hold_until_s if has_kept else float("inf")
         else:
             self.sink.replace_upstreams(entries, first_revision)
             self._relist_after_s = float("inf")
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -144,9 +144,15 @@
 
     def add_upstreams(
         self, entries: list[UpstreamEntry], revision: StoreRevision
-    ) -> None:
-        """Add all upstream entries at a store revision; delete none."""
-        self._apply_list(self.node.view.upstreams.add_listed(entries, revision))
+    ) -> bool:
+        """Add all upstream entries at a store revision; delete none.
+
+        Returns:
+            Whether any known upstream is not among them.
+        """
+        upstreams = self.node.view.upstreams
+        self._apply_list(upstreams.add_listed(entries, revision))
+        return not upstreams.names() <= {entry.name for entry in entries}
 
     def _apply_list(self, has_changed: bool) -> None:
         self.node.view.record_era(self._now_s())
--- a/tests/fleet/test_eras.py
+++ b/tests/fleet/test_eras.py
@@ -151,8 +151,9 @@
             upstreams.accept_withheld()
             self.list_due.discard(vm)
         else:
-            self.list_due.add(vm)
             upstreams.add_listed(self.store.read(), revision)
+            if not upstreams.names() <= set(self.store.items):
+                self.list_due.add(vm)
         self.read_revisions[vm] = revision
         self.note_gone(vm)
 
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -49,6 +49,7 @@
 
     def add_upstreams(self, entries, revision):
         self.upstreams.add_listed(entries, revision)
+        return not self.upstreams.names() <= {entry.name for entry in entries}
 
     def update_configuration(self, document, configuration):
         self.versions.append(configuration.version)
