--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -41,8 +41,6 @@
 effect within the required 2 s."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
-MAX_RETRY_AFTER_S = 86_400.0
-"""Longest retry delay in a refusal (seconds); stands for one that never ends."""
 MAX_CHANGE_DATAGRAMS = 4
 """Datagrams of upstream changes sent to one member at a time (count)."""
 
@@ -114,7 +112,7 @@
     ) -> None:
         """Send a grant or a refusal to the VM that requested the slot."""
         if isinstance(decision, Refused):
-            retry_after_ms = int(min(decision.retry_after_s, MAX_RETRY_AFTER_S) * 1000)
+            retry_after_ms = int(decision.retry_after_s * 1000)
             message = SlotRefused(
                 slot_request_id, decision.reason, retry_after_ms, decision.ahead
             )
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -184,8 +184,9 @@
         now_s = forwarder.now_s()
         fingerprint = self._suspect_fingerprint()
         if self._is_trial:
-            retry_after_s = forwarder.crashes.retry_after_s(fingerprint, now_s)
-            if retry_after_s > 0:
+            crashes = forwarder.crashes
+            if crashes.trial_due_in_s(fingerprint, now_s) > 0:
+                retry_after_s = crashes.retry_after_s(fingerprint, now_s)
                 return Refused(RefusalReason.CRASHES_UPSTREAMS, retry_after_s)
         target_at_s = plan.request.received_at_s + plan.route.target_latency_s
         request = SlotRequest(
@@ -321,7 +322,7 @@
         if not await forwarder.pool.is_refused((placement.host, placement.port)):
             return False
         fingerprint = plan.fingerprint.digest()
-        crash = Crash(placement.upstream, sent_s, crashed_s)
+        crash = Crash(placement.upstream, sent_s, crashed_s, self._is_trial)
         forwarder.crashes.record_crash(
             fingerprint, plan.customer, crash, forwarder.now_s()
         )
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -32,9 +32,8 @@
 from gentianfold.forwarding.error_response import error_response
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
-from gentianfold.placement.crash_table import TRIAL_DELAYS_S
 from gentianfold.placement.outcome import Outcome
-from gentianfold.placement.slot_request import RefusalReason, Refused
+from gentianfold.placement.slot_request import NEVER_S, RefusalReason, Refused
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.connection_pool import ConnectionPool
@@ -278,8 +277,8 @@
 
 
 def _crash_failure(refused: Refused) -> Failure:
-    """Return a final failure unless the request is tried again soon."""
-    if refused.retry_after_s > TRIAL_DELAYS_S[0]:
+    """Return a final failure unless the request may turn out to be harmless."""
+    if refused.retry_after_s >= NEVER_S:
         return Failure(CRASHES_UPSTREAMS)
     return Failure(CRASHED_UPSTREAMS, "", refused.retry_after_s)
 
--- a/src/gentianfold/placement/crash_record.py
+++ b/src/gentianfold/placement/crash_record.py
@@ -20,3 +20,5 @@
     """Trials since it was blocked (count)."""
     trial_age_ms: int
     """Milliseconds since the last trial; -1 for none."""
+    is_confirmed: bool
+    """Whether an upstream crashed under a trial."""
--- a/src/gentianfold/placement/crash_table.py
+++ b/src/gentianfold/placement/crash_table.py
@@ -15,6 +15,7 @@
 import attrs
 
 from gentianfold.placement.crash_record import CrashRecord
+from gentianfold.placement.slot_request import NEVER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -22,9 +23,14 @@
 BLOCKING_CRASHES = 2
 """Successive crashes after which a request is blocked (count): the first retry, which
 saves a request that only ran beside the cause, is allowed."""
-TRIAL_DELAYS_S = (5.0, 60.0, 600.0)
+TRIAL_DELAYS_S = (1.0, 60.0, 600.0)
 """Time after the last crash until a blocked request is tried once (seconds), for each
-trial. After the last one it stays blocked, since each trial may cost an upstream."""
+trial. The first comes soon, as a request that only ran beside the cause may be blocked
+too. After the last one it stays blocked, since each trial may cost an upstream."""
+TRIAL_OUTCOME_S = 5.0
+"""Time for which the outcome of a trial is awaited (seconds)."""
+AWAITED_RETRY_S = 0.3
+"""Retry delay while the outcome of a trial is awaited (seconds)."""
 SUSPECT_RETENTION_S = 60.0
 """Time after which crashes that did not block a request are forgotten (seconds)."""
 BLOCKED_RETENTION_S = 7200.0
@@ -74,6 +80,8 @@
     """When the request was sent."""
     crashed_s: float
     """When the connection ended."""
+    is_trial: bool = False
+    """Whether the request was sent as a trial."""
 
 
 @attrs.define(eq=False)
@@ -83,6 +91,7 @@
     success_sent_s: float = -math.inf
     trials: int = 0
     trial_s: float = -math.inf
+    is_confirmed: bool = False
     changed_s: float = -math.inf
 
     @property
@@ -104,7 +113,7 @@
             crash for crash in self.crashes if crash.crashed_s > self.success_sent_s
         ]
         if not self.crashes:
-            self.trials = 0
+            self.trials, self.is_confirmed = 0, False
 
 
 @attrs.define(eq=False)
@@ -129,11 +138,11 @@
             return RequestStanding.CLEAR
         if entry.count_successive() < BLOCKING_CRASHES:
             return RequestStanding.SUSPECT
-        if entry.trials and entry.last_crash_s >= entry.trial_s:
+        if entry.is_confirmed:
             return RequestStanding.CONFIRMED
         return RequestStanding.BLOCKED
 
-    def retry_after_s(self, fingerprint: bytes, now_s: float) -> float:
+    def trial_due_in_s(self, fingerprint: bytes, now_s: float) -> float:
         """Return the time until the next trial of a blocked request (seconds).
 
         Infinite if it is not tried again.
@@ -144,13 +153,25 @@
         last_s = max(entry.last_crash_s, entry.trial_s)
         return max(last_s + TRIAL_DELAYS_S[entry.trials] - now_s, 0.0)
 
+    def retry_after_s(self, fingerprint: bytes, now_s: float) -> float:
+        """Return when the caller of a blocked request should retry (seconds).
+
+        ``NEVER_S`` once a trial has crashed an upstream.
+        """
+        if self.standing(fingerprint) is RequestStanding.CONFIRMED:
+            return NEVER_S
+        if now_s - self._entries[fingerprint].trial_s < TRIAL_OUTCOME_S:
+            return AWAITED_RETRY_S
+        due_in_s = self.trial_due_in_s(fingerprint, now_s)
+        return min(max(due_in_s, AWAITED_RETRY_S), NEVER_S)
+
     def try_acquire(self, fingerprint: bytes, now_s: float) -> bool:
         """Tell whether a request may be sent now; a blocked one takes a due trial."""
         standing = self.standing(fingerprint)
         if not standing.is_blocked:
             return True
         entry = self._entries[fingerprint]
-        if not self.grants_trials or self.retry_after_s(fingerprint, now_s) > 0:
+        if not self.grants_trials or self.trial_due_in_s(fingerprint, now_s) > 0:
             return False
         entry.trials += 1
         entry.trial_s = entry.changed_s = now_s
@@ -165,6 +186,7 @@
             entry = self._entries[fingerprint] = _Entry(customer)
         if self._add_crash(entry, crash):
             entry.changed_s = now_s
+            entry.is_confirmed |= crash.is_trial
         self._evict(now_s)
 
     def record_success(self, fingerprint: bytes, sent_s: float, now_s: float) -> None:
@@ -225,6 +247,7 @@
                 _age_ms(entry.success_sent_s, now_s),
                 entry.trials,
                 _age_ms(entry.trial_s, now_s),
+                entry.is_confirmed,
             )
 
     def merge(self, records: Iterable[CrashRecord], now_s: float) -> bool:
@@ -241,6 +264,7 @@
             success_s = _time_s(record.success_age_ms, now_s)
             entry.success_sent_s = max(entry.success_sent_s, success_s)
             entry.trials = max(entry.trials, record.trials)
+            entry.is_confirmed |= record.is_confirmed
             entry.trial_s = max(entry.trial_s, _time_s(record.trial_age_ms, now_s))
             for upstream, sent_age_ms, crash_age_ms in record.crashes:
                 sent_s = _time_s(sent_age_ms, now_s)
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -8,6 +8,9 @@
 
 from gentianfold.model import Upstream
 
+NEVER_S = 86_400.0
+"""Retry delay of a refusal that is final (seconds)."""
+
 
 class GrantReason(enum.IntEnum):
     """Why an upstream was chosen; the numbers are sent between VMs."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -135,7 +135,6 @@
             request.fingerprint, now_s
         ):
             retry_after_s = self.crashes.retry_after_s(request.fingerprint, now_s)
-            retry_after_s = max(retry_after_s, NO_UPSTREAM_RETRY_S)
             return Refused(RefusalReason.CRASHES_UPSTREAMS, retry_after_s)
         demand = self._state(request.service).demand
         if request.attempt == 1:
--- a/tests/placement/test_crash_table.py
+++ b/tests/placement/test_crash_table.py
@@ -21,14 +21,16 @@
     CrashTable,
     RequestStanding,
 )
+from gentianfold.placement.slot_request import NEVER_S
 
 F = b"fingerprint1"
 
 
-def crash(table, upstream, sent_s, crashed_s, fingerprint=F, customer="c"):
-    table.record_crash(
-        fingerprint, customer, Crash(upstream, sent_s, crashed_s), crashed_s
-    )
+def crash(
+    table, upstream, sent_s, crashed_s, fingerprint=F, customer="c", is_trial=False
+):
+    crash = Crash(upstream, sent_s, crashed_s, is_trial)
+    table.record_crash(fingerprint, customer, crash, crashed_s)
 
 
 def exchange(source, target, now_s):
@@ -76,10 +78,37 @@
         now_s += 1.0
         if table.try_acquire(F, now_s):
             trials += 1
-            crash(table, f"v{trials}", now_s, now_s + 0.1)
+            crash(table, f"v{trials}", now_s, now_s + 0.1, is_trial=True)
             assert table.standing(F) is RequestStanding.CONFIRMED
     assert trials == len(TRIAL_DELAYS_S) == 3
-    assert table.retry_after_s(F, now_s) == math.inf
+    assert table.trial_due_in_s(F, now_s) == math.inf
+    assert table.retry_after_s(F, now_s) == NEVER_S
+
+
+def test_callers_retry_soon_while_the_outcome_of_a_trial_is_awaited():
+    # They were told that the request is refused for good.
+    table = CrashTable(grants_trials=True)
+    block(table)
+    now_s = 2.0 + TRIAL_DELAYS_S[0]
+    assert table.retry_after_s(F, 2.1) <= TRIAL_DELAYS_S[0]
+    assert table.try_acquire(F, now_s)
+    assert table.retry_after_s(F, now_s + 0.1) < 1.0
+    assert not table.try_acquire(F, now_s + 0.1)
+    crash(table, "u3", now_s, now_s + 0.2, is_trial=True)
+    assert table.retry_after_s(F, now_s + 0.3) == NEVER_S
+
+
+def test_a_failed_trial_stays_known_whatever_the_delay_of_reports():
+    # Ages grew by the delay of each report, and the trial seemed later than its crash.
+    broker, member = CrashTable(grants_trials=True), CrashTable()
+    block(broker)
+    assert broker.try_acquire(F, 4.0)
+    crash(broker, "u3", 4.001, 4.002, is_trial=True)
+    for step in range(40):
+        at_s = 4.1 + step / 10
+        report = list(broker.report(at_s))
+        member.merge(report, at_s + 0.01 * step)
+        assert member.standing(F) is RequestStanding.CONFIRMED
 
 
 def test_a_successful_trial_clears_the_request_on_other_vms():
@@ -209,7 +238,7 @@
         """Send the request and retry it once, as an idempotent one."""
         for _ in range(2):
             table, broker = self.tables[vm], self.tables[self.broker]
-            if table.standing(F).is_blocked and table.retry_after_s(F, self.now_s) > 0:
+            if table.standing(F).is_blocked and table.trial_due_in_s(F, self.now_s) > 0:
                 return
             if not broker.try_acquire(F, self.now_s):
                 return
--- a/tests/vm/test_crashes.py
+++ b/tests/vm/test_crashes.py
@@ -16,6 +16,12 @@
 TARGET = "/search/poison"
 
 
+@pytest.fixture(autouse=True)
+def late_trials(monkeypatch):
+    """Keep trials out of tests that are not about them."""
+    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (600.0, 600.0, 600.0))
+
+
 def crash_under(site, target):
     for upstream in site.upstreams.values():
         upstream.crash_target = target.encode()
@@ -62,7 +68,7 @@
             await send_request(vm, request_bytes(f"p{number}", TARGET))
             await start_crashed(site)
             await anyio.sleep(0.2)
-        assert crash_count(site) <= 3
+        assert crash_count(site) == 2
         response = await send_request(site.vms[0], request_bytes("p9", TARGET))
         assert response[0] == 503 and float(response[1]["retry-after"]) > 0
 
@@ -121,7 +127,7 @@
 
 
 async def test_a_request_that_has_become_harmless_is_served_again(monkeypatch):
-    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.5, 60.0, 600.0))
+    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.8, 60.0, 600.0))
     async with open_site(upstreams=4, vms=3) as site:
         await block(site)
         crash_under(site, "/search/other")
@@ -141,7 +147,7 @@
 async def test_a_request_that_crashes_an_upstream_in_its_trial_is_refused_for_good(
     monkeypatch,
 ):
-    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.3, 60.0, 600.0))
+    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.8, 60.0, 600.0))
     async with open_site(upstreams=5, vms=3) as site:
         await block(site)
         for vm in site.vms:
