--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -33,7 +33,7 @@
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.placement.outcome import Outcome
-from gentianfold.placement.slot_request import NEVER_S, RefusalReason, Refused
+from gentianfold.placement.slot_request import FINAL_RETRY_S, RefusalReason, Refused
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.connection_pool import ConnectionPool
@@ -278,7 +278,7 @@
 
 def _crash_failure(refused: Refused) -> Failure:
     """Return a final failure unless the request may turn out to be harmless."""
-    if refused.retry_after_s >= NEVER_S:
+    if refused.retry_after_s >= FINAL_RETRY_S:
         return Failure(CRASHES_UPSTREAMS)
     return Failure(CRASHED_UPSTREAMS, "", refused.retry_after_s)
 
--- a/src/gentianfold/placement/crash_table.py
+++ b/src/gentianfold/placement/crash_table.py
@@ -15,7 +15,7 @@
 import attrs
 
 from gentianfold.placement.crash_record import CrashRecord
-from gentianfold.placement.slot_request import NEVER_S
+from gentianfold.placement.slot_request import FINAL_RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -156,14 +156,14 @@
     def retry_after_s(self, fingerprint: bytes, now_s: float) -> float:
         """Return when the caller of a blocked request should retry (seconds).
 
-        ``NEVER_S`` once a trial has crashed an upstream.
+        ``FINAL_RETRY_S`` once a trial has crashed an upstream.
         """
         if self.standing(fingerprint) is RequestStanding.CONFIRMED:
-            return NEVER_S
+            return FINAL_RETRY_S
         if now_s - self._entries[fingerprint].trial_s < TRIAL_OUTCOME_S:
             return AWAITED_RETRY_S
         due_in_s = self.trial_due_in_s(fingerprint, now_s)
-        return min(max(due_in_s, AWAITED_RETRY_S), NEVER_S)
+        return min(max(due_in_s, AWAITED_RETRY_S), FINAL_RETRY_S)
 
     def try_acquire(self, fingerprint: bytes, now_s: float) -> bool:
         """Tell whether a request may be sent now; a blocked one takes a due trial."""
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -8,7 +8,7 @@
 
 from gentianfold.model import Upstream
 
-NEVER_S = 86_400.0
+FINAL_RETRY_S = 86_400.0
 """Retry delay of a refusal that is final (seconds)."""
 
 
--- a/tests/placement/test_crash_table.py
+++ b/tests/placement/test_crash_table.py
@@ -21,7 +21,7 @@
     CrashTable,
     RequestStanding,
 )
-from gentianfold.placement.slot_request import NEVER_S
+from gentianfold.placement.slot_request import FINAL_RETRY_S
 
 F = b"fingerprint1"
 
@@ -82,7 +82,7 @@
             assert table.standing(F) is RequestStanding.CONFIRMED
     assert trials == len(TRIAL_DELAYS_S) == 3
     assert table.trial_due_in_s(F, now_s) == math.inf
-    assert table.retry_after_s(F, now_s) == NEVER_S
+    assert table.retry_after_s(F, now_s) == FINAL_RETRY_S
 
 
 def test_callers_retry_soon_while_the_outcome_of_a_trial_is_awaited():
@@ -95,7 +95,7 @@
     assert table.retry_after_s(F, now_s + 0.1) < 1.0
     assert not table.try_acquire(F, now_s + 0.1)
     crash(table, "u3", now_s, now_s + 0.2, is_trial=True)
-    assert table.retry_after_s(F, now_s + 0.3) == NEVER_S
+    assert table.retry_after_s(F, now_s + 0.3) == FINAL_RETRY_S
 
 
 def test_a_failed_trial_stays_known_whatever_the_delay_of_reports():
