Repeat a trial that has no outcome

Cause: a grant stood for a run. Before a trial has crashed an upstream, a trial without an outcome is repeated after 3 s, with backoff; after one has, two more follow, counted when they are granted. So at most three tries follow the third crash, as before.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -22,7 +22,7 @@
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
 from gentianfold.forwarding.upstream_notice import NO_NOTICE
 from gentianfold.placement.crash_table import (
-    TRIAL_DELAYS_S,
+    FIRST_TRIAL_DELAY_S,
     Crash,
     RequestStanding,
 )
@@ -433,7 +433,7 @@
         return encode_request(request.method, request.target, headers, request.body)
 
 
-BLOCKED_MEANWHILE = Refused(RefusalReason.CRASHES_UPSTREAMS, TRIAL_DELAYS_S[0])
+BLOCKED_MEANWHILE = Refused(RefusalReason.CRASHES_UPSTREAMS, FIRST_TRIAL_DELAY_S)
 """Refusal of an attempt whose request was blocked while it waited for its slot."""
 WITHDRAWN = Refused(RefusalReason.NO_UPSTREAM, 0.2)
 """Refusal of an attempt whose upstreams all refused further requests after the grant."""
--- a/src/gentianfold/placement/crash_record.py
+++ b/src/gentianfold/placement/crash_record.py
@@ -18,6 +18,8 @@
     """Milliseconds since the last request that succeeded was sent; -1 for none."""
     trials: int
     """Trials since it was blocked (count)."""
+    late_trials: int
+    """Trials since an upstream crashed under a trial (count)."""
     trial_age_ms: int
     """Milliseconds since the last trial; -1 for none."""
     is_confirmed: bool
--- a/src/gentianfold/placement/crash_table.py
+++ b/src/gentianfold/placement/crash_table.py
@@ -23,14 +23,22 @@
 BLOCKING_CRASHES = 2
 """Successive crashes after which a request is blocked (count): the first retry, which
 saves a request that only ran beside the cause, is allowed."""
-TRIAL_DELAYS_S = (1.0, 60.0, 600.0)
-"""Time after the last crash until a blocked request is tried once (seconds), for each
-trial. The first comes soon, as a request that only ran beside the cause may be blocked
-too. After the last one it stays blocked, since each trial may cost an upstream."""
-TRIAL_OUTCOME_S = 5.0
-"""Time for which the outcome of a trial is awaited (seconds)."""
+FIRST_TRIAL_DELAY_S = 1.0
+"""Time after the last crash until a blocked request is tried once (seconds): short, as
+one that only ran beside the cause may be blocked too."""
+TRIAL_OUTCOME_S = 3.0
+"""Time after a trial without an outcome until the next one (seconds), such as one that
+an upstream shed; doubles with each of them."""
+MAX_TRIAL_OUTCOME_S = 60.0
+"""Upper bound of that time (seconds)."""
+LATE_TRIAL_DELAYS_S = (60.0, 600.0)
+"""Time after the last crash or trial until a request that crashed an upstream in a trial
+is tried again (seconds). After the last one it stays blocked, since each trial may cost
+an upstream."""
 AWAITED_RETRY_S = 0.3
-"""Retry delay while the outcome of a trial is awaited (seconds)."""
+"""Retry delay just after a trial (seconds)."""
+AWAITED_S = 1.0
+"""Time for which the outcome of a trial usually is awaited (seconds)."""
 SUSPECT_RETENTION_S = 60.0
 """Time after which crashes that did not block a request are forgotten (seconds)."""
 BLOCKED_RETENTION_S = 7200.0
@@ -90,6 +98,7 @@
     crashes: list[Crash] = attrs.field(factory=list)
     success_sent_s: float = -math.inf
     trials: int = 0
+    late_trials: int = 0
     trial_s: float = -math.inf
     is_confirmed: bool = False
     changed_s: float = -math.inf
@@ -113,7 +122,8 @@
             crash for crash in self.crashes if crash.crashed_s > self.success_sent_s
         ]
         if not self.crashes:
-            self.trials, self.is_confirmed = 0, False
+            self.trials = self.late_trials = 0
+            self.is_confirmed = False
 
 
 @attrs.define(eq=False)
@@ -148,10 +158,17 @@
         Infinite if it is not tried again.
         """
         entry = self._entries[fingerprint]
-        if entry.trials >= len(TRIAL_DELAYS_S):
-            return math.inf
         last_s = max(entry.last_crash_s, entry.trial_s)
-        return max(last_s + TRIAL_DELAYS_S[entry.trials] - now_s, 0.0)
+        if entry.is_confirmed:
+            if entry.late_trials >= len(LATE_TRIAL_DELAYS_S):
+                return math.inf
+            due_s = last_s + LATE_TRIAL_DELAYS_S[entry.late_trials]
+        elif entry.trial_s > entry.last_crash_s:
+            backoff_s = TRIAL_OUTCOME_S * 2 ** min(entry.trials - 1, 10)
+            due_s = last_s + min(backoff_s, MAX_TRIAL_OUTCOME_S)
+        else:
+            due_s = last_s + FIRST_TRIAL_DELAY_S
+        return max(due_s - now_s, 0.0)
 
     def retry_after_s(self, fingerprint: bytes, now_s: float) -> float:
         """Return when the caller of a blocked request should retry (seconds).
@@ -160,7 +177,7 @@
         """
         if self.standing(fingerprint) is RequestStanding.CONFIRMED:
             return FINAL_RETRY_S
-        if now_s - self._entries[fingerprint].trial_s < TRIAL_OUTCOME_S:
+        if now_s - self._entries[fingerprint].trial_s < AWAITED_S:
             return AWAITED_RETRY_S
         due_in_s = self.trial_due_in_s(fingerprint, now_s)
         return min(max(due_in_s, AWAITED_RETRY_S), FINAL_RETRY_S)
@@ -173,7 +190,10 @@
         entry = self._entries[fingerprint]
         if not self.grants_trials or self.trial_due_in_s(fingerprint, now_s) > 0:
             return False
-        entry.trials += 1
+        if entry.is_confirmed:
+            entry.late_trials += 1
+        else:
+            entry.trials += 1
         entry.trial_s = entry.changed_s = now_s
         return True
 
@@ -246,6 +266,7 @@
                 ),
                 _age_ms(entry.success_sent_s, now_s),
                 entry.trials,
+                entry.late_trials,
                 _age_ms(entry.trial_s, now_s),
                 entry.is_confirmed,
             )
@@ -264,6 +285,7 @@
             success_s = _time_s(record.success_age_ms, now_s)
             entry.success_sent_s = max(entry.success_sent_s, success_s)
             entry.trials = max(entry.trials, record.trials)
+            entry.late_trials = max(entry.late_trials, record.late_trials)
             entry.is_confirmed |= record.is_confirmed
             entry.trial_s = max(entry.trial_s, _time_s(record.trial_age_ms, now_s))
             for upstream, sent_age_ms, crash_age_ms in record.crashes:
--- a/tests/placement/test_crash_table.py
+++ b/tests/placement/test_crash_table.py
@@ -14,9 +14,10 @@
 from gentianfold.fleet.messages import CrashReport, decode, encode
 from gentianfold.placement.crash_table import (
     BLOCKED_RETENTION_S,
+    FIRST_TRIAL_DELAY_S,
+    LATE_TRIAL_DELAYS_S,
     MAX_FINGERPRINTS,
     SUSPECT_RETENTION_S,
-    TRIAL_DELAYS_S,
     Crash,
     CrashTable,
     RequestStanding,
@@ -80,7 +81,7 @@
             trials += 1
             crash(table, f"v{trials}", now_s, now_s + 0.1, is_trial=True)
             assert table.standing(F) is RequestStanding.CONFIRMED
-    assert trials == len(TRIAL_DELAYS_S) == 3
+    assert trials == 1 + len(LATE_TRIAL_DELAYS_S) == 3
     assert table.trial_due_in_s(F, now_s) == math.inf
     assert table.retry_after_s(F, now_s) == FINAL_RETRY_S
 
@@ -89,8 +90,8 @@
     # They were told that the request is refused for good.
     table = CrashTable(grants_trials=True)
     block(table)
-    now_s = 2.0 + TRIAL_DELAYS_S[0]
-    assert table.retry_after_s(F, 2.1) <= TRIAL_DELAYS_S[0]
+    now_s = 2.0 + FIRST_TRIAL_DELAY_S
+    assert table.retry_after_s(F, 2.1) <= FIRST_TRIAL_DELAY_S
     assert table.try_acquire(F, now_s)
     assert table.retry_after_s(F, now_s + 0.1) < 1.0
     assert not table.try_acquire(F, now_s + 0.1)
@@ -98,6 +99,21 @@
     assert table.retry_after_s(F, now_s + 0.3) == FINAL_RETRY_S
 
 
+def test_a_trial_without_an_outcome_is_repeated_soon():
+    # An upstream shed it, and the request stayed blocked for a minute.
+    table = CrashTable(grants_trials=True)
+    block(table)
+    now_s, trials_s = 2.0, []
+    while now_s < 20.0:
+        now_s += 0.1
+        if table.try_acquire(F, now_s):
+            trials_s.append(now_s)
+            assert table.standing(F) is RequestStanding.BLOCKED
+    assert len(trials_s) == 3 and trials_s[1] - trials_s[0] < 4.0
+    table.record_success(F, now_s, now_s)
+    assert table.standing(F) is RequestStanding.CLEAR
+
+
 def test_a_failed_trial_stays_known_whatever_the_delay_of_reports():
     # Ages grew by the delay of each report, and the trial seemed later than its crash.
     broker, member = CrashTable(grants_trials=True), CrashTable()
@@ -116,7 +132,7 @@
     block(broker)
     assert exchange(broker, member, 2.5)
     assert member.standing(F) is RequestStanding.BLOCKED
-    now_s = 2.0 + TRIAL_DELAYS_S[0]
+    now_s = 2.0 + FIRST_TRIAL_DELAY_S
     assert not member.try_acquire(F, now_s) and broker.try_acquire(F, now_s)
     assert not broker.try_acquire(F, now_s + 0.1)
     member.record_success(F, now_s, now_s + 0.2)
@@ -242,8 +258,15 @@
                 return
             if not broker.try_acquire(F, self.now_s):
                 return
+            is_trial = table.standing(F).is_blocked
             self.tries_s.append(self.now_s)
-            crash(table, f"u{len(self.tries_s)}", self.now_s, self.now_s + 0.01)
+            crash(
+                table,
+                f"u{len(self.tries_s)}",
+                self.now_s,
+                self.now_s + 0.01,
+                is_trial=is_trial,
+            )
             self.crashes_s.append(self.now_s + 0.01)
             self.now_s += 0.02
 
--- a/tests/vm/test_crashes.py
+++ b/tests/vm/test_crashes.py
@@ -19,7 +19,7 @@
 @pytest.fixture(autouse=True)
 def late_trials(monkeypatch):
     """Keep trials out of tests that are not about them."""
-    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (600.0, 600.0, 600.0))
+    monkeypatch.setattr(crash_table, "FIRST_TRIAL_DELAY_S", 600.0)
 
 
 def crash_under(site, target):
@@ -127,7 +127,7 @@
 
 
 async def test_a_request_that_has_become_harmless_is_served_again(monkeypatch):
-    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.8, 60.0, 600.0))
+    monkeypatch.setattr(crash_table, "FIRST_TRIAL_DELAY_S", 0.8)
     async with open_site(upstreams=4, vms=3) as site:
         await block(site)
         crash_under(site, "/search/other")
@@ -147,7 +147,7 @@
 async def test_a_request_that_crashes_an_upstream_in_its_trial_is_refused_for_good(
     monkeypatch,
 ):
-    monkeypatch.setattr(crash_table, "TRIAL_DELAYS_S", (0.8, 60.0, 600.0))
+    monkeypatch.setattr(crash_table, "FIRST_TRIAL_DELAY_S", 0.8)
     async with open_site(upstreams=5, vms=3) as site:
         await block(site)
         for vm in site.vms:
