Make the broker's upkeep linear in the fleet, and choose a strong one

Cause: for each heartbeat the broker sorted all members by capacity, searched all grants, and offered a new configuration again to every member that lacked it: 370 us a heartbeat, a quarter of a core at 730 heartbeats a second, and 5,900 messages for one change at 290 members. The first broker is a seed, whatever its processor time, and stayed it. Tries that it left unanswered were repeated each 50 ms. Change: the order of the deputies is kept until a member comes or goes, grants are found by VM, a member is offered a source once; choosing an upstream looks at slow, suspect and blocked ones only if there are any. When a new fleet has formed, its broker hands over to a member with twice its capacity.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -7,7 +7,7 @@
 import attrs
 from loguru import logger
 
-from gentianfold.fleet.membership import Member, MemberTable
+from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
 from gentianfold.fleet.messages import (
     AcquireSlot,
     BrokerAnnouncement,
@@ -180,6 +180,7 @@
             heartbeat.configuration_version,
             heartbeat.upstreams_revision,
         )
+        old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
             # Slots granted to an earlier process of the VM are no longer held.
             self.scheduler.remove_vm(vm)
@@ -201,7 +202,11 @@
         self._update_relay_plan()
         self._send_heartbeat_reply(vm, now_s, lease_now_s)
         self._send_changes_after(vm, heartbeat.upstreams_revision)
-        if heartbeat.configuration_version == self.relay_plan.version:
+        has_version = heartbeat.configuration_version == self.relay_plan.version
+        had_version = (
+            old is not None and old.configuration_version == self.relay_plan.version
+        )
+        if has_version and not had_version:
             # The VM can now serve the configuration to other members of its zone.
             self._offer_configuration(now_s, lease_now_s, heartbeat.zone)
 
@@ -264,12 +269,21 @@
             zone: Limits this to members of one zone; ``None`` for all zones.
         """
         members = self.member_table.members
-        best_first = sorted(members, key=lambda vm: -members[vm].link_mbps)
-        for vm in best_first:
-            if zone is not None and members[vm].zone != zone:
+        lacking = [
+            vm
+            for vm, member in members.items()
+            if (zone is None or member.zone == zone)
+            and member.configuration_version < self.relay_plan.version
+            and not self.relay_plan.is_assigned(vm, now_s)
+        ]
+        busy_zones = set()
+        for vm in sorted(lacking, key=lambda vm: -members[vm].link_mbps):
+            if members[vm].zone in busy_zones:
                 continue
             if self.relay_plan.source_for(vm, members, now_s):
                 self._send_heartbeat_reply(vm, now_s, lease_now_s)
+            else:
+                busy_zones.add(members[vm].zone)
 
     def advance(self, now_s: float) -> str | None:
         """Remove silent members and announce this broker to possible other brokers.
@@ -365,6 +379,16 @@
                 )
                 self.scheduler.register_grant(request, upstream_name, now_s)
 
+    def find_stronger(self, own_capacity: float, lease_now_s: float) -> str | None:
+        """Return a much stronger member when the forming of a new fleet ends, once."""
+        if not self.leases.ends_forming(lease_now_s):
+            return None
+        for vm in self.member_table.deputies()[:1]:
+            capacity = self.member_table.members[vm].capacity
+            if capacity >= STRONGER_FACTOR * own_capacity:
+                return vm
+        return None
+
     def _find_store_reader(self, now_s: float) -> str | None:
         """Return the member with the newest store read if this VM's read is stale."""
         age_ms = self.view.store_age_ms(now_s)
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -37,6 +37,9 @@
 """CPU share that counts as 1 in the ranking of deputies (cores); a broker uses 0.05."""
 REFERENCE_LINK_MBPS = 50.0
 """Bandwidth that counts as 1 in the ranking of deputies (megabits per second)."""
+STRONGER_FACTOR = 2.0
+"""Multiple of its own capacity from which a broker hands over to a deputy once the
+members of a new fleet have joined: a seed may be the weakest VM."""
 MAX_DEPUTIES = 3
 """Deputies that a broker names in a heartbeat reply (count)."""
 
@@ -213,6 +216,16 @@
         return self._excluded_until_s.get(vm, -1e9) > now_s
 
 
+def capacity_of(cpu_share: float, link_mbps: float) -> float:
+    """Return the lesser of CPU share and bandwidth in units of the reference values.
+
+    Args:
+        cpu_share: CPU share of a VM (cores).
+        link_mbps: Bandwidth of its network link (megabits per second).
+    """
+    return min(cpu_share / REFERENCE_CPU_SHARE, link_mbps / REFERENCE_LINK_MBPS)
+
+
 @attrs.define
 class Member:
     """A member of the fleet, as described by its last heartbeat."""
@@ -236,10 +249,8 @@
 
     @property
     def capacity(self) -> float:
-        """Lesser of CPU share and bandwidth, each divided by its reference value."""
-        return min(
-            self.cpu_share / REFERENCE_CPU_SHARE, self.link_mbps / REFERENCE_LINK_MBPS
-        )
+        """Capacity as a broker, in units of the reference VM."""
+        return capacity_of(self.cpu_share, self.link_mbps)
 
 
 @attrs.define
@@ -248,6 +259,7 @@
 
     members: dict[str, Member] = attrs.field(factory=dict)
     """Current members by address."""
+    _deputies: tuple[str, ...] | None = None
     _timed_out_s: dict[str, float] = attrs.field(factory=dict)
 
     def record_heartbeat(self, vm: str, member: Member) -> bool:
@@ -255,6 +267,8 @@
         old = self.members.get(vm)
         self.members[vm] = member
         self._timed_out_s.pop(vm, None)
+        if old is None or old.capacity != member.capacity:
+            self._deputies = None
         return old is None or old.incarnation != member.incarnation
 
     def expire(self, now_s: float) -> list[str]:
@@ -265,7 +279,7 @@
             if now_s - member.last_heartbeat_s > MEMBER_TIMEOUT_S
         ]
         for vm in expired:
-            del self.members[vm]
+            self.remove(vm)
             self._timed_out_s[vm] = now_s
         self._timed_out_s = {
             vm: at_s
@@ -277,11 +291,15 @@
     def remove(self, vm: str) -> None:
         """Remove a member that leaves the fleet; it does not count as timed out."""
         self.members.pop(vm, None)
+        self._deputies = None
 
     def deputies(self) -> tuple[str, ...]:
         """Return the addresses of possible successors of the broker, best first."""
-        order = sorted(self.members, key=lambda vm: (-self.members[vm].capacity, vm))
-        return tuple(order[:MAX_DEPUTIES])
+        if self._deputies is None:
+            members = self.members
+            order = sorted(members, key=lambda vm: (-members[vm].capacity, vm))
+            self._deputies = tuple(order[:MAX_DEPUTIES])
+        return self._deputies
 
     def timed_out(self) -> tuple[str, ...]:
         """Return the addresses of members that timed out recently."""
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -10,7 +10,7 @@
 
 from gentianfold.clock import BootClock, Clock
 from gentianfold.fleet.announced_configuration import AnnouncedConfiguration
-from gentianfold.fleet.membership import Membership, Role
+from gentianfold.fleet.membership import Membership, Role, capacity_of
 from gentianfold.fleet.messages import (
     AcquireSlot,
     BrokerAnnouncement,
@@ -331,9 +331,11 @@
         if is_broker:
             if previous_role is not Role.BROKER:
                 self._start_as_broker()
-            reader = self.broker.advance(now_s)
-            if reader is not None:
-                self._hand_over(reader)
+            successor = self.broker.advance(now_s) or self.broker.find_stronger(
+                capacity_of(self.cpu_share, self.link_mbps), self.lease_clock.now_s()
+            )
+            if successor is not None:
+                self._hand_over(successor)
         elif previous_role is Role.MEMBER and self.membership.role is Role.ALONE:
             logger.warning("fleet: lost the broker, assigning slots locally")
         self._update_shares()
--- a/src/gentianfold/fleet/relay_plan.py
+++ b/src/gentianfold/fleet/relay_plan.py
@@ -60,10 +60,7 @@
             self._assignments.pop(vm, None)
             return ""
         assignment = self._assignments.get(vm)
-        if (
-            assignment is not None
-            and now_s - assignment.assigned_s < ASSIGNMENT_TIMEOUT_S
-        ):
+        if assignment is not None and self.is_assigned(vm, now_s):
             return assignment.source
         failed_source = assignment.source if assignment is not None else ""
         source = self._choose_source(vm, members, failed_source, now_s)
@@ -71,6 +68,14 @@
             self._assignments[vm] = _Assignment(source, now_s)
         return source
 
+    def is_assigned(self, vm: str, now_s: float) -> bool:
+        """Tell whether a member has a source from which it may be fetching."""
+        assignment = self._assignments.get(vm)
+        return (
+            assignment is not None
+            and now_s - assignment.assigned_s < ASSIGNMENT_TIMEOUT_S
+        )
+
     def _choose_source(
         self, vm: str, members: dict[str, Member], failed_source: str, now_s: float
     ) -> str:
--- a/src/gentianfold/fleet/share_lease.py
+++ b/src/gentianfold/fleet/share_lease.py
@@ -191,6 +191,13 @@
     def _seed_count(self, vm: str) -> int:
         return len({vm, *self._leases}.intersection(self.seeds))
 
+    def ends_forming(self, now_s: float) -> bool:
+        """Tell, once, that a fleet that had just started has formed."""
+        if not self._is_new_fleet or self.is_forming(now_s):
+            return False
+        self._is_new_fleet = False
+        return True
+
     def is_forming(self, now_s: float) -> bool:
         """Tell whether the fleet has just started, so that its size is unknown."""
         return self._is_new_fleet and now_s - self.started_s < FORMING_S
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -209,13 +209,14 @@
 
         Other suspects get trials within the bound of exploration.
         """
-        if not state.demand.is_underserved(now_s):
-            free = [
+        suspect = [tracker for tracker in free if tracker.suspect_since_s is not None]
+        if suspect and not state.demand.is_underserved(now_s):
+            suspect = [
                 tracker
-                for tracker in free
+                for tracker in suspect
                 if state.working_sets.is_short(tracker.upstream.zone)
             ]
-        return self._due_trial(free, now_s, may_explore)
+        return self._due_trial(suspect, now_s, may_explore)
 
     def _due_trial(
         self, free: Sequence[UpstreamTracker], now_s: float, may_explore: bool
@@ -361,9 +362,9 @@
     def is_timely(tracker: UpstreamTracker) -> bool:
         return estimate.elapsed_s * tracker.slowness(now_s) <= request.time_left_s
 
-    timely = {tracker.upstream.name for tracker in free if is_timely(tracker)}
-    if len(timely) == len(free):
+    if all(map(is_timely, free)):
         return free
+    timely = {tracker.upstream.name for tracker in free if is_timely(tracker)}
     if any(
         tracker.suspect_since_s is None
         and (tracker.upstream.name in timely or is_timely(tracker))
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -11,6 +11,7 @@
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.grant import Grant, apply_outcome, record_accepted
+from gentianfold.placement.grant_table import GrantTable
 from gentianfold.placement.log_entries import (
     ServiceLoad,
     StateChangeQueue,
@@ -79,7 +80,7 @@
     state_changes: StateChangeQueue = attrs.field(factory=StateChangeQueue)
     """State changes of upstreams that are not logged yet."""
     _trackers: TrackerTable = attrs.field(factory=TrackerTable)
-    _grants: dict[SlotRequestKey, Grant] = attrs.field(factory=dict)
+    _grants: GrantTable = attrs.field(factory=GrantTable)
     _waiting: WaitingRequests = attrs.field(init=False)
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
@@ -201,7 +202,7 @@
             pause_s: Time for which the upstream wants no requests of the VM (seconds);
                 ``None`` if the answer states none.
         """
-        grant = self._grants.pop(key, None)
+        grant = self._grants.find_and_pop(key)
         if grant is None:
             self._waiting.remove(key)
             return
@@ -282,25 +283,21 @@
         """
         unlisted = [
             key
-            for key, grant in self._grants.items()
-            if key[0] == vm
-            and key[1] not in slot_request_ids
-            and grant.granted_at_s < granted_before_s
+            for key, grant in self._grants.of_vm(vm)
+            if key[1] not in slot_request_ids and grant.granted_at_s < granted_before_s
         ]
         for key in unlisted:
             self._free_slot(self._grants.pop(key))
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
         """Yield identifier, upstream, route and customer of each slot of a VM."""
-        for (owner, slot_request_id), grant in self._grants.items():
-            if owner == vm:
-                request = grant.request
-                name = grant.tracker.upstream.name
-                yield slot_request_id, name, request.route, request.customer
+        for (_, slot_request_id), grant in self._grants.of_vm(vm):
+            request, name = grant.request, grant.tracker.upstream.name
+            yield slot_request_id, name, request.route, request.customer
 
     def remove_vm(self, vm: str) -> None:
         """Free the slots of a VM and remove its queued requests."""
-        for key in [key for key in self._grants if key[0] == vm]:
+        for key, _ in list(self._grants.of_vm(vm)):
             self._free_slot(self._grants.pop(key))
         self._waiting.remove_vm(vm)
 
@@ -472,7 +469,7 @@
         )
 
     def _hold_slot(self, key: SlotRequestKey, grant: Grant) -> None:
-        self._grants[key] = grant
+        self._grants.add(key, grant)
         grant.tracker.in_use += 1
         grant.tracker.rate_limiter.count_request(grant.granted_at_s)
         grant.tracker.last_used_s = grant.granted_at_s
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -111,6 +111,8 @@
 
     def is_blocked_for(self, vm: str, now_s: float) -> bool:
         """Tell whether a VM failed to connect recently, or was told to pause."""
+        if not self.blocked_until_s and not self.paused_until_s:
+            return False
         if self.pause_s(vm, now_s) > 0:
             return True
         until_s = self.blocked_until_s.get(vm)
@@ -136,7 +138,10 @@
         return (
             self.in_use < self.upstream.slots
             and now_s >= self.shed_until_s
-            and self.rate_limiter.allows_request(now_s)
+            and (
+                not self.rate_limiter.is_limited
+                or self.rate_limiter.allows_request(now_s)
+            )
         )
 
     def recent_failures(self, now_s: float) -> float:
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -285,6 +285,17 @@
     assert unserved <= 0.02 * (served + unserved)
 
 
+def test_a_new_fleet_gets_a_broker_with_the_capacity_for_it():
+    # The seeds had the least processor time of all VMs, and the broker fell silent.
+    fleet = make_fleet(12)
+    for vm, node in fleet.nodes.items():
+        node.cpu_share = 0.4 if vm in ("vm0", "vm1", "vm2") else 0.9
+    fleet.nodes["vm7"].cpu_share = 2.0
+    fleet.run(8, per_s=0)
+    assert fleet.brokers() == ["vm7"]
+    assert len(fleet.nodes["vm7"].broker.member_table.members) == 11
+
+
 class LimitedFleet(RuleBasedStateMachine):
     """Failures of all kinds under a customer far above its limit."""
 
