Take an odd entry of the store as one upstream less

Report of other operators: one entry that is deeply nested, has a number too large or a port out of range ends the VMs that read the list, or they stop following it. A port of 5,000 digits or a superscript digit raised ValueError, deep nesting RecursionError, both out of the poller; ports 0 and 99999, 10^30 slots and a warm-up of 1e308 ms were taken and then did not fit into a datagram; one malformed item made the VM refuse the whole page. Change: decoders catch all errors of reading, numbers and names have bounds, an address is IPv4 with a port, items of a page are read one by one. An odd entry replaces a sound one before it: the upstream counts as deleted. It is logged once for each revision. Versions of configurations and datagrams between VMs get the same treatment; a Content-Length of 5,000 digits was refused by the parser already.

--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -242,7 +242,7 @@
     """Decode a datagram; ``None`` if it is not a valid message."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
         return None
 
 
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -41,6 +41,8 @@
 """Failure of a read that arrives late."""
 RESTORED_MEANWHILE = Failure(STORE_REFUSED, "the store was restored during the list")
 """Failure of a list whose pages do not belong together."""
+MAX_LOGGED_ENTRIES = 200
+"""Malformed entries of which the last logged revision is kept (count)."""
 
 
 class PublishedStateSink(Protocol):
@@ -113,6 +115,7 @@
     _read_s: float = float("-inf")
     _hold_until_s: float = 0.0
     _relist_after_s: float = float("inf")
+    _malformed: dict[str, int] = attrs.field(factory=dict)
 
     def is_list_due(self, now_s: float) -> bool:
         """Tell whether all items must be listed, as deletions were held back."""
@@ -242,10 +245,21 @@
             elif item.key.startswith(UPSTREAM_KEY_PREFIX):
                 entry = decode_upstream(item, era)
                 if entry.is_deleted and not item.tombstone:
-                    logger.warning("store: entry {} is malformed", item.key[:80])
+                    self._log_malformed(item)
                 entries.append(entry)
         return entries
 
+    def _log_malformed(self, item: Item) -> None:
+        """Log an entry that names no upstream, once for each change of it."""
+        if self._malformed.get(item.key) == item.rev:
+            return
+        if len(self._malformed) >= MAX_LOGGED_ENTRIES:
+            self._malformed.clear()
+        self._malformed[item.key] = item.rev
+        logger.warning(
+            "store: entry {} is malformed, revision={}", item.key[:80], item.rev
+        )
+
     def _update_configuration(self, item: Item) -> None:
         document = decode_value(item)
         if document is None:
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -8,6 +8,7 @@
 
 import base64
 import binascii
+import ipaddress
 from typing import Annotated, Literal, TypeAlias
 
 import msgspec
@@ -50,24 +51,40 @@
 """Response header: how often the store was restored from a copy."""
 MAX_ERA_DIGITS = 18
 """Longest era that is accepted (digits): it fits into 64 bits."""
+MAX_PORT = 65_535
+"""Highest TCP port."""
+MAX_PORT_DIGITS = 5
+"""Longest port that is accepted (digits)."""
+MAX_VERSION = (1 << 63) - 1
+"""Highest version of a configuration; it must fit into messages between VMs."""
+MAX_SLOTS = 100_000
+"""Most slots of an upstream that are accepted (count)."""
+MAX_WARMUP_MS = 3_600_000.0
+"""Longest warm-up that is accepted (milliseconds): an hour."""
+MAX_NAME_LENGTH = 200
+"""Longest name of a service or zone (characters): as long as a key; entries must fit
+into a datagram."""
 DEFAULT_TIMEOUT_S = 120.0
 """Timeout of a route that sets none (seconds): longer than any caller waits."""
 
 
 # Fits into the integers of messages between VMs.
 _Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+_Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, ValueError)
+"""Errors of decoders: invalid JSON, wrong types, too deep nesting, too long numbers."""
 
 
 class _UpstreamInfo(msgspec.Struct):
-    service: str
-    zone: str
-    slots: int
+    service: _Name
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _UpstreamStatus(msgspec.Struct):
     state: Literal["ready", "draining"]
     # Time until the upstream has warmed up and responds at its usual speed.
-    warmup_left_ms: float = 0
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)] = 0
     sequence: _Count = 0
 
 
@@ -133,7 +150,7 @@
 
     key: str
     # Store revision of the last change to the item.
-    rev: int
+    rev: _Count
     # Encoded in base64; empty in a tombstone.
     value: str = ""
     # Whether the item was deleted.
@@ -144,7 +161,7 @@
     """A page of items, in the order of their keys."""
 
     items: list[Item]
-    store_revision: int
+    store_revision: _Count
     has_more: bool = False
     # From the header of the response; the body does not hold it.
     era: int = 0
@@ -154,40 +171,80 @@
     """Items that changed after a revision, tombstones included."""
 
     events: list[Item]
-    store_revision: int
+    store_revision: _Count
     # From the header of the response; the body does not hold it.
     era: int = 0
 
 
+class _RawItemPage(msgspec.Struct):
+    items: list[msgspec.Raw]
+    store_revision: _Count
+    has_more: bool = False
+
+
+class _RawEventPage(msgspec.Struct):
+    events: list[msgspec.Raw]
+    store_revision: _Count
+
+
+class _ItemKey(msgspec.Struct):
+    key: str
+
+
 _upstream_decoder = msgspec.json.Decoder(_UpstreamDocument)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _item_decoder = msgspec.json.Decoder(Item)
-_items_decoder = msgspec.json.Decoder(ItemPage)
-_events_decoder = msgspec.json.Decoder(EventPage)
+_items_decoder = msgspec.json.Decoder(_RawItemPage)
+_events_decoder = msgspec.json.Decoder(_RawEventPage)
+_key_decoder = msgspec.json.Decoder(_ItemKey)
 
 
-def decode_item(body: bytes) -> Item | None:
+def decode_item(body: bytes | msgspec.Raw) -> Item | None:
     """Decode an item; return ``None`` if it is malformed."""
     try:
         return _item_decoder.decode(body)
-    except msgspec.MsgspecError:
+    except _UNREADABLE:
         return None
 
 
 def decode_items(body: bytes, era: int) -> ItemPage | None:
-    """Decode a page of items; return ``None`` if it is malformed."""
+    """Decode a page of items; return ``None`` if it is malformed.
+
+    An item that can't be read is one without a value: the others hold.
+    """
     try:
-        return msgspec.structs.replace(_items_decoder.decode(body), era=era)
-    except msgspec.MsgspecError:
+        page = _items_decoder.decode(body)
+    except _UNREADABLE:
         return None
+    revision = page.store_revision
+    return ItemPage(_decode_all(page.items), revision, page.has_more, era)
 
 
 def decode_events(body: bytes, era: int) -> EventPage | None:
-    """Decode a page of changes; return ``None`` if it is malformed."""
+    """Decode a page of changes; return ``None`` if it is malformed.
+
+    A change that can't be read is one without a value: the others hold.
+    """
     try:
-        return msgspec.structs.replace(_events_decoder.decode(body), era=era)
-    except msgspec.MsgspecError:
+        page = _events_decoder.decode(body)
+    except _UNREADABLE:
         return None
+    revision = page.store_revision
+    return EventPage(_decode_all(page.events, revision), revision, era)
+
+
+def _decode_all(raw_items: list[msgspec.Raw], revision: int = 0) -> list[Item]:
+    """Decode items; one whose key alone can be read has no value."""
+    items = []
+    for raw in raw_items:
+        item = decode_item(raw)
+        if item is None:
+            try:
+                item = Item(_key_decoder.decode(raw).key, revision)
+            except _UNREADABLE:
+                continue
+        items.append(item)
+    return items
 
 
 def decode_era(value: bytes | None) -> int | None:
@@ -224,17 +281,15 @@
         return deleted
     try:
         entry = _upstream_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return deleted
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.info.slots < 1:
+        host, port = _decode_address(entry.address)
+    except _UNREADABLE:
         return deleted
     return UpstreamEntry(
         name=name,
         revision=revision,
         service=entry.info.service,
         host=host,
-        port=int(port),
+        port=port,
         zone=entry.info.zone,
         slots=entry.info.slots,
         is_draining=entry.status.state == "draining",
@@ -244,6 +299,21 @@
     )
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    Raises:
+        ValueError: If it is not an IPv4 address with a port.
+    """
+    host, _, port = address.rpartition(":")
+    if len(port) > MAX_PORT_DIGITS or not (port.isascii() and port.isdigit()):
+        raise ValueError("the port is not a number")
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError("the port is out of range")
+    return str(ipaddress.IPv4Address(host)), number
+
+
 def decode_configuration(document: bytes) -> Configuration | Failure:
     """Decode a configuration.
 
@@ -253,8 +323,10 @@
     try:
         wire = _configuration_decoder.decode(document)
         version = int(wire.version.removeprefix("r"))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _UNREADABLE as error:
         return Failure(CONFIGURATION_MALFORMED, str(error)[:200])
+    if not 0 <= version <= MAX_VERSION:
+        return Failure(CONFIGURATION_MALFORMED, "the version is out of range")
     customers = {
         tenant.name: Customer(
             name=tenant.name,
