Stand-in site: take ports that no outgoing connection gets

Cause: ports came from the range of outgoing connections, which take them again. Change: ports below that range, probed for TCP and UDP, each given out once per process.

--- a/src/gentianfold/standins/site.py
+++ b/src/gentianfold/standins/site.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import socket
 from typing import TYPE_CHECKING
 
@@ -29,8 +31,19 @@
 from gentianfold.vm.virtual_machine import VirtualMachine
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from anyio.abc import TaskGroup
 
+PORT_TRIES = 1000
+"""Ports that are tried in turn (count)."""
+_FIRST_PORT, _LAST_PORT = 20_000, 32_000
+_ports: Iterator[int] = itertools.cycle(
+    [
+        *range(_FIRST_PORT + os.getpid() * 101 % 12_000, _LAST_PORT),
+        *range(_FIRST_PORT, _FIRST_PORT + os.getpid() * 101 % 12_000),
+    ]
+)
 HOST = "glove.example"
 """``Host`` header that all routes match."""
 API_KEY = "key-of-stall"
@@ -87,15 +100,15 @@
     vms: list[VirtualMachine] = attrs.field(factory=list)
     """Started VMs, in order of their addresses from 127.0.0.1."""
     fleet_port: int = 0
-    """UDP port of the fleet messages on each VM; 0 before ``open``."""
+    """UDP and TCP port of the fleet on each VM; 0 before ``open``."""
     operator_port: int = 0
     """TCP port of the operators' endpoint on each VM; 0 before ``open``."""
 
     async def open(self) -> None:
         """Start the store and choose the ports that all VMs share."""
         await self.store.server.open()
-        self.fleet_port = _free_port(socket.SOCK_DGRAM)
-        self.operator_port = _free_port(socket.SOCK_STREAM)
+        self.fleet_port = _free_port()
+        self.operator_port = _free_port()
 
     async def add_upstream(
         self, name: str, service: str = "registry"
@@ -114,8 +127,8 @@
             vm=f"vm-{len(self.vms) + 1}",
             address=address,
             zone="z1",
-            callers=Endpoint(address, _free_port(socket.SOCK_STREAM, address)),
-            readiness=Endpoint(address, _free_port(socket.SOCK_STREAM, address)),
+            callers=Endpoint(address, _free_port(address)),
+            readiness=Endpoint(address, _free_port(address)),
             operators=Endpoint(address, self.operator_port),
             store=StoreSettings(endpoint=Endpoint("127.0.0.1", self.store.server.port)),
             fleet=FleetSettings(
@@ -139,9 +152,18 @@
             upstream.server.close()
 
 
-def _free_port(socket_type: int, host: str = "127.0.0.1") -> int:
-    """Return a port that no socket of the given type uses at the moment."""
-    with socket.socket(socket.AF_INET, socket_type) as free_socket:
-        free_socket.bind((host, 0))
-        port: int = free_socket.getsockname()[1]
+def _free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that is free for TCP and UDP and that no connection gets.
+
+    Outgoing connections take ports from 32768 on by default.
+    """
+    for _ in range(PORT_TRIES):
+        port = next(_ports)
+        try:
+            for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, socket_type) as free_socket:
+                    free_socket.bind((host, port))
+        except OSError:
+            continue
         return port
+    raise OSError("no free port")
