Reach upstreams through other VMs while cut off from them

Cause: a VM without a connection had no other way. Evidence: 1,234 attempts ended with connect_failed. Change: a VM that can't connect opens a tunnel through another one, which connects and passes bytes both ways; it carries one exchange. The VM keeps the request, its deadline, limits and outcome. After two upstreams in succession that only others reach, it counts as cut off: it uses tunnels at once, tries a direct connection twice a second, and carries no tunnels. The broker names four VMs with paths, of the own zone first. A token that VMs exchange by datagrams opens tunnels to listed upstreams only; what upstreams state binds the VM in between, too. A crash needs the confirmation of a VM that is not cut off. Limits: a response that ends with its connection does not count as whole through a tunnel.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -22,6 +22,7 @@
 )
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.fleet.share_lease import LeaseTable
+from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
 
@@ -68,6 +69,7 @@
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
     """Source from which each member fetches a new configuration."""
+    _tunnel_plan: TunnelPlan = attrs.field(factory=TunnelPlan)
     _announced_s: float = -1e9
 
     def __attrs_post_init__(self) -> None:
@@ -179,6 +181,7 @@
             heartbeat.store_age_ms,
             heartbeat.configuration_version,
             heartbeat.upstreams_revision,
+            heartbeat.is_cut_off,
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
@@ -348,6 +351,7 @@
             tuple(self.view.leaving.report(now_s)),
             int(lease_now_s * 1000),
             0 if self.leases.is_forming(lease_now_s) else self.fleet_size(lease_now_s),
+            self._tunnel_plan.choose(vm, self.member_table.members, now_s),
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -246,6 +246,8 @@
     """Version of the configuration in force on the VM; 0 for none."""
     upstreams_revision: StoreRevision
     """Revision up to which the VM knows all upstream changes."""
+    is_cut_off: bool = False
+    """Whether the VM has lost its paths to the upstreams."""
 
     @property
     def capacity(self) -> float:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -121,6 +121,8 @@
     limits on lease; 0 if it holds no lease."""
     fleet_size: int = 0
     """VMs of the fleet as told by the last broker (count); 0 if unknown."""
+    is_cut_off: bool = False
+    """Whether the VM has lost its paths to the upstreams."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -152,6 +154,8 @@
     """Time of the broker's clock, for the VM's next heartbeat (milliseconds)."""
     fleet_size: int = 0
     """VMs of the fleet, missing ones included (count); 0 while it is unknown."""
+    tunnel_vms: tuple[str, ...] = ()
+    """VMs through which the receiver may reach upstreams if it is cut off from them."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -208,6 +212,28 @@
     """Members of its fleet besides the broker."""
 
 
+class TunnelRequest(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Asks for the token that opens tunnels through the receiver."""
+
+
+class TunnelToken(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """Names the token that opens tunnels through the sender."""
+
+    token: bytes
+
+
+class TunnelNotice(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """Tells the VM behind which a tunnel reached an upstream what the upstream stated."""
+
+    upstream: str
+    start_time_ms: int
+    """Unix time of the upstream's start (milliseconds)."""
+    is_leaving: bool
+    pause_ms: int | None
+    """Time for which the upstream wants no requests of that VM (milliseconds); ``None``
+    if it states none."""
+
+
 class CrashReport(msgspec.Struct, array_like=True, tag=11, frozen=True):
     """Tells VMs at once that a request is blocked, or no longer."""
 
@@ -226,6 +252,9 @@
     | Redirect
     | BrokerAnnouncement
     | CrashReport
+    | TunnelRequest
+    | TunnelToken
+    | TunnelNotice
 )
 """Any message between VMs."""
 
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 from loguru import logger
@@ -23,12 +24,17 @@
     SlotGranted,
     SlotQueued,
     SlotRefused,
+    TunnelNotice,
+    TunnelRequest,
+    TunnelToken,
     UpstreamChanges,
 )
+from gentianfold.fleet.node_shares import NodeShares
 from gentianfold.fleet.pause_table import PauseTable
 from gentianfold.fleet.placement_log import PlacementLog
-from gentianfold.fleet.share_lease import SHARE_VALIDITY_S, LentShare
 from gentianfold.fleet.slot_client import SlotClient
+from gentianfold.fleet.tunnel_directory import TunnelDirectory
+from gentianfold.forwarding.path_state import PathState
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.rate_limit_report import report_rate_limits
@@ -46,6 +52,8 @@
     from gentianfold.forwarding.upstream_notice import UpstreamNotice
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
+NoticeSender: TypeAlias = Callable[[str, Placement, bool, float | None], None]
+"""Gets the VM to tell, the placement, whether the upstream leaves, and its pause (s)."""
 TICK_INTERVAL_S = 0.05
 """Time between two calls of ``Node.advance`` (seconds)."""
 
@@ -86,16 +94,26 @@
     """Whether a planned stop has begun."""
     lease_clock: Clock = attrs.field(factory=BootClock)
     """Clock of the leases of shares; advances while the VM is suspended."""
-    share: LentShare = attrs.field(factory=LentShare)
-    """This VM's share of fleet-wide limits, and who holds it."""
-    _shares_updated_s: float = -1e9
+    tunnels: TunnelDirectory = attrs.field(factory=TunnelDirectory)
+    """VMs through which this VM reaches upstreams while it is cut off from them."""
+    paths: PathState = attrs.field(factory=PathState)
+    """Whether this VM is cut off from the upstreams."""
+    on_tunnel_token: Callable[[str], None] = lambda _: None
+    """Called with the address of a VM that has sent a token."""
+    pass_notice: NoticeSender = lambda *_: None
+    """Called to tell another VM what the upstream behind its tunnel stated."""
     _placement_log: PlacementLog = attrs.field(factory=PlacementLog)
     slots: SlotClient = attrs.field(init=False)
     """Obtains the slots of this VM's requests."""
+    shares: NodeShares = attrs.field(init=False)
+    """Parts of fleet-wide limits that this VM may use."""
 
     def __attrs_post_init__(self) -> None:
+        self.shares = NodeShares(
+            self.membership, self.broker, self.scheduler, self.lease_clock, self._now_s
+        )
         self.slots = SlotClient(
-            self.vm, self.scheduler, self.membership, self.transport, self._is_usable
+            self.vm, self.scheduler, self.membership, self.transport, self.is_withdrawn
         )
 
     # Placer
@@ -106,7 +124,7 @@
 
     async def place(self, request: SlotRequest) -> Placement | Refused:
         """Wait for a slot; assign one locally if the broker does not answer."""
-        self._refresh_shares()
+        self.shares.refresh()
         return await self.slots.place(request)
 
     def release(
@@ -122,15 +140,8 @@
         now_s = self._now_s()
         slot_request_id = placement.slot_request_id
         key = (self.vm, slot_request_id)
-        self.scheduler.release(
-            key,
-            outcome,
-            elapsed_s,
-            now_s,
-            transferred_bytes,
-            rate_limit_per_s,
-            pause_s,
-        )
+        stated = (transferred_bytes, rate_limit_per_s, pause_s)
+        self.scheduler.release(key, outcome, elapsed_s, now_s, *stated)
         broker = self.slots.end_grant(slot_request_id)
         message = ReleaseSlot(
             slot_request_id,
@@ -147,28 +158,57 @@
             self.transport.send(broker, message)
         self._deliver_decisions(now_s)
 
-    def record_notice(self, placement: Placement, notice: UpstreamNotice) -> None:
-        """Record what the upstream of a placement states about itself."""
+    def record_notice(
+        self, placement: Placement, notice: UpstreamNotice, via: str = ""
+    ) -> None:
+        """Record what the upstream of a placement states about itself.
+
+        Args:
+            placement: The granted slot.
+            notice: What the upstream states.
+            via: VM through which the response came, which is told; empty for this one.
+        """
+        name, start_time_ms = placement.upstream, placement.start_time_ms
+        if via:
+            self.pass_notice(via, placement, notice.is_leaving, notice.pause_s)
+        self._record_stated(
+            "answer", name, start_time_ms, notice.is_leaving, notice.pause_s
+        )
+
+    def _record_stated(
+        self,
+        cause: str,
+        name: str,
+        start_time_ms: int,
+        is_leaving: bool,
+        pause_s: float | None,
+    ) -> None:
         now_s = self._now_s()
-        leaving = ((placement.upstream, placement.start_time_ms),)
-        if notice.is_leaving and self._merge_leaving("answer", leaving, now_s):
+        if is_leaving and self._merge_leaving(cause, ((name, start_time_ms),), now_s):
             self.membership.expedite_heartbeat(now_s)
-        if notice.pause_s is not None:
+        if pause_s is not None:
             logger.info(
-                "upstream: {} wants no requests of this VM, cause=answer s={:.3g}",
-                placement.upstream,
-                notice.pause_s,
+                "upstream: {} wants no requests of this VM, cause={} s={:.3g}",
+                name,
+                cause,
+                pause_s,
             )
-            until_s = now_s + notice.pause_s
-            self.pauses.record(placement.upstream, placement.start_time_ms, until_s)
+            self.pauses.record(name, start_time_ms, now_s + pause_s)
             self._apply_pauses(now_s)
 
+    def may_carry(self, upstream: str, start_time_ms: int) -> bool:
+        """Tell whether this VM opens tunnels to a start of an upstream for others."""
+        return (
+            not self.is_stopping
+            and not self.paths.is_cut_off
+            and self._takes_requests(upstream, start_time_ms)
+        )
+
     def is_withdrawn(self, placement: Placement) -> bool:
         """Tell whether the upstream has refused further requests since the grant."""
-        return not self._is_usable(placement)
+        return not self._takes_requests(placement.upstream, placement.start_time_ms)
 
-    def _is_usable(self, placement: Placement) -> bool:
-        name, start_time_ms = placement.upstream, placement.start_time_ms
+    def _takes_requests(self, name: str, start_time_ms: int) -> bool:
         return self.view.is_usable(name, start_time_ms) and not self.pauses.is_paused(
             name, start_time_ms, self._now_s()
         )
@@ -205,7 +245,7 @@
 
     def receive(self, vm: str, message: Message) -> None:
         """Handle a message from the VM at address ``vm``."""
-        self._refresh_shares()
+        self.shares.refresh()
         now_s = self._now_s()
         is_broker = self.membership.role is Role.BROKER
         match message:
@@ -229,6 +269,21 @@
                     self._merge_upstreams(message, now_s)
             case CrashReport():
                 self.scheduler.crashes.merge(message.crash_records, now_s)
+            case TunnelRequest():
+                token = self.tunnels.give_token(vm, now_s)
+                self.transport.send(vm, TunnelToken(token))
+            case TunnelToken():
+                self.tunnels.record_token(vm, message.token, now_s)
+                self.on_tunnel_token(vm)
+            case TunnelNotice():
+                pause_ms = message.pause_ms
+                self._record_stated(
+                    vm,
+                    message.upstream,
+                    message.start_time_ms,
+                    message.is_leaving,
+                    pause_ms / 1000 if pause_ms is not None else None,
+                )
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
             case BrokerAnnouncement():
@@ -264,13 +319,10 @@
         if previous_role is not Role.MEMBER:
             logger.info("fleet: joined broker {}", vm)
         self.fleet_size = reply.member_count + 1
-        lease_now_s = self.lease_clock.now_s()
-        had_lease = self.share.stamp_ms(vm) != 0
-        self.share.record_reply(vm, reply.lease_stamp_ms, reply.fleet_size, lease_now_s)
-        if not had_lease and self.share.stamp_ms(vm):
+        self.tunnels.candidates = reply.tunnel_vms
+        if self.shares.lend(vm, reply.lease_stamp_ms, reply.fleet_size):
             # The lease begins when the broker gets its stamp back.
             self.membership.expedite_heartbeat(now_s)
-        self._update_shares()
         self.scheduler.crashes.merge(reply.crash_records, now_s)
         self._merge_leaving(vm, reply.leaving, now_s)
         self.announced.record(
@@ -295,9 +347,7 @@
             self.apply_upstreams(now_s)
 
     def _handle_redirect(self, vm: str, redirect: Redirect, now_s: float) -> None:
-        self.share.end_lease(vm, redirect.lease_stamp_ms)
-        if redirect.fleet_size:
-            self.share.fleet_size = redirect.fleet_size
+        self.shares.end_lease(vm, redirect.lease_stamp_ms, redirect.fleet_size)
         if self.is_stopping:
             return
         was_broker = self.membership.role is Role.BROKER
@@ -331,14 +381,15 @@
         if is_broker:
             if previous_role is not Role.BROKER:
                 self._start_as_broker()
+            capacity = capacity_of(self.cpu_share, self.link_mbps)
             successor = self.broker.advance(now_s) or self.broker.find_stronger(
-                capacity_of(self.cpu_share, self.link_mbps), self.lease_clock.now_s()
+                capacity, self.lease_clock.now_s()
             )
             if successor is not None:
                 self._hand_over(successor)
         elif previous_role is Role.MEMBER and self.membership.role is Role.ALONE:
             logger.warning("fleet: lost the broker, assigning slots locally")
-        self._update_shares()
+        self.shares.update()
         if target is not None:
             self.transport.send(target, self._make_heartbeat(now_s))
         if self.view.accept_withheld(now_s):
@@ -399,48 +450,23 @@
     def begin_stop(self) -> None:
         """Begin a planned stop; a broker hands its role over to a deputy."""
         self.is_stopping = True
-        if self.membership.role is Role.BROKER:
-            deputies = self.broker.member_table.deputies()
-            if deputies:
-                self._hand_over(deputies[0])
+        deputies = self.broker.member_table.deputies()
+        if self.membership.role is Role.BROKER and deputies:
+            self._hand_over(deputies[0])
 
     def _hand_over(self, vm: str) -> None:
         """Make another VM the broker, and use only this VM's own share from now on."""
-        lease_now_s = self.lease_clock.now_s()
-        self.share.fleet_size = self.broker.told_size(lease_now_s)
+        self.shares.start_hand_over()
         self.membership.follow(vm)
-        self._update_shares()
-        self.broker.hand_over(vm, lease_now_s)
+        self.shares.update()
+        self.broker.hand_over(vm, self.lease_clock.now_s())
 
     def _start_as_broker(self) -> None:
-        self.broker.start(self.share.fleet_size, self.lease_clock.now_s())
-        self.scheduler.quota.reset_usage(self._now_s())
-        self._update_shares()
-
-    def _refresh_shares(self) -> None:
-        """Compute the shares anew if they are outdated, as after a suspension."""
-        if self.lease_clock.now_s() - self._shares_updated_s > SHARE_VALIDITY_S:
-            self._update_shares()
-
-    def _update_shares(self) -> None:
-        """Apply the part of fleet-wide limits that this VM may use now."""
-        lease_now_s = self._shares_updated_s = self.lease_clock.now_s()
-        if self.membership.role is Role.BROKER:
-            size = self.broker.fleet_size(lease_now_s)
-            own = self.share.own_share(size, lease_now_s)
-            share, mature_share = self.broker.shares(own, lease_now_s)
-        else:
-            size = self.share.fleet_size
-            share, mature_share = self.share.own_share(size, lease_now_s)
-        self.scheduler.set_share(share, mature_share, self._now_s(), SHARE_VALIDITY_S)
-        self.scheduler.quota.is_growing = (
-            self.membership.role is Role.BROKER
-            and self.broker.leases.is_growing(lease_now_s)
-        )
+        self.shares.start_as_broker()
 
     def _deliver_decisions(self, now_s: float) -> None:
         """Pass decisions on queued requests to other VMs and to local callers."""
-        self._refresh_shares()
+        self.shares.refresh()
         for (vm, slot_request_id), decision in list(self.scheduler.advance(now_s)):
             if vm != self.vm:
                 self.broker.send_decision(vm, slot_request_id, decision)
@@ -462,8 +488,9 @@
             tuple(scheduler.crashes.report(now_s)),
             tuple(view.leaving.report(now_s)),
             tuple(self.pauses.report(now_s)),
-            self.share.stamp_ms(self.membership.broker or ""),
-            self.share.fleet_size,
+            self.shares.own.stamp_ms(self.membership.broker or ""),
+            self.shares.own.fleet_size,
+            self.paths.is_cut_off,
         )
 
     def _now_s(self) -> float:
--- /dev/null
+++ b/src/gentianfold/fleet/node_shares.py
@@ -0,0 +1,81 @@
+"""Applies the leases of shares to the limits of one VM's scheduler."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from gentianfold.fleet.membership import Membership, Role
+from gentianfold.fleet.share_lease import SHARE_VALIDITY_S, LentShare
+
+if TYPE_CHECKING:
+    from gentianfold.clock import Clock
+    from gentianfold.fleet.broker import Broker
+    from gentianfold.placement.slot_scheduler import SlotScheduler
+
+
+@attrs.define(eq=False)
+class NodeShares:
+    """The part of each fleet-wide limit that a VM may use in its present role."""
+
+    membership: Membership
+    """Role of this VM."""
+    broker: Broker
+    """Holds the leases while this VM is the broker."""
+    scheduler: SlotScheduler
+    """Keeps to the limits."""
+    clock: Clock
+    """Clock of the leases; advances while the VM is suspended."""
+    loop_time_s: Callable[[], float]
+    """Returns the event loop time (seconds)."""
+    own: LentShare = attrs.field(factory=LentShare)
+    """This VM's own share, and who holds it."""
+    _updated_s: float = -1e9
+
+    def refresh(self) -> None:
+        """Compute the shares anew if they are outdated, as after a suspension."""
+        if self.clock.now_s() - self._updated_s > SHARE_VALIDITY_S:
+            self.update()
+
+    def update(self) -> None:
+        """Apply the part of fleet-wide limits that this VM may use now."""
+        now_s = self._updated_s = self.clock.now_s()
+        is_broker = self.membership.role is Role.BROKER
+        if is_broker:
+            own = self.own.own_share(self.broker.fleet_size(now_s), now_s)
+            share, mature_share = self.broker.shares(own, now_s)
+        else:
+            share, mature_share = self.own.own_share(self.own.fleet_size, now_s)
+        loop_s = self.loop_time_s()
+        self.scheduler.set_share(share, mature_share, loop_s, SHARE_VALIDITY_S)
+        is_growing = is_broker and self.broker.leases.is_growing(now_s)
+        self.scheduler.quota.is_growing = is_growing
+
+    def lend(self, broker: str, stamp_ms: int, fleet_size: int) -> bool:
+        """Lend the own share to the broker that replied, if no other one holds it.
+
+        Returns:
+            Whether that is a new lease.
+        """
+        had_lease = self.own.stamp_ms(broker) != 0
+        self.own.record_reply(broker, stamp_ms, fleet_size, self.clock.now_s())
+        self.update()
+        return not had_lease and self.own.stamp_ms(broker) != 0
+
+    def end_lease(self, broker: str, stamp_ms: int, fleet_size: int) -> None:
+        """Take back the own share from a broker that hands over or is none."""
+        self.own.end_lease(broker, stamp_ms)
+        if fleet_size:
+            self.own.fleet_size = fleet_size
+
+    def start_hand_over(self) -> None:
+        """Keep the size of the fleet, of which the broker's part is handed over."""
+        self.own.fleet_size = self.broker.told_size(self.clock.now_s())
+
+    def start_as_broker(self) -> None:
+        """Start without members and without tokens: others may have used them."""
+        self.broker.start(self.own.fleet_size, self.clock.now_s())
+        self.scheduler.quota.reset_usage(self.loop_time_s())
+        self.update()
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -68,8 +68,8 @@
     """Role of this VM and the broker that it uses."""
     transport: Transport
     """Sends messages to the broker."""
-    is_usable: Callable[[Placement], bool]
-    """Tells whether this VM may send requests to the upstream of a grant."""
+    is_withdrawn: Callable[[Placement], bool]
+    """Tells whether the upstream of a grant takes no requests of this VM."""
     _slot_request_ids: itertools.count[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
@@ -207,7 +207,7 @@
         """
         if isinstance(decision, Refused):
             return decision
-        if not self.is_usable(decision):
+        if self.is_withdrawn(decision):
             logger.info(
                 "fleet: broker {} granted a slot of {}, which takes no requests",
                 broker,
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -140,6 +140,7 @@
     """Called with the expected duration (seconds) just before the request is sent."""
     _is_trial: bool = False
     _exchanged_bytes: int = 0
+    _via: str = ""
 
     async def run(self, number: int, excluded: tuple[str, ...]) -> AttemptResult:
         """Run the attempt.
@@ -248,12 +249,14 @@
                 f" reason={placement.reason.name.lower()}"
                 f" outcome={result.outcome.name.lower()}"
                 f" ms={elapsed_s * 1000:.0f}{_format_limit(result)}"
+                f"{f' via={self._via}' if self._via else ''}"
                 f" {result.detail}".rstrip()
             )
         return result
 
     async def _exchange_before_deadline(self, placement: Placement) -> AttemptResult:
         connection = await self._connect(placement)
+        self._via = connection.vm if connection is not None else ""
         if connection is None:
             return AttemptResult(Outcome.CONNECT_FAILED, detail="no connection")
         address = (placement.host, placement.port)
@@ -299,7 +302,7 @@
         self.forwarder.pool.release(address, placement.upstream, connection)
         result = self._classify(exchange)
         if result.outcome is not Outcome.MISDIRECTED:
-            pause_s = self._record_notice(placement, exchange)
+            pause_s = self._record_notice(placement, exchange, connection.vm)
             result = attrs.evolve(result, pause_s=pause_s)
         if result.response is not None:
             self._record_survival(sent_s)
@@ -319,7 +322,7 @@
         """
         forwarder, plan = self.forwarder, self.plan
         crashed_s = forwarder.now_s()
-        if not await forwarder.pool.is_refused((placement.host, placement.port)):
+        if not await forwarder.paths.is_crashed(placement):
             return False
         fingerprint = plan.fingerprint.digest()
         crash = Crash(placement.upstream, sent_s, crashed_s, self._is_trial)
@@ -338,12 +341,20 @@
         forwarder.placer.share_crashes()
         return True
 
-    def _record_notice(self, placement: Placement, response: Response) -> float | None:
-        """Record what the upstream states about itself; return the pause it wants."""
+    def _record_notice(
+        self, placement: Placement, response: Response, via: str
+    ) -> float | None:
+        """Record what the upstream states about itself; return the pause it wants.
+
+        Args:
+            placement: The granted slot.
+            response: The upstream's response.
+            via: VM through which the response came; empty for this one.
+        """
         notice = self.forwarder.notice_reader.read(response)
         if notice is NO_NOTICE:
             return None
-        self.forwarder.placer.record_notice(placement, notice)
+        self.forwarder.placer.record_notice(placement, notice, via)
         if notice.is_leaving:
             address = (placement.host, placement.port)
             self.forwarder.pool.close_server(address, placement.upstream)
@@ -374,10 +385,8 @@
         that was idle so briefly that the server can be assumed to have it open.
         """
         idempotent = self.plan.route.idempotent
-        return await self.forwarder.pool.acquire(
-            (placement.host, placement.port),
-            placement.upstream,
-            MAX_IDLE_S if idempotent else NON_IDEMPOTENT_MAX_IDLE_S,
+        return await self.forwarder.paths.connect(
+            placement, MAX_IDLE_S if idempotent else NON_IDEMPOTENT_MAX_IDLE_S
         )
 
     def _is_for_request(self, response: Response) -> bool:
--- a/src/gentianfold/forwarding/connection_pool.py
+++ b/src/gentianfold/forwarding/connection_pool.py
@@ -93,7 +93,7 @@
     ) -> None:
         """Return a connection to the pool, or close it if it can't be kept."""
         idle = self._idle[address, server_name]
-        if not connection.is_open or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if connection.vm or not connection.is_open or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -78,8 +78,16 @@
         """
         ...
 
-    def record_notice(self, placement: Placement, notice: UpstreamNotice) -> None:
-        """Record what the upstream of a placement states about itself."""
+    def record_notice(
+        self, placement: Placement, notice: UpstreamNotice, via: str = ""
+    ) -> None:
+        """Record what the upstream of a placement states about itself.
+
+        Args:
+            placement: The granted slot.
+            notice: What the upstream states.
+            via: VM through which the response came, which is told; empty for this one.
+        """
         ...
 
     def is_withdrawn(self, placement: Placement) -> bool:
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -32,6 +32,7 @@
 from gentianfold.forwarding.error_response import error_response
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
+from gentianfold.forwarding.upstream_paths import UpstreamPaths
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import FINAL_RETRY_S, RefusalReason, Refused
 
@@ -87,6 +88,8 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
+    paths: UpstreamPaths = attrs.field(init=False)
+    """Connects to upstreams."""
     notice_reader: NoticeReader = attrs.field(init=False)
     """Reads what upstreams state about themselves."""
     exchanged_bytes: Counter[str] = attrs.field(factory=Counter)
@@ -95,6 +98,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.notice_reader = NoticeReader(self.header_names)
+        self.paths = UpstreamPaths(self.pool)
 
     async def forward(self, request: CallerRequest, record: RequestRecord) -> Response:
         """Forward a request.
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -71,6 +71,8 @@
             it states none.
         is_reusable: Whether another request may follow the current exchange.
         exchanged_bytes: Bytes sent and received in the last exchange.
+        vm: Address of the VM through which it goes, which carries one exchange; empty
+            if it is direct.
     """
 
     def __init__(self) -> None:
@@ -78,6 +80,7 @@
         self.keep_alive_s: float | None = None
         self.is_reusable = True
         self.exchanged_bytes = 0
+        self.vm = ""
         self._received_bytes = 0
         self._head_bytes = 0
         self._transport: asyncio.Transport | None = None
@@ -183,7 +186,8 @@
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
         self.is_reusable = False
-        if self._is_close_delimited and self._has_headers:
+        if self._is_close_delimited and self._has_headers and not self.vm:
+            # The end of a tunnel does not tell whether the upstream ended the response.
             self._complete()
         return False
 
--- a/src/gentianfold/placement/grant_table.py
+++ b/src/gentianfold/placement/grant_table.py
@@ -9,7 +9,7 @@
 from gentianfold.placement.waiting_requests import SlotRequestKey
 
 if TYPE_CHECKING:
-    from collections.abc import ItemsView, ValuesView
+    from collections.abc import ItemsView, Iterator, ValuesView
 
     from gentianfold.placement.grant import Grant
 
@@ -51,6 +51,12 @@
         """Return the grants of a VM."""
         return self._by_vm.get(vm, {}).items()
 
+    def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
+        """Yield identifier, upstream, route and customer of each slot of a VM."""
+        for (_, slot_request_id), grant in self.of_vm(vm):
+            request, name = grant.request, grant.tracker.upstream.name
+            yield slot_request_id, name, request.route, request.customer
+
     def values(self) -> ValuesView[Grant]:
         """Return all grants."""
         return self._grants.values()
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -81,14 +81,13 @@
     """State changes of upstreams that are not logged yet."""
     _trackers: TrackerTable = attrs.field(factory=TrackerTable)
     _grants: GrantTable = attrs.field(factory=GrantTable)
-    _waiting: WaitingRequests = attrs.field(init=False)
+    _waiting: WaitingRequests = attrs.field(
+        default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
+    )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
 
-    def __attrs_post_init__(self) -> None:
-        self._waiting = WaitingRequests(self.quota.waiting)
-
     def set_share(
         self, share: float, mature_share: float, now_s: float, valid_s: float = math.inf
     ) -> None:
@@ -122,9 +121,7 @@
         self, name: str, start_time_ms: int, vm: str, until_s: float
     ) -> None:
         """Record until when a start of an upstream wants no requests of a VM."""
-        tracker = self._trackers.get(name)
-        if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
-            tracker.paused_until_s[vm] = until_s
+        self._trackers.record_pause(name, start_time_ms, vm, until_s)
 
     # Requests
 
@@ -136,8 +133,8 @@
         key = (request.vm, request.slot_request_id)
         granted = self._grants.get(key)
         if granted is not None:
-            expected_s = self._expected_s(request)
-            return Granted(granted.tracker.upstream, GrantReason.BEST, expected_s)
+            upstream = granted.tracker.upstream
+            return Granted(upstream, GrantReason.BEST, self._expected_s(request))
         queue = self._waiting.queue(request.service)
         if key in queue:
             return Queued(self._order.count_ahead(queue, request, now_s))
@@ -173,9 +170,9 @@
         A VM that holds the smaller part of a limit can't tell whether the customer is
         over it; other VMs may serve the request.
         """
-        retry_after_s = self.quota.retry_after_s(request.customer, now_s)
         if self.quota.share < MAJORITY_SHARE:
             return Refused(RefusalReason.LIMIT_ELSEWHERE, LIMIT_ELSEWHERE_RETRY_S)
+        retry_after_s = self.quota.retry_after_s(request.customer, now_s)
         return Refused(RefusalReason.OVER_RATE, max(retry_after_s, MIN_RETRY_AFTER_S))
 
     def release(
@@ -290,10 +287,8 @@
             self._free_slot(self._grants.pop(key))
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
-        """Yield identifier, upstream, route and customer of each slot of a VM."""
-        for (_, slot_request_id), grant in self._grants.of_vm(vm):
-            request, name = grant.request, grant.tracker.upstream.name
-            yield slot_request_id, name, request.route, request.customer
+        """Return identifier, upstream, route and customer of each slot of a VM."""
+        return self._grants.held_slots(vm)
 
     def remove_vm(self, vm: str) -> None:
         """Free the slots of a VM and remove its queued requests."""
@@ -342,10 +337,9 @@
     def queued_services(self, now_s: float) -> Iterator[ServiceLoad]:
         """Yield the load of each service that has requests in its queue."""
         for service, queue in self._waiting.services():
-            if not queue:
-                continue
-            trackers = self._trackers.live(service)
-            yield measure_load(service, len(queue), trackers, now_s)
+            if queue:
+                trackers = self._trackers.live(service)
+                yield measure_load(service, len(queue), trackers, now_s)
 
     @property
     def waiting_count(self) -> int:
@@ -382,8 +376,7 @@
         wait_s = estimated_s * self._wait_table.factor(wait_class, now_s)
         wait_s = max(wait_s, shortest_pause_s(trackers, request.vm, now_s))
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
-            degraded = self._grant_degraded(request, trackers, now_s)
-            if degraded is not None:
+            if degraded := self._grant_degraded(request, trackers, now_s):
                 return degraded
             retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
             return Refused(RefusalReason.NO_ROOM, retry_after_s, ahead)
@@ -398,10 +391,8 @@
         order = sorted(queue.items(), key=lambda item: self._order.sort_key(item[1]))
         for key, entry in order:
             has_token = self._has_token(entry.request, now_s)
-            granted = None
-            if has_token:
-                granted = self._grant(entry.request, trackers, now_s)
-            if granted is not None:
+            granted = has_token and self._grant(entry.request, trackers, now_s)
+            if granted:
                 self._record_wait(entry, now_s)
                 self._waiting.remove(key)
                 yield key, granted
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -57,3 +57,11 @@
     def live_by_service(self) -> ItemsView[str, list[UpstreamTracker]]:
         """Return the services with the trackers of their live upstreams."""
         return self._live.items()
+
+    def record_pause(
+        self, name: str, start_time_ms: int, vm: str, until_s: float
+    ) -> None:
+        """Record until when a start of an upstream wants no requests of a VM."""
+        tracker = self._trackers.get(name)
+        if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
+            tracker.paused_until_s[vm] = until_s
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -49,6 +49,7 @@
         "broker": node.membership.broker,
         "members": node.fleet_size,
         "configuration": node.view.configuration_version,
+        "is_cut_off": node.paths.is_cut_off,
         "store_era": node.view.upstreams.revision.era,
         "upstreams_revision": node.view.upstreams.revision.number,
         "upstreams_age_s": min(node.view.upstreams_age_s(now_s), 1e9),
@@ -98,6 +99,8 @@
         "upstreams_rate_limited": sum(
             tracker.rate_limiter.is_limited for tracker in trackers
         ),
+        "is_cut_off": node.paths.is_cut_off,
+        "tunnels_opened": handler.forwarder.paths.tunnel_count,
         "store_era": node.view.upstreams.revision.era,
         "requests_blocked": sum(1 for _ in node.scheduler.crashes.blocked()),
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -15,15 +15,18 @@
 from gentianfold import __version__
 from gentianfold.clock import BootClock
 from gentianfold.fleet.broker import Broker
+from gentianfold.fleet.fleet_tunnels import FleetTunnels
 from gentianfold.fleet.membership import Membership, Role
 from gentianfold.fleet.node import TICK_INTERVAL_S, Node
 from gentianfold.fleet.node_view import NodeView
 from gentianfold.fleet.transport import UdpTransport
 from gentianfold.forwarding.caller_connection import CallerConnection
-from gentianfold.forwarding.connection_pool import ConnectionPool
+from gentianfold.forwarding.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
 from gentianfold.forwarding.messages import Response
 from gentianfold.forwarding.request_forwarder import RequestForwarder
 from gentianfold.forwarding.service_selector import ServiceSelector
+from gentianfold.forwarding.tunnel_server import TunnelConnection
+from gentianfold.forwarding.upstream_paths import UpstreamPaths
 from gentianfold.placement.choice import ChoicePolicy, Chooser
 from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
@@ -86,8 +89,11 @@
     """Published state and the time at which it was read."""
     caller_connections: set[CallerConnection] = attrs.field(factory=set)
     """Open connections of callers."""
+    open_tunnels: set[TunnelConnection] = attrs.field(factory=set)
+    """Open tunnels of other VMs through this one."""
     _caller_server: asyncio.Server | None = None
     _node: Node | None = None
+    _tunnels: FleetTunnels | None = None
     _settings_mtime_ns: int = 0
 
     @property
@@ -202,6 +208,11 @@
             self.settings.address,
             self.settings.zone,
         )
+        tunnels = FleetTunnels(node, self.settings.fleet.port)
+        node.on_tunnel_token = tunnels.record_token
+        node.pass_notice = tunnels.pass_notice
+        forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
+        self._tunnels = tunnels
         return CallerRequestHandler(
             forwarder, self.metrics, task_group, self.settings.logging.decisions
         )
@@ -228,6 +239,8 @@
             ssl=tls,
         )
 
+        await self._listen_for_tunnels()
+
         def respond_readiness(_: bytes) -> Response:
             return self._build_readiness_response(handler)
 
@@ -244,6 +257,19 @@
         if self.settings.metrics is not None:
             await self._listen_internal(self.settings.metrics, respond_operator)
 
+    async def _listen_for_tunnels(self) -> None:
+        """Accept tunnels of other VMs at the address that they use for datagrams."""
+        tunnels = self._tunnels
+        if tunnels is not None:
+            await asyncio.get_running_loop().create_server(
+                lambda: TunnelConnection(
+                    tunnels.find_target, self.open_tunnels, CONNECT_TIMEOUT_S
+                ),
+                self.settings.address,
+                self.settings.fleet.port,
+                backlog=LISTEN_BACKLOG,
+            )
+
     def _build_configuration_response(self) -> Response:
         """Return the configuration for another VM, or 404 if there is none.
 
@@ -357,8 +383,10 @@
             await anyio.sleep(stop.settle_s)
             self._stop_accepting(handler)
             node.slots.refuse_new_requests()
-            while handler.running_count or any(
-                connection.is_busy for connection in self.caller_connections
+            while (
+                handler.running_count
+                or self.open_tunnels
+                or any(connection.is_busy for connection in self.caller_connections)
             ):
                 await anyio.sleep(TICK_INTERVAL_S)
         if scope.cancelled_caught:
