Do the work for a queue once, not for each event

Cause: each released slot tried to place every waiting request, which looks at every upstream, and each repeated request of a VM counted the whole queue. Change: a queue is sorted and tried only while an upstream has a free slot; a repeated request is answered without a look at the others. The ranking of brokers counts a link of 20 Mbit/s as full, so that processor time decides among most VMs.

--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -35,8 +35,9 @@
 outages."""
 REFERENCE_CPU_SHARE = 1.0
 """CPU share that counts as 1 in the ranking of deputies (cores); a broker uses 0.05."""
-REFERENCE_LINK_MBPS = 50.0
-"""Bandwidth that counts as 1 in the ranking of deputies (megabits per second)."""
+REFERENCE_LINK_MBPS = 20.0
+"""Bandwidth that counts as 1 in the ranking of deputies (megabits per second); a broker
+of 292 VMs sends and receives 6."""
 STRONGER_FACTOR = 2.0
 """Multiple of its own capacity from which a broker hands over to a deputy once the
 members of a new fleet have joined: a seed may be the weakest VM."""
--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -8,6 +8,12 @@
 
 import attrs
 
+from gentianfold.placement.slot_request import (
+    LIMIT_ELSEWHERE_RETRY_S,
+    RefusalReason,
+    Refused,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -15,6 +21,10 @@
 
 DEFAULT_WINDOW_S = 5.0
 """Length of the window in which requests are counted (seconds)."""
+MAJORITY_SHARE = 0.5
+"""Fraction of a limit from which a customer without tokens counts as over its rate."""
+MIN_RETRY_AFTER_S = 0.1
+"""Shortest retry delay in a refusal (seconds)."""
 WHOLE_TOKEN_SHARE = 0.125
 """Smallest share that saves up one token where its part of the burst is less: as shares
 add up to 1, at most eight holders exceed their parts, by one request each."""
@@ -146,6 +156,17 @@
             return max(0.0, usage.taken_s[0] + self.window_s - now_s)
         return 0.0
 
+    def refuse(self, name: str, now_s: float) -> Refused:
+        """Return the refusal of a request for which there is no token.
+
+        A VM that holds the smaller part of a limit can't tell whether the customer is
+        over it; other VMs may serve the request.
+        """
+        if self._share < MAJORITY_SHARE:
+            return Refused(RefusalReason.LIMIT_ELSEWHERE, LIMIT_ELSEWHERE_RETRY_S)
+        retry_after_s = max(self.retry_after_s(name, now_s), MIN_RETRY_AFTER_S)
+        return Refused(RefusalReason.OVER_RATE, retry_after_s)
+
     def reset_usage(self, now_s: float) -> None:
         """Discard all usage and all tokens, as when other VMs lend their shares."""
         self._usage.clear()
--- a/src/gentianfold/placement/rate_limiter.py
+++ b/src/gentianfold/placement/rate_limiter.py
@@ -47,33 +47,43 @@
         """Whether the upstream states a limit."""
         return self.rate_per_s != UNLIMITED
 
-    def record_limit(self, rate_per_s: float, stated_s: float, now_s: float) -> None:
+    def record_limit(self, rate_per_s: float, stated_s: float, now_s: float) -> bool:
         """Record a stated limit; one that is older than a known statement is ignored.
 
         Args:
             rate_per_s: The limit (requests per second), 0 or more.
             stated_s: When the answer that states it arrived (seconds).
             now_s: Current time (seconds).
+
+        Returns:
+            Whether the limit has changed.
         """
         if stated_s <= max(self.stated_s, self._unlimited_s):
-            return
+            return False
         if not self.is_limited:
             self._tokens = 0.0
             self._updated_s = now_s
         self._add_tokens(now_s)
+        has_changed = self.rate_per_s != rate_per_s
         self.rate_per_s = rate_per_s
         self.stated_s = stated_s
+        return has_changed
 
-    def record_no_limit(self, sent_s: float) -> None:
+    def record_no_limit(self, sent_s: float) -> bool:
         """Record an answer without a limit, which ends the limit stated before.
 
         Args:
             sent_s: When the request was sent (seconds); if a limit was stated later,
                 the answer may be older than that statement and is ignored.
+
+        Returns:
+            Whether a limit has ended.
         """
-        if sent_s > self.stated_s:
-            self.rate_per_s = UNLIMITED
-            self._unlimited_s = max(self._unlimited_s, sent_s)
+        if sent_s <= self.stated_s:
+            return False
+        was_limited, self.rate_per_s = self.is_limited, UNLIMITED
+        self._unlimited_s = max(self._unlimited_s, sent_s)
+        return was_limited
 
     def allows_request(self, now_s: float) -> bool:
         """Tell whether a request may be sent now."""
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -111,7 +111,8 @@
     """The attempt waits for a slot."""
 
     position: int
-    """Requests that are served before this one (count)."""
+    """Requests that are served before this one (count); for a repeated request, those
+    in its queue."""
 
 
 @attrs.frozen
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -20,12 +20,11 @@
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
-from gentianfold.placement.quota_table import QuotaTable
+from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
 from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.service_demand import ServiceDemand
 from gentianfold.placement.slot_request import (
-    LIMIT_ELSEWHERE_RETRY_S,
     Granted,
     GrantReason,
     Queued,
@@ -46,13 +45,9 @@
     from gentianfold.model import Upstream
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
-MIN_RETRY_AFTER_S = 0.1
-"""Shortest retry delay in a refusal (seconds)."""
 NO_UPSTREAM_RETRY_S = 0.5
 """Retry delay for a service without upstreams (seconds): upstreams that restart are
 listed within about a second."""
-MAJORITY_SHARE = 0.5
-"""Fraction of a limit from which a customer without tokens counts as over its rate."""
 MAX_RUNNING_FACTOR = 6.0
 """Multiple of the expected time up to which a running request counts towards the
 slowness of its upstream: some work takes that long by itself."""
@@ -137,7 +132,7 @@
             return Granted(upstream, GrantReason.BEST, self._expected_s(request))
         queue = self._waiting.queue(request.service)
         if key in queue:
-            return Queued(self._order.count_ahead(queue, request, now_s))
+            return Queued(len(queue))
         if request.fingerprint and not self.crashes.try_acquire(
             request.fingerprint, now_s
         ):
@@ -152,7 +147,7 @@
                     self._waiting.add(key, QueueEntry(request, now_s))
                     return Queued(len(queue))
                 demand.count_unserved(now_s)
-                return self._refuse_over_rate(request, now_s)
+                return self.quota.refuse(request.customer, now_s)
             self.budget.count_request(request.service, now_s)
         decision = self._place_new(request, queue, now_s)
         if isinstance(decision, Refused):
@@ -164,17 +159,6 @@
         latest_s = QueueEntry(request, now_s).latest_start_s(self._expected_s(request))
         return now_s + self.quota.retry_after_s(request.customer, now_s) <= latest_s
 
-    def _refuse_over_rate(self, request: SlotRequest, now_s: float) -> Refused:
-        """Refuse a request for which this table has no token.
-
-        A VM that holds the smaller part of a limit can't tell whether the customer is
-        over it; other VMs may serve the request.
-        """
-        if self.quota.share < MAJORITY_SHARE:
-            return Refused(RefusalReason.LIMIT_ELSEWHERE, LIMIT_ELSEWHERE_RETRY_S)
-        retry_after_s = self.quota.retry_after_s(request.customer, now_s)
-        return Refused(RefusalReason.OVER_RATE, max(retry_after_s, MIN_RETRY_AFTER_S))
-
     def release(
         self,
         key: SlotRequestKey,
@@ -213,9 +197,7 @@
             if grant.has_token:
                 self.quota.refund(grant.request.customer, grant.granted_at_s)
         if rate_limit_per_s == UNLIMITED:
-            was_limited = limiter.is_limited
-            limiter.record_no_limit(grant.granted_at_s)
-            if was_limited and not limiter.is_limited:
+            if limiter.record_no_limit(grant.granted_at_s):
                 self.state_changes.record(
                     grant.tracker, "not rate limited", "answer", now_s
                 )
@@ -250,11 +232,8 @@
         now_s: float,
         cause: str,
     ) -> None:
-        limiter = tracker.rate_limiter
-        old_per_s = limiter.rate_per_s
-        limiter.share = self.quota.share
-        limiter.record_limit(rate_per_s, stated_s, now_s)
-        if limiter.rate_per_s != old_per_s:
+        tracker.rate_limiter.share = self.quota.share
+        if tracker.rate_limiter.record_limit(rate_per_s, stated_s, now_s):
             self.state_changes.record(tracker, "rate limited", cause, now_s)
 
     def register_grant(
@@ -387,31 +366,52 @@
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         trackers = self._trackers.live(service)
-        self._order.update_fair_slots(service, queue)
-        order = sorted(queue.items(), key=lambda item: self._order.sort_key(item[1]))
-        for key, entry in order:
-            has_token = self._has_token(entry.request, now_s)
-            granted = has_token and self._grant(entry.request, trackers, now_s)
-            if granted:
+        if self._has_free_slot(trackers, now_s):
+            self._order.update_fair_slots(service, queue)
+            sort_key = self._order.sort_key
+            for key, entry in sorted(queue.items(), key=lambda item: sort_key(item[1])):
+                if not self._has_token(entry.request, now_s):
+                    continue
+                granted = self._grant(entry.request, trackers, now_s)
+                if granted is None:
+                    continue
                 self._record_wait(entry, now_s)
                 self._waiting.remove(key)
                 yield key, granted
-                continue
-            if now_s > entry.latest_start_s(self._expected_s(entry.request)):
-                self._waiting.remove(key)
-                self._state(service).demand.count_unserved(now_s)
-                if not has_token:
-                    yield key, self._refuse_over_rate(entry.request, now_s)
-                    continue
-                self._record_wait(entry, now_s)
-                degraded = self._grant_degraded(entry.request, trackers, now_s)
-                if degraded is not None:
-                    yield key, degraded
-                    continue
-                slot_time_s = self.elapsed.slot_time_s(service)
-                wait_s = estimate_wait_s(trackers, slot_time_s, len(queue))
-                retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
-                yield key, Refused(RefusalReason.NO_ROOM, retry_after_s, len(queue))
+                if not self._has_free_slot(trackers, now_s):
+                    break
+        late = [
+            (key, entry)
+            for key, entry in queue.items()
+            if now_s > entry.latest_start_s(self._expected_s(entry.request))
+        ]
+        for key, entry in late:
+            self._waiting.remove(key)
+            yield key, self._decide_late(entry, trackers, len(queue), now_s)
+
+    def _has_free_slot(self, trackers: list[UpstreamTracker], now_s: float) -> bool:
+        return any(tracker.has_free_slot(now_s) for tracker in trackers)
+
+    def _decide_late(
+        self,
+        entry: QueueEntry,
+        trackers: list[UpstreamTracker],
+        ahead: int,
+        now_s: float,
+    ) -> Granted | Refused:
+        """Decide on a request that has waited as long as it may."""
+        request = entry.request
+        demand = self._state(request.service).demand
+        if not self._has_token(request, now_s):
+            demand.count_unserved(now_s)
+            return self.quota.refuse(request.customer, now_s)
+        self._record_wait(entry, now_s)
+        if degraded := self._grant_degraded(request, trackers, now_s):
+            return degraded
+        demand.count_unserved(now_s)
+        slot_time_s = self.elapsed.slot_time_s(request.service)
+        wait_s = estimate_wait_s(trackers, slot_time_s, ahead)
+        return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
 
     def _has_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows to send the request now."""
