Keep a broker that answers, and retry heartbeats ever more seldom

Cause: four heartbeats unanswered for 0.3 s count as the end of a broker, whatever else it answers, and it got four times the heartbeats when it was slowest. Its log shows ticks of 50 to 75 ms throughout: it was not silent. Change: an answer to a slot request counts as a sign of life; retries come after 80, 160 and 320 ms, 0.6 s in all, which still ends before the lease of a share does, so that the next broker gets its shares no later. Both tests fail before. The test of the fleet's limit uses the name that the shares got.

--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -22,7 +22,8 @@
 """Time between heartbeats (seconds): the failure of the broker is detected within this
 time plus the retries, well before a new configuration must be in force."""
 HEARTBEAT_RETRY_S = 0.08
-"""Time until an unanswered heartbeat is sent again (seconds): twenty round trips."""
+"""Time until an unanswered heartbeat is sent again (seconds): twenty round trips. It
+doubles with each retry; all of them end before the lease of a share does."""
 MAX_HEARTBEAT_RETRIES = 3
 """Retries without an answer after which the broker counts as failed (count)."""
 BROKER_EXCLUSION_S = 1.0
@@ -103,7 +104,9 @@
             self.broker = self._next_candidate(now_s)
         if self.broker in (None, self.vm) or self._is_broker():
             return None
-        interval_s = HEARTBEAT_RETRY_S if self._unanswered else HEARTBEAT_INTERVAL_S
+        interval_s = HEARTBEAT_INTERVAL_S
+        if self._unanswered:
+            interval_s = HEARTBEAT_RETRY_S * 2 ** (self._unanswered - 1)
         if now_s - self._last_heartbeat_s < interval_s:
             return None
         self._last_heartbeat_s = now_s
@@ -120,6 +123,12 @@
         self._unanswered = 0
         self._excluded_until_s.pop(broker, None)
 
+    def record_answer(self, vm: str, now_s: float) -> None:
+        """Record an answer to a slot request: its sender serves, if it is the broker."""
+        if self.role is Role.MEMBER and vm == self.broker:
+            self.last_reply_s = now_s
+            self._unanswered = min(self._unanswered, 1)
+
     def redirect_target(self, now_s: float) -> str | None:
         """Return the broker to which another VM is redirected; ``None`` if unknown.
 
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -259,6 +259,7 @@
                     self.broker.handle_release(vm, message, now_s)
                     self._deliver_decisions(now_s)
             case SlotGranted() | SlotRefused() | SlotQueued():
+                self.membership.record_answer(vm, now_s)
                 self.slots.handle_reply(vm, message)
             case Heartbeat():
                 self._handle_heartbeat(vm, message, now_s)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -6,6 +6,7 @@
 import random
 
 import attrs
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -160,6 +161,35 @@
     assert sent <= 5
 
 
+def test_a_broker_that_answers_slot_requests_is_not_given_up():
+    # A crowd delayed its replies to heartbeats, and all members left it at once.
+    vm = Membership("a", ("b",))
+    vm.next_heartbeat_target(10.0)
+    vm.handle_reply("b", ("c",), 10.0)
+    for step in range(200):
+        now_s = 10 + step / 20
+        vm.record_answer("b", now_s)
+        assert vm.next_heartbeat_target(now_s) in (None, "b")
+    assert vm.has_live_broker(20.0)
+    for step in range(40):
+        vm.record_answer("x", 20 + step / 20)
+        vm.next_heartbeat_target(20 + step / 20)
+    assert vm.role is Role.ALONE
+
+
+def test_heartbeats_to_a_silent_broker_are_sent_ever_more_seldom():
+    vm = Membership("a", ("b",))
+    vm.next_heartbeat_target(10.0)
+    vm.handle_reply("b", ("c",), 10.0)
+    sent = [
+        10 + step / 100
+        for step in range(120)
+        if vm.next_heartbeat_target(10 + step / 100) == "b"
+    ]
+    assert sent == pytest.approx([10.4, 10.48, 10.64, 10.96], abs=0.021)
+    assert vm.broker == "c"
+
+
 def test_members_that_time_out_are_removed():
     table = MemberTable()
     for name in "abc":
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -43,7 +43,7 @@
         return self.lease_clock.now_s()
 
     def _deliver_decisions(self, now_s):
-        self._refresh_shares()
+        self.shares.refresh()
         for (vm, slot_request_id), decision in list(self.scheduler.advance(now_s)):
             if vm != self.vm:
                 self.broker.send_decision(vm, slot_request_id, decision)
