--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 import anyio
 import pytest
+from loguru import logger
 
 from gentianfold.platform.headers import HEADERS
 from gentianfold.standins.site import API_KEY, HOST, Site, make_configuration
@@ -33,6 +34,13 @@
             item.add_marker(pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt"))
 
 
+@pytest.fixture(autouse=True)
+def enabled_log():
+    """Undo what a test of a large fleet does to keep the log short."""
+    yield
+    logger.enable("gentianfold")
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
