--- a/review/harness.py
+++ b/review/harness.py
@@ -340,7 +340,7 @@
         self.fleet = fleet
         self.process = None
         self.front = self.ready = 0
-        self.environment = {}
+        self.inner = 0  # Its own port for datagrams if it lies behind a relay.
 
     async def start(self):
         """Start the program as the deploy file says."""
@@ -383,7 +383,7 @@
                 "ready": f"{self.host}:{self.ready}",
                 "control": f"{self.host}:{fleet.control}",
             },
-            "internal_port_range": [fleet.inner, fleet.inner + 15],
+            "internal_port_range": [self.inner or fleet.inner, fleet.inner + 15],
             "seed_nodes": fleet.seeds(),
             "limits": {"cpu_share": 0.86, "link_mbps": 1000.0, "memory_mb": 300},
             "bounds": {
@@ -508,6 +508,70 @@
         return "".join(path.read_text(errors="replace") for path in paths)
 
 
+class DatagramRelay:
+    """Passes on the datagrams between one VM and the others, or drops them.
+
+    The VM uses a port of its own. The relay takes that port at the addresses of the
+    others, and their port at the address of the VM, so that all see each other's
+    addresses as they are.
+    """
+
+    def __init__(self, fleet, vm):
+        self.is_cut = False
+        self.dropped = 0
+        self._fleet, self._vm = fleet, vm
+        hosts = [other.host for other in fleet.vms]
+        vm.inner = free_port(*hosts)
+        self._sockets = []
+
+    async def open(self):
+        """Start to pass on datagrams."""
+        fleet, vm = self._fleet, self._vm
+        near = self._bind(vm.host, fleet.inner)
+        far = {
+            other.host: self._bind(other.host, vm.inner)
+            for other in fleet.vms
+            if other is not vm
+        }
+        loop = asyncio.get_running_loop()
+        loop.add_reader(near, self._pass_in, near, far)
+        for host, sock in far.items():
+            loop.add_reader(sock, self._pass_out, sock, near, host)
+
+    def _bind(self, host, port):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind((host, port))
+        self._sockets.append(sock)
+        return sock
+
+    def _pass_in(self, near, far):
+        """Pass on a datagram of another VM, sent from that VM's address."""
+        data, (host, _) = near.recvfrom(65536)
+        if host in far:
+            self._send(far[host], data, (self._vm.host, self._vm.inner))
+
+    def _pass_out(self, sock, near, host):
+        """Pass on a datagram of the VM, sent from its address."""
+        data, _ = sock.recvfrom(65536)
+        self._send(near, data, (host, self._fleet.inner))
+
+    def _send(self, sock, data, address):
+        if self.is_cut:
+            self.dropped += 1
+            return
+        try:
+            sock.sendto(data, address)
+        except OSError:
+            self.dropped += 1
+
+    def close(self):
+        """Stop to pass on datagrams."""
+        for sock in self._sockets:
+            asyncio.get_running_loop().remove_reader(sock)
+            sock.close()
+
+
 class CouldNotRun(Exception):
     """The case could not be run."""
 
