--- a/review/harness.py
+++ b/review/harness.py
@@ -665,7 +665,8 @@
 
     try:
         held = asyncio.run(run())
-    except (CouldNotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # noqa: BLE001
+        # An error of the case must not look like a broken rule.
         record("could not run", repr(error))
         print(f"could not run: {error!r}")
         code = 2
