Review: start no process once a case has ended

A case that ends by an error could leave a VM that a stand-in of the platform was about to start again.

--- a/review/harness.py
+++ b/review/harness.py
@@ -343,7 +343,9 @@
         self.inner = 0  # Its own port for datagrams if it lies behind a relay.
 
     async def start(self):
-        """Start the program as the deploy file says."""
+        """Start the program as the deploy file says, unless the case has ended."""
+        if self.fleet.is_closed:
+            return
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         role = role["proxy"]
         path = self.fleet.folder / f"{self.name}.json"
@@ -368,6 +370,8 @@
             stderr=log,
         )
         os.close(log)
+        if self.fleet.is_closed:
+            self.process.kill()
         self.record("vm", f"{self.name} started")
 
     def fields(self):
@@ -423,6 +427,7 @@
 
     def __init__(self, record, vms=3):
         self.record = record
+        self.is_closed = False
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.servers = []
@@ -487,6 +492,7 @@
 
     async def close(self):
         """End all processes and stand-ins."""
+        self.is_closed = True
         for vm in self.vms:
             if vm.is_running:
                 vm.process.send_signal(signal.SIGCONT)
