Keep the upstreams of a service by state, so that a choice looks at few

Callers at hundreds of VMs waited for a broker that was behind: each request walked all upstreams of its service up to six times, each release tried the whole queue while only suspects had free slots, and a cancelled request was looked for in all queues.

A pool for each service files an upstream when an event changes it: healthy with unused slots by zone and working set, suspect, full. A choice compares up to 16 upstreams of its zone (those that accepted last, or that were idle longest), looks at other zones only if one of them can cost less, and a freed slot is offered to the queue only if any request could start. Slots held by healthy upstreams are counted by events; queues above 12 keep their order for a tick, with requests that came since in their places.

Weighed, without a trial: comparing a random sample of all upstreams; it would miss due trials and upstreams that are due for exploration.

--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -4,10 +4,14 @@
 non-idempotent request prefers upstreams that accepted a request recently. Idempotent
 requests explore, since a failure costs them a retry and not their response. So nearly
 all first failures of an upstream that begins to fail hit requests that can be retried.
+A choice compares the first few upstreams of each group of the pool, so that its cost
+doesn't grow with the number of upstreams.
 """
 
 from __future__ import annotations
 
+import itertools
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -16,15 +20,27 @@
 from gentianfold.placement.queue_index import QueueIndex
 from gentianfold.placement.service_demand import ServiceDemand
 from gentianfold.placement.slot_request import GrantReason
+from gentianfold.placement.upstream_pool import usable
 from gentianfold.placement.upstream_tracker import NEVER_S, USUAL_SLOWNESS
 from gentianfold.placement.working_set import WorkingSets
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from gentianfold.placement.slot_request import SlotRequest
+    from gentianfold.placement.upstream_pool import UpstreamPool, ZoneGroups
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
+MAX_CANDIDATES = 16
+"""Upstreams of a group that are compared (count): the best of so many differs from the
+best of all by less than the jitter."""
+MAX_FOREIGN_CANDIDATES = 4
+"""Upstreams of each further availability zone that are compared (count)."""
+MAX_SUSPECTS = 32
+"""Suspect upstreams that are compared (count), from the one that failed longest ago."""
+MAX_DUE = 4
+"""Due upstreams of a group that are compared for exploration (count)."""
+
 
 @attrs.frozen
 class RequestEstimate:
@@ -113,7 +129,7 @@
 
     def choose(
         self,
-        trackers: Sequence[UpstreamTracker],
+        pool: UpstreamPool,
         request: SlotRequest,
         now_s: float,
         may_explore: bool,
@@ -127,7 +143,7 @@
         fast enough, slowness excludes none of them.
 
         Args:
-            trackers: Upstreams of the service that accept new requests.
+            pool: Upstreams of the service that accept new requests.
             request: The request to place.
             now_s: Current time (seconds).
             may_explore: Whether a failed attempt may be retried.
@@ -138,48 +154,36 @@
             The upstream, the reason and the number of candidates; ``None`` if the
             request should wait.
         """
-        free = _without_slow(
-            _free_trackers(trackers, request, now_s),
-            trackers,
-            request,
-            now_s,
-            may_explore,
-            estimate,
+        selection = _Selection(pool, request, now_s, may_explore, estimate.elapsed_s)
+        suspects = selection.first(
+            usable(pool.suspects.values(), request, now_s), MAX_SUSPECTS
         )
-        if not free:
-            return None
-        healthy = [tracker for tracker in free if tracker.suspect_since_s is None]
-        needed = self._needed_trial(free, now_s, may_explore, state)
+        needed = self._needed_trial(suspects, now_s, may_explore, state)
         if needed is not None:
-            return needed, GrantReason.TRIAL, len(free)
-        explored = self._explored(healthy, request, now_s, may_explore, state)
+            return needed, GrantReason.TRIAL, len(suspects)
+        explored = self._explored(selection, state)
         if explored is not None:
-            return explored, GrantReason.EXPLORE, len(healthy)
-        if may_explore and state.demand.has_explore_token():
-            trial = self._due_trial(free, now_s, may_explore)
+            return explored, GrantReason.EXPLORE, 1
+        if suspects and may_explore and state.demand.has_explore_token():
+            trial = self._due_trial(suspects, now_s, may_explore)
             if trial is not None:
                 state.demand.take_explore_token()
-                return trial, GrantReason.TRIAL, len(free)
-        if healthy:
-            best = self._lowest_cost(
-                _candidates(healthy, request.zone),
-                request,
-                now_s,
-                may_explore,
-                estimate,
-            )
-            return best, GrantReason.BEST, len(healthy)
-        if any(tracker.suspect_since_s is None for tracker in trackers):
+                return trial, GrantReason.TRIAL, len(suspects)
+        best = self._best(selection, estimate)
+        if best is not None:
+            return best
+        if pool.has_healthy or not suspects:
             # A healthy upstream frees a slot before a suspect one recovers.
             return None
         oldest = min(
-            free, key=lambda tracker: (tracker.trials_in_use, tracker.last_failure_s)
+            suspects,
+            key=lambda tracker: (tracker.trials_in_use, tracker.last_failure_s),
         )
-        return oldest, GrantReason.LAST_RESORT, len(free)
+        return oldest, GrantReason.LAST_RESORT, len(suspects)
 
     def choose_degraded(
         self,
-        trackers: Sequence[UpstreamTracker],
+        pool: UpstreamPool,
         request: SlotRequest,
         now_s: float,
         expected_s: float = 0.0,
@@ -190,11 +194,24 @@
             The same tuple as ``choose``; ``None`` if no upstream succeeds often enough
             and is fast enough.
         """
+
+        def is_fit(tracker: UpstreamTracker) -> bool:
+            return (
+                tracker.success_ratio >= self.policy.min_success_ratio
+                and expected_s * tracker.slowness(now_s) <= request.time_left_s
+            )
+
+        groups = [
+            group
+            for zone_groups in pool.zones.values()
+            for group in (zone_groups.members, zone_groups.others)
+        ]
         candidates = [
             tracker
-            for tracker in _free_trackers(trackers, request, now_s)
-            if tracker.success_ratio >= self.policy.min_success_ratio
-            and expected_s * tracker.slowness(now_s) <= request.time_left_s
+            for group in (*groups, pool.suspects)
+            for tracker in itertools.islice(
+                filter(is_fit, usable(group.values(), request, now_s)), MAX_SUSPECTS
+            )
         ]
         if not candidates:
             return None
@@ -203,7 +220,7 @@
 
     def _needed_trial(
         self,
-        free: Sequence[UpstreamTracker],
+        suspects: Sequence[UpstreamTracker],
         now_s: float,
         may_explore: bool,
         state: ServiceState,
@@ -212,36 +229,28 @@
 
         Other suspects get trials within the bound of exploration.
         """
-        suspect = [tracker for tracker in free if tracker.suspect_since_s is not None]
-        if suspect and not state.demand.is_underserved(now_s):
-            suspect = [
+        if suspects and not state.demand.is_underserved(now_s):
+            suspects = [
                 tracker
-                for tracker in suspect
+                for tracker in suspects
                 if state.working_sets.is_short(tracker.upstream.zone)
             ]
-        return self._due_trial(suspect, now_s, may_explore)
+        return self._due_trial(suspects, now_s, may_explore)
 
     def _due_trial(
-        self, free: Sequence[UpstreamTracker], now_s: float, may_explore: bool
+        self, suspects: Sequence[UpstreamTracker], now_s: float, may_explore: bool
     ) -> UpstreamTracker | None:
         """Return the suspect whose trial has been due longest; ``None`` if none is."""
         delay_s = 0.0 if may_explore else self.policy.non_idempotent_trial_delay_s
         due = [
             tracker
-            for tracker in free
-            if tracker.suspect_since_s is not None
-            and not tracker.trials_in_use
-            and now_s >= tracker.next_trial_s + delay_s
+            for tracker in suspects
+            if not tracker.trials_in_use and now_s >= tracker.next_trial_s + delay_s
         ]
         return min(due, key=lambda tracker: tracker.next_trial_s, default=None)
 
     def _explored(
-        self,
-        healthy: Sequence[UpstreamTracker],
-        request: SlotRequest,
-        now_s: float,
-        may_explore: bool,
-        state: ServiceState,
+        self, selection: _Selection, state: ServiceState
     ) -> UpstreamTracker | None:
         """Return the upstream that has been without requests longest, if one is due.
 
@@ -250,11 +259,11 @@
         intervals, and new ones at once, for idempotent requests within the bound of
         exploration.
         """
-        policy = self.policy
+        policy, now_s = self.policy, selection.now_s
         is_underserved = state.demand.is_underserved(now_s)
         if not is_underserved and not state.demand.has_explore_token():
             return None
-        if may_explore:
+        if selection.may_explore:
             interval_s = (
                 policy.spread_interval_s
                 if is_underserved
@@ -263,132 +272,195 @@
         elif is_underserved:
             interval_s = policy.non_idempotent_interval_s
         else:
-            interval_s = float("inf")
-        foreign_interval_s = interval_s * policy.foreign_interval_factor
-
-        def is_due(tracker: UpstreamTracker) -> bool:
-            if tracker.in_working_set and not is_underserved:
-                return False
-            if tracker.last_used_s == NEVER_S:
-                age_s = now_s - tracker.listed_at_s
-                return may_explore or (
-                    age_s >= policy.non_idempotent_new_s
-                    and not state.demand.has_idempotent_requests()
-                )
-            idle_s = now_s - tracker.last_used_s
-            if tracker.upstream.zone == request.zone:
-                return idle_s >= interval_s
-            return idle_s >= foreign_interval_s
-
-        due = min(
-            filter(is_due, healthy),
-            key=lambda tracker: (
-                tracker.upstream.zone != request.zone,
-                tracker.last_used_s,
-                self.random.random(),
-            ),
-            default=None,
+            interval_s = math.inf
+        new_after_s = 0.0 if selection.may_explore else policy.non_idempotent_new_s
+        if not selection.may_explore and state.demand.has_idempotent_requests():
+            new_after_s = math.inf
+        due = self._longest_idle(
+            selection, selection.own_groups, interval_s, new_after_s, is_underserved
+        ) or self._longest_idle(
+            selection,
+            selection.foreign_groups,
+            interval_s * policy.foreign_interval_factor,
+            new_after_s,
+            is_underserved,
         )
         if due is not None and not is_underserved:
             state.demand.take_explore_token()
         return due
 
-    def _lowest_cost(
+    def _longest_idle(
         self,
-        trackers: Sequence[UpstreamTracker],
-        request: SlotRequest,
-        now_s: float,
-        may_explore: bool,
-        estimate: RequestEstimate,
-    ) -> UpstreamTracker:
-        zone_cost = (
-            self.policy.zone_weight
-            + self.policy.zone_price_per_kb
-            * self.policy.cost_per_value
-            * estimate.kilobytes
-        )
+        selection: _Selection,
+        zones: Iterable[ZoneGroups],
+        interval_s: float,
+        new_after_s: float,
+        with_members: bool,
+    ) -> UpstreamTracker | None:
+        """Return the upstream of some zones that was used longest ago, if one is due.
+
+        Args:
+            selection: Selects the upstreams that the request may use.
+            zones: Groups of the zones, in which those used last are at the end.
+            interval_s: Time without requests after which an upstream is due (seconds).
+            new_after_s: Age at which one is due that was never used (seconds).
+            with_members: Whether members of the working sets are included.
+        """
+        now_s = selection.now_s
+
+        def due_of(group: Iterable[UpstreamTracker]) -> Iterator[UpstreamTracker]:
+            for tracker in group:
+                if tracker.last_used_s == NEVER_S:
+                    if now_s - tracker.listed_at_s >= new_after_s:
+                        yield tracker
+                elif now_s - tracker.last_used_s >= interval_s:
+                    yield tracker
+                else:
+                    return
+
+        due = [
+            tracker
+            for groups in zones
+            for group in (groups.others, groups.members)[: 1 + with_members]
+            for tracker in selection.first(
+                usable(due_of(group.values()), selection.request, now_s), MAX_DUE
+            )
+        ]
         return min(
-            trackers,
-            key=lambda tracker: self._cost(
-                tracker, request, now_s, may_explore, zone_cost
-            ),
+            due,
+            key=lambda tracker: (tracker.last_used_s, self.random.random()),
+            default=None,
         )
 
-    def _cost(
-        self,
-        tracker: UpstreamTracker,
-        request: SlotRequest,
-        now_s: float,
-        explore: bool,
-        zone_cost: float,
-    ) -> float:
-        """Return the cost of sending the request to an upstream."""
+    def _best(
+        self, selection: _Selection, estimate: RequestEstimate
+    ) -> tuple[UpstreamTracker, GrantReason, int] | None:
+        """Return the candidate of the lowest cost; ``None`` if there are none.
+
+        Other availability zones are looked at only if one of their upstreams can cost
+        less than the best one of the request's own zone.
+        """
+        policy = self.policy
+        zone_cost = (
+            policy.zone_weight
+            + policy.zone_price_per_kb * policy.cost_per_value * estimate.kilobytes
+        )
+        least_cost = zone_cost - policy.explore_weight * selection.may_explore
+        best: UpstreamTracker | None = None
+        best_cost, count = math.inf, 0
+        for candidates, extra_cost in selection.candidates(zone_cost):
+            count += len(candidates)
+            for tracker in candidates:
+                cost = extra_cost + self._cost(
+                    tracker, selection.now_s, selection.may_explore
+                )
+                if cost < best_cost:
+                    best, best_cost = tracker, cost
+            if best_cost <= least_cost:
+                break
+        return None if best is None else (best, GrantReason.BEST, count)
+
+    def _cost(self, tracker: UpstreamTracker, now_s: float, explore: bool) -> float:
+        """Return the cost of an upstream, without that of its availability zone."""
         policy = self.policy
         reference_s = tracker.last_used_s if explore else tracker.last_accepted_s
         staleness = min((now_s - reference_s) / policy.staleness_horizon_s, 1.0)
         weight = -policy.explore_weight if explore else policy.staleness_weight
         cost = policy.load_weight * tracker.in_use / max(tracker.upstream.slots, 1)
         cost += weight * staleness
-        cost += policy.failure_weight * tracker.recent_failures(now_s)
+        if tracker.failure_score:
+            cost += policy.failure_weight * tracker.recent_failures(now_s)
         if now_s < tracker.warmup_until_s:
             cost += policy.warmup_weight
         slowness = tracker.slowness(now_s)
-        cost += policy.slow_weight * min(max(slowness - USUAL_SLOWNESS, 0.0), 4.0)
-        if tracker.upstream.zone != request.zone:
-            cost += zone_cost
+        if slowness > USUAL_SLOWNESS:
+            cost += policy.slow_weight * min(slowness - USUAL_SLOWNESS, 4.0)
         return cost + self.random.random() * policy.jitter
 
 
-def _free_trackers(
-    trackers: Sequence[UpstreamTracker], request: SlotRequest, now_s: float
-) -> list[UpstreamTracker]:
-    """Return the upstreams on which the request could start at once."""
-    return [
-        tracker
-        for tracker in trackers
-        if tracker.has_free_slot(now_s)
-        and tracker.upstream.name not in request.excluded
-        and not tracker.is_blocked_for(request.vm, now_s)
-    ]
-
-
-def _without_slow(
-    free: list[UpstreamTracker],
-    trackers: Sequence[UpstreamTracker],
-    request: SlotRequest,
-    now_s: float,
-    may_explore: bool,
-    estimate: RequestEstimate,
-) -> list[UpstreamTracker]:
-    """Return the free upstreams without those too slow for the request's time left."""
-
-    def is_timely(tracker: UpstreamTracker) -> bool:
-        return estimate.elapsed_s * tracker.slowness(now_s) <= request.time_left_s
-
-    if all(map(is_timely, free)):
-        return free
-    timely = {tracker.upstream.name for tracker in free if is_timely(tracker)}
-    if any(
-        tracker.suspect_since_s is None
-        and (tracker.upstream.name in timely or is_timely(tracker))
-        for tracker in trackers
-    ):
-        return [
+@attrs.define(eq=False)
+class _Selection:
+    """Selects the upstreams that one request may use."""
+
+    pool: UpstreamPool
+    """Upstreams of the service that accept new requests."""
+    request: SlotRequest
+    """The request."""
+    now_s: float
+    """Current time (seconds)."""
+    may_explore: bool
+    """Whether a failed attempt may be retried."""
+    expected_s: float
+    """Expected elapsed time of the request (seconds)."""
+    _has_timely: bool | None = None
+
+    @property
+    def own_groups(self) -> Iterator[ZoneGroups]:
+        """The groups of the request's availability zone, if it has upstreams."""
+        groups = self.pool.zones.get(self.request.zone)
+        return iter(() if groups is None else (groups,))
+
+    @property
+    def foreign_groups(self) -> Iterator[ZoneGroups]:
+        """The groups of the other availability zones."""
+        return self.pool.other_zones(self.request.zone)
+
+    def first(
+        self, trackers: Iterable[UpstreamTracker], limit: int
+    ) -> list[UpstreamTracker]:
+        """Return the first upstreams that are fast enough for the request."""
+        return list(itertools.islice(filter(self._is_allowed, trackers), limit))
+
+    def candidates(
+        self, zone_cost: float
+    ) -> Iterator[tuple[list[UpstreamTracker], float]]:
+        """Yield candidates, each with the cost of using their availability zone.
+
+        They are the members of the working sets, and the rest where they do not
+        suffice: if the set of the request's own zone has no free slot, all upstreams of
+        that zone are candidates.
+        """
+        request, now_s = self.request, self.now_s
+        own: list[UpstreamTracker] = []
+        for groups in self.own_groups:
+            own = self._members(groups, MAX_CANDIDATES) or self.first(
+                usable(groups.others.values(), request, now_s), MAX_CANDIDATES
+            )
+        if own:
+            yield own, 0.0
+        members = [
             tracker
-            for tracker in free
-            if tracker.upstream.name in timely or (may_explore and not tracker.in_use)
+            for groups in self.foreign_groups
+            for tracker in self._members(groups, MAX_FOREIGN_CANDIDATES)
         ]
-    return free
-
-
-def _candidates(healthy: list[UpstreamTracker], zone: str) -> list[UpstreamTracker]:
-    """Return the members of the working sets, and the rest where they do not suffice.
+        if own or members:
+            yield members, zone_cost
+            return
+        for groups in self.foreign_groups:
+            others = usable(groups.others.values(), request, now_s)
+            yield self.first(others, MAX_CANDIDATES), zone_cost
+
+    def _members(self, groups: ZoneGroups, limit: int) -> list[UpstreamTracker]:
+        members = self.pool.members(
+            groups,
+            self.request,
+            self.now_s,
+            by_proof=not self.may_explore and len(groups.members) > limit,
+        )
+        return self.first(members, limit)
+
+    def _is_allowed(self, tracker: UpstreamTracker) -> bool:
+        """Tell whether slowness doesn't keep the request from an upstream."""
+        if self._is_timely(tracker) or (self.may_explore and not tracker.in_use):
+            return True
+        if self._has_timely is None:
+            self._has_timely = any(
+                healthy.suspect_since_s is None and self._is_timely(healthy)
+                for healthy in self.pool.trackers
+            )
+        return not self._has_timely
 
-    If the set of the request's own zone has no free slot, all upstreams of that zone
-    are candidates.
-    """
-    members = [tracker for tracker in healthy if tracker.in_working_set]
-    if any(tracker.upstream.zone == zone for tracker in members):
-        return members
-    others = [tracker for tracker in healthy if tracker.upstream.zone == zone]
-    return [*members, *others] or healthy
+    def _is_timely(self, tracker: UpstreamTracker) -> bool:
+        return self.expected_s * tracker.slowness(self.now_s) <= (
+            self.request.time_left_s
+        )
--- a/src/gentianfold/placement/grant_table.py
+++ b/src/gentianfold/placement/grant_table.py
@@ -57,6 +57,22 @@
             request, name = grant.request, grant.tracker.upstream.name
             yield slot_request_id, name, request.route, request.customer
 
+    def unlisted(
+        self, vm: str, slot_request_ids: frozenset[int], granted_before_s: float
+    ) -> list[SlotRequestKey]:
+        """Return the slot requests of a VM that its list of held slots lacks.
+
+        Args:
+            vm: Address of the VM.
+            slot_request_ids: Slot requests in the list.
+            granted_before_s: Later grants may be missing from the list (seconds).
+        """
+        return [
+            key
+            for key, grant in self.of_vm(vm)
+            if key[1] not in slot_request_ids and grant.granted_at_s < granted_before_s
+        ]
+
     def values(self) -> ValuesView[Grant]:
         """Return all grants."""
         return self._grants.values()
--- a/src/gentianfold/placement/queue_index.py
+++ b/src/gentianfold/placement/queue_index.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from typing import TYPE_CHECKING
 
 import attrs
 
+from gentianfold.placement.upstream_tracker import NEVER_S
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
@@ -15,7 +17,7 @@
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.waiting_requests import SlotRequestKey
 
-LONG_QUEUE = 50
+LONG_QUEUE = 12
 """Length above which a queue is not sorted for each event (count)."""
 REBUILD_S = 0.05
 """Time for which the order of a long queue is kept (seconds): one tick."""
@@ -23,12 +25,12 @@
 
 @attrs.define(eq=False)
 class QueueIndex:
-    """Order of one service's queue; requests that came since are not in it."""
+    """Order of one service's queue, as of the last tick and the requests that came."""
 
     _order: list[tuple[SortKey, SlotRequestKey]] = attrs.field(factory=list)
     _first: int = 0
-    _built_s: float = -1e9
-    _late_checked_s: float = -1e9
+    _built_s: float = NEVER_S
+    _late_checked_s: float = NEVER_S
 
     def ordered(
         self,
@@ -66,7 +68,21 @@
             return order.count_ahead(queue, request, now_s)
         self._refresh(queue, order, now_s)
         position = bisect_left(self._order, (order.new_key(request, now_s), ("", 0)))
-        return round(position / max(len(self._order), 1) * len(queue))
+        ahead, length = position - self._first, len(self._order) - self._first
+        return round(max(ahead, 0) / max(length, 1) * len(queue))
+
+    def add(
+        self,
+        key: SlotRequestKey,
+        entry: QueueEntry,
+        queue: Mapping[SlotRequestKey, QueueEntry],
+        order: QueueOrder,
+    ) -> None:
+        """Add a request that was queued since the order was made."""
+        if len(queue) <= LONG_QUEUE:
+            self._built_s = NEVER_S
+            return
+        insort(self._order, (order.sort_key(entry), key), self._first)
 
     def is_late_check_due(self, length: int, now_s: float) -> bool:
         """Tell, once in a tick, whether requests that waited too long are looked for."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -10,7 +10,7 @@
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.elapsed_table import ElapsedTable
-from gentianfold.placement.grant import Grant, apply_outcome, record_accepted
+from gentianfold.placement.grant import Grant, apply_outcome
 from gentianfold.placement.grant_table import GrantTable
 from gentianfold.placement.log_entries import (
     ServiceLoad,
@@ -23,6 +23,7 @@
 from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
 from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.retry_budget import RetryBudget
+from gentianfold.placement.running_requests import observe_grants
 from gentianfold.placement.slot_request import (
     Granted,
     GrantReason,
@@ -41,14 +42,12 @@
     from collections.abc import Iterable, Iterator
 
     from gentianfold.model import Upstream
+    from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 NO_UPSTREAM_RETRY_S = 0.5
 """Retry delay for a service without upstreams (seconds): upstreams that restart are
 listed within about a second."""
-MAX_RUNNING_FACTOR = 6.0
-"""Multiple of the expected time up to which a running request counts towards the
-slowness of its upstream: some work takes that long by itself."""
 
 Decision: TypeAlias = Granted | Queued | Refused
 """Result of a request for a slot."""
@@ -99,7 +98,7 @@
 
     def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Replace the upstreams; those that did not restart keep their statistics."""
-        self._trackers.replace(upstreams, now_s)
+        self._trackers.replace(upstreams, now_s, self.chooser.random.random)
         self._update_working_sets(now_s)
 
     def tracker(self, name: str) -> UpstreamTracker | None:
@@ -116,6 +115,11 @@
         """Record until when a start of an upstream wants no requests of a VM."""
         self._trackers.record_pause(name, start_time_ms, vm, until_s)
 
+    def refile_upstreams(self) -> None:
+        """Take over states of upstreams that were changed from outside."""
+        for _, pool in self._trackers.pools():
+            pool.file_all()
+
     # Requests
 
     def request_slot(self, request: SlotRequest, now_s: float) -> Decision:
@@ -142,7 +146,7 @@
             if not self.quota.has_room(request.customer, now_s):
                 if self.quota.is_growing and self._can_wait_for_token(request, now_s):
                     self.budget.count_request(request.service, now_s)
-                    self._waiting.add(key, QueueEntry(request, now_s))
+                    self._queue_request(key, QueueEntry(request, now_s), queue)
                     return Queued(len(queue))
                 demand.count_unserved(now_s)
                 return self.quota.refuse(request.customer, now_s)
@@ -196,6 +200,7 @@
                 self.quota.refund(grant.request.customer, grant.granted_at_s)
         if rate_limit_per_s == UNLIMITED:
             if limiter.record_no_limit(grant.granted_at_s):
+                self._trackers.file(grant.tracker)
                 self.state_changes.record(
                     grant.tracker, "not rate limited", "answer", now_s
                 )
@@ -232,6 +237,7 @@
     ) -> None:
         tracker.rate_limiter.share = self.quota.share
         if tracker.rate_limiter.record_limit(rate_per_s, stated_s, now_s):
+            self._trackers.file(tracker)
             self.state_changes.record(tracker, "rate limited", cause, now_s)
 
     def register_grant(
@@ -255,12 +261,7 @@
             granted_before_s: Only grants before this time are freed; the list may have
                 been sent before later ones arrived.
         """
-        unlisted = [
-            key
-            for key, grant in self._grants.of_vm(vm)
-            if key[1] not in slot_request_ids and grant.granted_at_s < granted_before_s
-        ]
-        for key in unlisted:
+        for key in self._grants.unlisted(vm, slot_request_ids, granted_before_s):
             self._free_slot(self._grants.pop(key))
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
@@ -283,27 +284,15 @@
 
     def observe_running(self, now_s: float) -> None:
         """Update acceptance and slowness of upstreams from their running requests."""
-        for tracker in self._trackers.all():
-            tracker.running_s = 0.0
-            tracker.rate_limiter.share = self.quota.share
-        for grant in self._grants.values():
-            if record_accepted(grant, now_s):
-                self.state_changes.record(grant.tracker, "well", "taken", now_s)
-            expected_s = self._expected_s(grant.request)
-            running_s = now_s - grant.granted_at_s
-            if running_s > expected_s:
-                limit_s = MAX_RUNNING_FACTOR * expected_s
-                grant.tracker.running_s += min(running_s, limit_s)
-        for tracker in self._trackers.all():
-            if tracker.update_slow(now_s):
-                state = "slow" if tracker.is_slow else "no longer slow"
-                self.state_changes.record(tracker, state, "time", now_s)
+        trackers, grants = self._trackers.all(), self._grants.values()
+        share, changes = self.quota.share, self.state_changes
+        observe_grants(trackers, grants, self._expected_s, share, changes, now_s)
         self._update_working_sets(now_s)
 
     def _update_working_sets(self, now_s: float) -> None:
-        for service, trackers in self._trackers.live_by_service():
+        for service, pool in self._trackers.pools():
             slot_time_s = self.elapsed.slot_time_s(service)
-            self._state(service).working_sets.update(trackers, slot_time_s, now_s)
+            self._state(service).working_sets.update(pool, slot_time_s, now_s)
 
     def _state(self, service: str) -> ServiceState:
         state = self._states.get(service)
@@ -315,7 +304,7 @@
         """Yield the load of each service that has requests in its queue."""
         for service, queue in self._waiting.services():
             if queue:
-                trackers = self._trackers.live(service)
+                trackers = self._trackers.pool(service).trackers
                 yield measure_load(service, len(queue), trackers, now_s)
 
     @property
@@ -336,47 +325,57 @@
         queue: dict[SlotRequestKey, QueueEntry],
         now_s: float,
     ) -> Decision:
-        trackers = self._trackers.live(request.service)
-        if not trackers:
+        pool = self._trackers.pool(request.service)
+        if not pool.trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if request.attempt > 1 and not self.budget.try_acquire(request.service, now_s):
             return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead:
-            granted = self._grant(request, trackers, now_s)
+            granted = self._grant(request, pool, now_s)
             if granted is not None:
                 return granted
         slot_time_s = self.elapsed.slot_time_s(request.service)
-        estimated_s = estimate_wait_s(trackers, slot_time_s, ahead)
+        estimated_s = estimate_wait_s(pool, slot_time_s, ahead)
         entry = QueueEntry(request, now_s, estimated_s)
         wait_class = self._order.wait_class(entry)
         wait_s = estimated_s * self._wait_table.factor(wait_class, now_s)
-        wait_s = max(wait_s, shortest_pause_s(trackers, request.vm, now_s))
+        wait_s = max(wait_s, shortest_pause_s(pool.trackers, request.vm, now_s))
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
-            if degraded := self._grant_degraded(request, trackers, now_s):
+            if degraded := self._grant_degraded(request, pool, now_s):
                 return degraded
             retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
             return Refused(RefusalReason.NO_ROOM, retry_after_s, ahead)
-        self._waiting.add((request.vm, request.slot_request_id), entry)
+        self._queue_request((request.vm, request.slot_request_id), entry, queue)
         return Queued(ahead)
 
+    def _queue_request(
+        self,
+        key: SlotRequestKey,
+        entry: QueueEntry,
+        queue: dict[SlotRequestKey, QueueEntry],
+    ) -> None:
+        self._waiting.add(key, entry)
+        index = self._state(entry.request.service).queue_index
+        index.add(key, entry, queue, self._order)
+
     def _advance_service(
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
-        trackers, index = self._trackers.live(service), self._state(service).queue_index
-        if self._has_free_slot(trackers, now_s):
+        pool, index = self._trackers.pool(service), self._state(service).queue_index
+        if pool.may_start(now_s):
             self._order.update_fair_slots(service, queue)
             for key, entry in index.ordered(queue, self._order, now_s):
                 if not self._has_token(entry.request, now_s):
                     continue
-                granted = self._grant(entry.request, trackers, now_s)
+                granted = self._grant(entry.request, pool, now_s)
                 if granted is None:
                     continue
                 self._record_wait(entry, now_s)
                 self._waiting.remove(key)
                 yield key, granted
-                if not self._has_free_slot(trackers, now_s):
+                if not pool.may_start(now_s):
                     break
         if not index.is_late_check_due(len(queue), now_s):
             return
@@ -387,15 +386,12 @@
         ]
         for key, entry in late:
             self._waiting.remove(key)
-            yield key, self._decide_late(entry, trackers, len(queue), now_s)
-
-    def _has_free_slot(self, trackers: list[UpstreamTracker], now_s: float) -> bool:
-        return any(tracker.has_free_slot(now_s) for tracker in trackers)
+            yield key, self._decide_late(entry, pool, len(queue), now_s)
 
     def _decide_late(
         self,
         entry: QueueEntry,
-        trackers: list[UpstreamTracker],
+        pool: UpstreamPool,
         ahead: int,
         now_s: float,
     ) -> Granted | Refused:
@@ -406,11 +402,11 @@
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
         self._record_wait(entry, now_s)
-        if degraded := self._grant_degraded(request, trackers, now_s):
+        if degraded := self._grant_degraded(request, pool, now_s):
             return degraded
         demand.count_unserved(now_s)
         slot_time_s = self.elapsed.slot_time_s(request.service)
-        wait_s = estimate_wait_s(trackers, slot_time_s, ahead)
+        wait_s = estimate_wait_s(pool, slot_time_s, ahead)
         return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
 
     def _has_token(self, request: SlotRequest, now_s: float) -> bool:
@@ -418,26 +414,24 @@
         return request.attempt > 1 or self.quota.can_take(request.customer, now_s)
 
     def _grant(
-        self, request: SlotRequest, trackers: list[UpstreamTracker], now_s: float
+        self, request: SlotRequest, pool: UpstreamPool, now_s: float
     ) -> Granted | None:
         may_explore = request.idempotent and request.attempt == 1
         estimate = RequestEstimate(
             self._expected_s(request), self.transfers.expected_kilobytes(request.route)
         )
         state = self._state(request.service)
-        choice = self.chooser.choose(
-            trackers, request, now_s, may_explore, estimate, state
-        )
+        choice = self.chooser.choose(pool, request, now_s, may_explore, estimate, state)
         if choice is None:
             return None
         return self._grant_choice(request, choice, now_s)
 
     def _grant_degraded(
-        self, request: SlotRequest, trackers: list[UpstreamTracker], now_s: float
+        self, request: SlotRequest, pool: UpstreamPool, now_s: float
     ) -> Granted | None:
         """Grant a slot of a partly failing upstream instead of refusing the request."""
         expected_s = self._expected_s(request)
-        choice = self.chooser.choose_degraded(trackers, request, now_s, expected_s)
+        choice = self.chooser.choose_degraded(pool, request, now_s, expected_s)
         return self._grant_choice(request, choice, now_s) if choice else None
 
     def _grant_choice(
@@ -465,6 +459,7 @@
         grant.tracker.rate_limiter.count_request(grant.granted_at_s)
         grant.tracker.last_used_s = grant.granted_at_s
         grant.tracker.trials_in_use += grant.is_trial
+        self._trackers.file(grant.tracker, to_end=True)
         self._order.count_slot(grant.request, 1)
 
     def _free_slot(self, grant: Grant) -> None:
@@ -472,6 +467,7 @@
         if not grant.tracker.in_use:
             grant.tracker.running_s = 0.0
         grant.tracker.trials_in_use -= grant.is_trial
+        self._trackers.file(grant.tracker)
         self._order.count_slot(grant.request, -1)
 
     def _record_outcome(
@@ -485,6 +481,8 @@
             grant, outcome, elapsed_s, expected_s, now_s, demand, self.elapsed
         )
         is_suspect = tracker.suspect_since_s is not None
+        if was_suspect or is_suspect:
+            self._trackers.file(tracker, to_end=True)
         if was_suspect != is_suspect:
             state = "suspect" if is_suspect else "well"
             self.state_changes.record(tracker, state, outcome.name.lower(), now_s)
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -7,10 +7,11 @@
 import attrs
 
 from gentianfold.model import Upstream, UpstreamState
+from gentianfold.placement.upstream_pool import UpstreamPool
 from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 if TYPE_CHECKING:
-    from collections.abc import ItemsView, Iterable
+    from collections.abc import Callable, ItemsView, Iterable
 
 
 @attrs.define(eq=False)
@@ -18,10 +19,18 @@
     """One tracker for each start of a listed upstream."""
 
     _trackers: dict[str, UpstreamTracker] = attrs.field(factory=dict)
-    _live: dict[str, list[UpstreamTracker]] = attrs.field(factory=dict)
+    _pools: dict[str, UpstreamPool] = attrs.field(factory=dict)
 
-    def replace(self, upstreams: Iterable[Upstream], now_s: float) -> None:
-        """Replace the upstreams; those that did not restart keep their trackers."""
+    def replace(
+        self, upstreams: Iterable[Upstream], now_s: float, draw: Callable[[], float]
+    ) -> None:
+        """Replace the upstreams; those that did not restart keep their trackers.
+
+        Args:
+            upstreams: The listed upstreams.
+            now_s: Current time (seconds).
+            draw: Returns a random number from 0 to below 1; orders new upstreams.
+        """
         trackers = {}
         for upstream in upstreams:
             tracker = self._trackers.get(upstream.name)
@@ -37,10 +46,14 @@
             tracker.upstream = upstream
             trackers[upstream.name] = tracker
         self._trackers = trackers
-        self._live = {}
+        live: dict[str, list[UpstreamTracker]] = {}
         for tracker in trackers.values():
             if tracker.upstream.state is UpstreamState.LIVE:
-                self._live.setdefault(tracker.upstream.service, []).append(tracker)
+                live.setdefault(tracker.upstream.service, []).append(tracker)
+        self._pools = {}
+        for service, of_service in live.items():
+            pool = self._pools[service] = UpstreamPool()
+            pool.add_all(of_service, draw)
 
     def get(self, name: str) -> UpstreamTracker | None:
         """Return the tracker of an upstream; ``None`` if it is not listed."""
@@ -50,13 +63,24 @@
         """Return the trackers of all listed upstreams."""
         return self._trackers.values()
 
-    def live(self, service: str) -> list[UpstreamTracker]:
-        """Return the trackers of a service's upstreams that take new requests."""
-        return self._live.get(service, [])
+    def pool(self, service: str) -> UpstreamPool:
+        """Return a service's upstreams that take new requests; empty if unknown."""
+        return self._pools.get(service) or UpstreamPool()
+
+    def pools(self) -> ItemsView[str, UpstreamPool]:
+        """Return the services with their upstreams that take new requests."""
+        return self._pools.items()
+
+    def file(self, tracker: UpstreamTracker, to_end: bool = False) -> None:
+        """File an upstream whose state may have changed anew in its pool.
 
-    def live_by_service(self) -> ItemsView[str, list[UpstreamTracker]]:
-        """Return the services with the trackers of their live upstreams."""
-        return self._live.items()
+        Args:
+            tracker: The upstream.
+            to_end: Whether it was used or failed, and so comes last.
+        """
+        pool = self._pools.get(tracker.upstream.service)
+        if pool is not None:
+            pool.file(tracker, to_end)
 
     def record_pause(
         self, name: str, start_time_ms: int, vm: str, until_s: float
--- a/src/gentianfold/placement/wait_estimate.py
+++ b/src/gentianfold/placement/wait_estimate.py
@@ -2,36 +2,34 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
+    from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 
-def estimate_wait_s(
-    trackers: Iterable[UpstreamTracker], slot_time_s: float, ahead: int
-) -> float:
+def estimate_wait_s(pool: UpstreamPool, slot_time_s: float, ahead: int) -> float:
     """Return the estimated wait behind other requests (seconds).
 
     Args:
-        trackers: Upstreams of the service that accept new requests.
+        pool: Upstreams of the service that accept new requests.
         slot_time_s: Usual time for which a request holds a slot (seconds).
         ahead: Requests that are served first (count).
     """
-    held = sum(
-        tracker.rate_limiter.capacity_slots(tracker.upstream.slots, slot_time_s)
-        if tracker.rate_limiter.is_limited
-        else tracker.in_use
-        for tracker in trackers
-        if tracker.suspect_since_s is None
-    )
-    return (ahead + 1) * slot_time_s / (held or 1)
+    return (ahead + 1) * slot_time_s / (pool.held_slots(slot_time_s) or 1)
 
 
 def shortest_pause_s(
-    trackers: Sequence[UpstreamTracker], vm: str, now_s: float
+    trackers: Iterable[UpstreamTracker], vm: str, now_s: float
 ) -> float:
     """Return the time until the first upstream wants requests of a VM (seconds)."""
-    return min((tracker.pause_s(vm, now_s) for tracker in trackers), default=0.0)
+    shortest_s = math.inf
+    for tracker in trackers:
+        shortest_s = min(tracker.pause_s(vm, now_s), shortest_s)
+        if not shortest_s:
+            break
+    return shortest_s if shortest_s < math.inf else 0.0
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -8,7 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import ItemsView, Iterator
+    from collections.abc import ItemsView
 
     from gentianfold.placement.queue_entry import QueueEntry
 
@@ -23,6 +23,7 @@
     by_customer: Counter[str]
     """First attempts that wait, by customer; kept up to date."""
     _queues: dict[str, dict[SlotRequestKey, QueueEntry]] = attrs.field(factory=dict)
+    _services: dict[SlotRequestKey, str] = attrs.field(factory=dict)
 
     def queue(self, service: str) -> dict[SlotRequestKey, QueueEntry]:
         """Return the queue of a service; only ``add`` and ``remove`` change it."""
@@ -35,28 +36,26 @@
     def add(self, key: SlotRequestKey, entry: QueueEntry) -> None:
         """Add a request to the queue of its service."""
         self.queue(entry.request.service)[key] = entry
+        self._services[key] = entry.request.service
         if entry.request.attempt == 1:
             self.by_customer[entry.request.customer] += 1
 
     def remove(self, key: SlotRequestKey) -> None:
         """Remove a request; one that does not wait is ignored."""
-        for queue in self._queues.values():
-            entry = queue.pop(key, None)
-            if entry is not None and entry.request.attempt == 1:
-                customer = entry.request.customer
-                self.by_customer[customer] -= 1
-                if not self.by_customer[customer]:
-                    del self.by_customer[customer]
+        service = self._services.pop(key, None)
+        if service is None:
+            return
+        entry = self._queues[service].pop(key)
+        if entry.request.attempt == 1:
+            customer = entry.request.customer
+            self.by_customer[customer] -= 1
+            if not self.by_customer[customer]:
+                del self.by_customer[customer]
 
     def remove_vm(self, vm: str) -> None:
         """Remove all requests of a VM."""
-        for key in list(self._keys()):
-            if key[0] == vm:
-                self.remove(key)
-
-    def _keys(self) -> Iterator[SlotRequestKey]:
-        for queue in self._queues.values():
-            yield from queue
+        for key in [key for key in self._services if key[0] == vm]:
+            self.remove(key)
 
     def __len__(self) -> int:
-        return sum(map(len, self._queues.values()))
+        return len(self._services)
--- a/src/gentianfold/placement/working_set.py
+++ b/src/gentianfold/placement/working_set.py
@@ -16,8 +16,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
+    from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 HEADROOM = 2.0
@@ -41,18 +40,16 @@
     _updated_s: float = 0.0
     _short_zones: frozenset[str] = frozenset()
 
-    def update(
-        self, trackers: Iterable[UpstreamTracker], slot_time_s: float, now_s: float
-    ) -> None:
+    def update(self, pool: UpstreamPool, slot_time_s: float, now_s: float) -> None:
         """Mark the members among the upstreams that accept new requests.
 
         Args:
-            trackers: Upstreams of the service that accept new requests.
+            pool: Upstreams of the service that accept new requests.
             slot_time_s: Usual time for which a request holds a slot (seconds).
             now_s: Current time (seconds).
         """
         by_zone = defaultdict(list)
-        for tracker in trackers:
+        for tracker in pool.trackers:
             by_zone[tracker.upstream.zone].append(tracker)
         decay = math.exp(-max(now_s - self._updated_s, 0.0) / DEMAND_TIME_CONSTANT_S)
         self._updated_s = now_s
@@ -62,11 +59,15 @@
             in_use = sum(tracker.in_use for tracker in in_zone)
             decayed = self._slots_used.get(zone, 0.0) * decay
             slots_used[zone] = max(float(in_use), decayed)
-            healthy_slots = _mark_members(in_zone, slots_used[zone], slot_time_s, now_s)
+            healthy_slots, members = _mark_members(
+                in_zone, slots_used[zone], slot_time_s, now_s
+            )
+            pool.zones[zone].preferred = members
             if healthy_slots < (1 + MIN_FREE_SHARE) * in_use + MIN_FREE_SLOTS:
                 short_zones.add(zone)
         self._slots_used = slots_used
         self._short_zones = frozenset(short_zones)
+        pool.file_all()
 
     def is_short(self, zone: str) -> bool:
         """Tell whether a zone needs its suspect upstreams to carry its load."""
@@ -78,7 +79,7 @@
     slots_used: float,
     slot_time_s: float,
     now_s: float,
-) -> float:
+) -> tuple[float, list[UpstreamTracker]]:
     """Mark the members of a zone's working set.
 
     Args:
@@ -88,7 +89,8 @@
         now_s: Current time (seconds).
 
     Returns:
-        Slots of the zone's healthy upstreams that can be in use (count).
+        Slots of the zone's healthy upstreams that can be in use (count), and the
+        members, those that accepted requests last at the front.
     """
     needed = HEADROOM * slots_used + SPARE_SLOTS
     healthy = [tracker for tracker in trackers if tracker.suspect_since_s is None]
@@ -108,4 +110,4 @@
         slots += tracker.rate_limiter.capacity_slots(
             tracker.upstream.slots, slot_time_s
         )
-    return slots
+    return slots, [tracker for tracker in healthy if tracker.in_working_set]
--- a/src/gentianfold/reports/placement_model.py
+++ b/src/gentianfold/reports/placement_model.py
@@ -258,6 +258,7 @@
             else:
                 tracker.suspect_since_s = None
                 tracker.last_accepted_s = self._now_s
+        scheduler.refile_upstreams()
 
     def _advance(self, scheduler: SlotScheduler) -> None:
         if self.strategy == "oracle":
