Give a share of the limits no tokens from before it was held

Cause: the table of a VM started with a share of 1 at time 0 of the event loop, the start of the machine, and integrated it until its first share was set. A customer that the VM had not seen got this integral as tokens. The same held for a share that was lent to a broker and came back: only buckets of customers that had been seen were cut when the share shrank, and none when it grew later.

Change: the clock of a table starts at its first use, with empty buckets. Each change of the share records a bound for all buckets (the lesser of both shares), which also holds for customers that are seen later. A change no longer walks all customers.

The tests' make_table now says that its share is held since time 0, which the table itself assumed before.

Ruled out: an eager bucket for each customer, as each change would walk them all.

--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -36,16 +36,32 @@
 class _Usage:
     """Usage of one customer."""
 
-    tokens: float
+    tokens: float = math.inf
     """Tokens in the bucket; a request takes one."""
-    share_s: float
+    share_s: float = 0.0
     """Integral of the share over time at the last refill (seconds)."""
-    mature_share_s: float
+    mature_share_s: float = 0.0
     """Integral of the mature share at the last refill (seconds)."""
+    cap_number: int = 0
+    """Caps that were recorded at the last refill (count)."""
     taken_s: deque[float] = attrs.field(factory=deque)
     """Times of the requests counted within the window (seconds), oldest first."""
 
 
+@attrs.frozen
+class _Cap:
+    """Bound of all buckets at a change of the share."""
+
+    number: int = 0
+    """Caps recorded before (count)."""
+    share: float = 0.0
+    """No bucket had more than this part of its customer's burst."""
+    share_s: float = 0.0
+    """Integral of the share over time at the change (seconds)."""
+    mature_share_s: float = 0.0
+    """Integral of the mature share at the change (seconds)."""
+
+
 @attrs.define
 class QuotaTable:
     """A sliding window and a token bucket for each customer.
@@ -70,8 +86,10 @@
     _mature_share: float = 1.0
     _share_s: float = 0.0
     _mature_share_s: float = 0.0
-    _updated_s: float = 0.0
+    _updated_s: float | None = None
     _valid_until_s: float = math.inf
+    _caps: list[_Cap] = attrs.field(factory=lambda: [_Cap()])
+    _cap_number: int = 1
 
     @property
     def share(self) -> float:
@@ -90,14 +108,10 @@
             valid_s: Time after which the share ends unless it is set again (seconds).
         """
         self._advance(now_s)
-        has_shrunk = share < self._share
+        if share != self._share:
+            self._record_cap(min(share, self._share))
         self._share, self._mature_share = share, min(mature_share, share)
         self._valid_until_s = now_s + valid_s
-        if has_shrunk:
-            for name, usage in self._usage.items():
-                limit = self._limit(name)
-                if limit is not None:
-                    self._refill(usage, limit)
 
     def replace_customers(self, customers: Mapping[str, Customer]) -> None:
         """Replace the limits; customers in both configurations keep their usage."""
@@ -173,6 +187,7 @@
         self._share = self._mature_share = 0.0
         self._share_s = self._mature_share_s = 0.0
         self._updated_s = now_s
+        self._caps = [_Cap()]
 
     def _has_tokens(self, name: str, count: int, now_s: float) -> bool:
         limit = self._limit(name)
@@ -181,37 +196,73 @@
         self._advance(now_s)
         usage = self._usage.get(name)
         if usage is None:
-            usage = self._usage[name] = _Usage(0.0, 0.0, 0.0)
+            usage = self._usage[name] = _Usage()
         self._refill(usage, limit)
-        while usage.taken_s and usage.taken_s[0] <= now_s - self.window_s:
-            usage.taken_s.popleft()
         allowed = self._share_of(limit.rate_per_s * self.window_s + limit.burst)
         is_valid = now_s <= self._valid_until_s
-        return (
-            is_valid and usage.tokens >= count and len(usage.taken_s) + count <= allowed
-        )
+        counted = self._count(usage, now_s)
+        return is_valid and usage.tokens >= count and counted + count <= allowed
+
+    def _count(self, usage: _Usage, now_s: float) -> int:
+        """Return the requests counted within the window."""
+        while usage.taken_s and usage.taken_s[0] <= now_s - self.window_s:
+            usage.taken_s.popleft()
+        return len(usage.taken_s)
 
     def _limit(self, name: str) -> RateLimit | None:
         customer = self._customers.get(name)
         return customer.limit if customer is not None else None
 
     def _advance(self, now_s: float) -> None:
-        """Integrate the shares up to now, or to the end of their validity."""
+        """Integrate the shares up to now, or to the end of their validity.
+
+        The first call only starts the clock: before it the shares were not held.
+        """
+        if self._updated_s is None:
+            self._updated_s = now_s
         elapsed_s = min(now_s, self._valid_until_s) - self._updated_s
         if elapsed_s > 0:
             self._share_s += self._share * elapsed_s
             self._mature_share_s += self._mature_share * elapsed_s
         self._updated_s = max(self._updated_s, now_s)
 
+    def _record_cap(self, share: float) -> None:
+        """Bound all buckets, those of customers not seen yet included, by a share."""
+        level = share - self._mature_share_s / self.window_s
+        # An earlier cap that is no lower now can't become the lowest one again.
+        while self._caps and level <= (
+            self._caps[-1].share - self._caps[-1].mature_share_s / self.window_s
+        ):
+            self._caps.pop()
+        cap = _Cap(self._cap_number, share, self._share_s, self._mature_share_s)
+        self._caps.append(cap)
+        self._cap_number += 1
+
     def _refill(self, usage: _Usage, limit: RateLimit) -> None:
         """Refill a bucket for the shares held since its last refill."""
-        added = (self._share_s - usage.share_s) * limit.rate_per_s
-        mature_s = self._mature_share_s - usage.mature_share_s
-        added += mature_s * limit.burst / self.window_s
+        tokens = usage.tokens + self._added(limit, usage.share_s, usage.mature_share_s)
+        for cap in reversed(self._caps):
+            if cap.number < usage.cap_number:
+                break
+            most = self._part_of(limit.burst, cap.share)
+            most += self._added(limit, cap.share_s, cap.mature_share_s)
+            tokens = min(tokens, most)
+        usage.cap_number = self._cap_number
+        usage.tokens = min(tokens, self._share_of(limit.burst))
         usage.share_s, usage.mature_share_s = self._share_s, self._mature_share_s
-        usage.tokens = min(usage.tokens + added, self._share_of(limit.burst))
+
+    def _added(self, limit: RateLimit, share_s: float, mature_share_s: float) -> float:
+        """Return the tokens added since the integrals had the given values."""
+        added = (self._share_s - share_s) * limit.rate_per_s
+        mature_s = self._mature_share_s - mature_share_s
+        return added + mature_s * limit.burst / self.window_s
 
     def _share_of(self, requests: float) -> float:
         """Return this table's part of a number of requests."""
-        least = 1.0 if self._share >= WHOLE_TOKEN_SHARE else 0.0
-        return max(requests * self._share, least)
+        return self._part_of(requests, self._share)
+
+    @staticmethod
+    def _part_of(requests: float, share: float) -> float:
+        """Return the part of a number of requests that stands for a share."""
+        least = 1.0 if share >= WHOLE_TOKEN_SHARE else 0.0
+        return max(requests * share, least)
--- a/tests/placement/test_quota_table.py
+++ b/tests/placement/test_quota_table.py
@@ -12,7 +12,9 @@
 
 
 def make_table(rate=10.0, burst=10.0):
+    """Return a table that has held the whole limits since time 0."""
     table = QuotaTable(WINDOW_S)
+    table.set_share(1.0, 1.0, 0.0)
     table.replace_customers({"a": Customer("a", limit=RateLimit(rate, burst))})
     return table
 
@@ -94,6 +96,45 @@
     assert 35 <= count <= 40
 
 
+def test_a_table_that_starts_late_on_the_clock_has_no_tokens():
+    # It counted its share from time 0 of the clock: the start of the machine.
+    table = QuotaTable(WINDOW_S)
+    table.replace_customers({"a": Customer("a", limit=RateLimit(2.0, 400.0))})
+    table.set_share(0.125, 0.0, 5000.0)
+    assert sum(table.try_acquire("a", 5000.5) for _ in range(100)) == 0
+    assert sum(table.try_acquire("a", 5008.0) for _ in range(100)) == 2
+
+
+def test_a_share_that_was_lent_meanwhile_brings_no_tokens():
+    # A customer that the table had not seen got the tokens of the first time.
+    table = make_table(rate=2.0, burst=400.0)
+    table.set_share(0.0, 0.0, 100.0)
+    table.set_share(0.125, 0.0, 200.0)
+    assert not table.try_acquire("a", 200.1)
+    assert sum(table.try_acquire("a", 204.0) for _ in range(100)) == 1
+
+
+SHARES = st.sampled_from([0.0, 0.125, 0.25, 0.5, 1.0])
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0, 4), SHARES, st.booleans()), min_size=1, max_size=30)
+)
+def test_a_customer_not_seen_before_has_the_tokens_of_one_that_was(changes):
+    seen, unseen, now_s = make_table(5.0, 40.0), make_table(5.0, 40.0), 10.0
+    for elapsed_s, share, is_mature in changes:
+        now_s += elapsed_s
+        for table in (seen, unseen):
+            table.set_share(share, share if is_mature else 0.0, now_s)
+        seen.can_take("a", now_s)
+    counts = [
+        sum(table.try_acquire("a", now_s + 0.7) for _ in range(50))
+        for table in (seen, unseen)
+    ]
+    assert counts[0] == counts[1]
+
+
 def test_a_share_ends_unless_it_is_set_again():
     table = make_table()
     table.set_share(1.0, 1.0, 100.0, valid_s=0.3)
