Keep the usage of a customer that a configuration drops

What callers saw: a customer that one version dropped and the next restored got 821 requests in 5 s where 532.5 are allowed.

Cause: the table forgot the usage of customers that the new configuration lacks, so a restored one had a full bucket and an empty window.

Change: usage is kept until nothing is left of it: the bucket is as full as the share allows, and no request is counted in the window.

--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -36,6 +36,8 @@
 class _Usage:
     """Usage of one customer."""
 
+    limit: RateLimit
+    """The customer's limit when the bucket was last refilled."""
     tokens: float = math.inf
     """Tokens in the bucket; a request takes one."""
     share_s: float = 0.0
@@ -114,11 +116,18 @@
         self._valid_until_s = now_s + valid_s
 
     def replace_customers(self, customers: Mapping[str, Customer]) -> None:
-        """Replace the limits; customers in both configurations keep their usage."""
+        """Replace the limits.
+
+        A customer that the new configuration lacks keeps its usage until nothing is
+        left of it: a later configuration may restore the customer.
+        """
         self._customers = customers
-        self._usage = {
-            name: usage for name, usage in self._usage.items() if name in customers
-        }
+        for name in [name for name in self._usage if name not in customers]:
+            usage = self._usage[name]
+            self._refill(usage, usage.limit)
+            is_full = usage.tokens >= self._share_of(usage.limit.burst)
+            if is_full and not self._count(usage, self._updated_s or 0.0):
+                del self._usage[name]
 
     def has_limit(self, name: str) -> bool:
         """Tell whether a customer has a limit."""
@@ -196,7 +205,7 @@
         self._advance(now_s)
         usage = self._usage.get(name)
         if usage is None:
-            usage = self._usage[name] = _Usage()
+            usage = self._usage[name] = _Usage(limit)
         self._refill(usage, limit)
         allowed = self._share_of(limit.rate_per_s * self.window_s + limit.burst)
         is_valid = now_s <= self._valid_until_s
@@ -240,6 +249,7 @@
 
     def _refill(self, usage: _Usage, limit: RateLimit) -> None:
         """Refill a bucket for the shares held since its last refill."""
+        usage.limit = limit
         tokens = usage.tokens + self._added(limit, usage.share_s, usage.mature_share_s)
         for cap in reversed(self._caps):
             if cap.number < usage.cap_number:
--- a/tests/placement/test_quota_table.py
+++ b/tests/placement/test_quota_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -135,6 +136,34 @@
     assert counts[0] == counts[1]
 
 
+@pytest.mark.parametrize("dropped_s", [0.0, 0.875, 3.0, 4.875])
+@pytest.mark.parametrize("share", [1.0, 0.25])
+def test_a_customer_that_is_dropped_and_restored_keeps_its_usage(dropped_s, share):
+    # One version dropped it, the next restored it: 821 requests, 410 allowed.
+    table, times = make_table(rate=2.0, burst=400.0), []
+    table.set_share(share, share, 50.0)
+    customers = {"a": Customer("a", limit=RateLimit(2.0, 400.0))}
+    for step in range(768):
+        now_s = 100.0 + step / 128
+        if now_s == 100.5:
+            table.replace_customers({})
+        if now_s == 100.5 + dropped_s:
+            table.replace_customers(customers)
+        if not 100.5 <= now_s < 100.5 + dropped_s:
+            times += [now_s for _ in range(9) if table.try_acquire("a", now_s)]
+            table.set_share(share, share, now_s)
+    assert max_in_window(times) <= share * (2.0 * WINDOW_S + 400.0)
+
+
+def test_the_usage_of_a_customer_that_stays_away_is_forgotten():
+    table = make_table()
+    assert table.try_acquire("a", 100.0)
+    table.replace_customers({})
+    table.set_share(1.0, 1.0, 106.0)
+    table.replace_customers({})
+    assert not table._usage
+
+
 def test_a_share_ends_unless_it_is_set_again():
     table = make_table()
     table.set_share(1.0, 1.0, 100.0, valid_s=0.3)
