Count only the head towards the limit of response heads

Cause: data_received added the whole read to the bytes of the head before the head was parsed, so a read with a head and over 64 KB of body passed the limit. Ruled out: the limit of the whole response, which is 8 MB and counted apart.

Change: the parser gets at most as many bytes as the head may still have until the final head is complete, then the rest of the read. A head without end is still refused at 64 KB (the tests of it are unchanged).

Test: test_a_long_answer_in_one_read_is_whole, three sizes of reads. On the code before, the reads fail with TOO_LARGE.

--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -169,19 +169,33 @@
         self._received_bytes += len(data)
         if self._pending.on_progress is not None:
             self._pending.on_progress()
-        if not self._has_final_head:
-            self._head_bytes += len(data)
-        if (
-            self._received_bytes > MAX_RESPONSE_BYTES
-            or self._head_bytes > MAX_RESPONSE_HEAD_BYTES
-        ):
+        if self._received_bytes > MAX_RESPONSE_BYTES:
             # Heads, chunk extensions and trailers count too: the parser buffers them.
             self._fail(ExchangeFailure.TOO_LARGE)
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._fail(ExchangeFailure.INVALID)
+        while data:
+            piece, data = self._take_piece(data)
+            if not piece:
+                self._fail(ExchangeFailure.TOO_LARGE)
+                return
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserError:
+                self._fail(ExchangeFailure.INVALID)
+                return
+
+    def _take_piece(self, data: bytes) -> tuple[bytes, bytes]:
+        """Split off the bytes to parse next; none if the head is too large.
+
+        A read may hold the head and a long part of the body, which is not limited as
+        heads are.
+        """
+        if self._has_final_head:
+            return data, b""
+        room = MAX_RESPONSE_HEAD_BYTES - self._head_bytes
+        piece = data[:room]
+        self._head_bytes += len(piece)
+        return piece, data[room:]
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
--- a/tests/forwarding/test_upstream_connection.py
+++ b/tests/forwarding/test_upstream_connection.py
@@ -91,6 +91,18 @@
     assert connection._transport.is_aborted and not connection.is_open
 
 
+@pytest.mark.parametrize("read_bytes", [70_000, 1 << 18, 1 << 20])
+async def test_a_long_answer_in_one_read_is_whole(read_bytes):
+    # It was refused as too large: all bytes of the read counted as its head.
+    for body in (b"a" * (read_bytes // 2), b"a" * (1 << 20)):
+        data = answer(b"r1", body)
+        chunks = [data[n : n + read_bytes] for n in range(0, len(data), read_bytes)]
+        connection = open_connection()
+        result, _ = await exchange(connection, chunks)
+        assert isinstance(result, Response) and result.body == body
+        assert connection.is_open
+
+
 @pytest.mark.parametrize(
     ("start", "chunk"),
     [
