End a request when its answer has left the process

Cause: a request counted as done once its answer lay in the buffer of the transport, and the process ended with the buffers. Of the same class: bytes of a caller that crossed the end of a connection reset it, with the last answer on its way; a caller that read nothing started requests without bound, its answers piling up; the end of a caller whose earlier answer was still being sent did not cancel its other requests; requests_under_way left out answers that were being sent. Ruled out: tunnels, which count until their connection has ended behind its bytes.

Change: response_writer.py writes the responses of a connection in order and knows which have left. Stop, ending connections, the bound on pipelined requests, the idle timeout and the counts use it. A stop gives up everything else first and then only sends, until 0.2 s before the grace ends; a caller that receives nothing for the idle timeout is cut. Ports of the process tests are free for TCP too: the fleet's port was taken once by an outgoing connection (seen once, in a run of all tests beside another).

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol, cast
 
-import attrs
 import httptools
 
 from gentianfold.codes.requests import (
@@ -18,19 +17,15 @@
     REQUEST_TIMEOUT,
 )
 from gentianfold.errors import Failure
-from gentianfold.forwarding.messages import (
-    CallerRequest,
-    Headers,
-    Response,
-    encode_response,
-)
+from gentianfold.forwarding.messages import CallerRequest, Headers, Response
+from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
     from gentianfold.model import CallerLimits
 
 MAX_PIPELINED = 16
-"""Concurrent requests of one connection (count); at this number reading pauses, and
-further requests stay in the socket buffer."""
+"""Requests of one connection whose answers have not left the process (count); at this
+number reading pauses, and further requests stay in the socket buffer."""
 
 
 class RequestHandler(Protocol):
@@ -62,15 +57,9 @@
         """Return the response to input that is not an acceptable request."""
         ...
 
-
-@attrs.define(eq=False)
-class _PendingRequest:
-    """A request whose response has not been written."""
-
-    is_head: bool
-    keep_alive: bool
-    response: Response | None = None
-    cancel: Callable[[], None] | None = None
+    def record_cut(self, count: int, cause: str) -> None:
+        """Count and log answers that had not left when their connection ended."""
+        ...
 
 
 class CallerConnection(asyncio.Protocol):
@@ -83,9 +72,10 @@
         self._open_connections = open_connections
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._pending: deque[_PendingRequest] = deque()
-        self._backlog: deque[tuple[CallerRequest, _PendingRequest]] = deque()
+        self._writer: ResponseWriter | None = None
+        self._backlog: deque[tuple[CallerRequest, PendingResponse]] = deque()
         self._is_closing = False
+        self._cut_cause = "caller"
         self._is_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._reset_request()
@@ -103,36 +93,69 @@
     # State of the connection
 
     @property
-    def is_busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return self._is_reading or bool(self._pending)
+    def is_awaiting(self) -> bool:
+        """Whether a request is being read or its response is not known."""
+        waiting_count = self._writer.waiting_count if self._writer is not None else 0
+        return (self._is_reading and not self._is_closing) or waiting_count > 0
+
+    @property
+    def unsent_count(self) -> int:
+        """Number of answers that were written and have not left the process."""
+        return self._writer.unsent_count if self._writer is not None else 0
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or answered."""
-        if not self.is_busy and self._transport is not None:
-            self._transport.close()
+        """End the connection unless a request is being read or awaits its response."""
+        if not self.is_awaiting:
+            self.finish()
+
+    def finish(self) -> None:
+        """End the connection behind what was written; discard what is received."""
+        self._is_closing = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._cancel_pending()
+        if self._writer is not None:
+            self._writer.finish()
+            self._resume_reading()
+
+    def cut(self, cause: str) -> None:
+        """Reset the connection; answers that have not left are lost."""
+        if self._transport is not None:
+            self._cut_cause = cause
+            self._transport.abort()
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
         self._transport = cast("asyncio.Transport", transport)
+        self._writer = ResponseWriter(self._transport, self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open_connections.add(self)
         self._restart_timer()
 
+    def eof_received(self) -> bool:
+        """Cancel the pending requests; answers that were written are still sent."""
+        self._cancel_pending()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the pending requests."""
         self._open_connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
-        for pending in self._pending:
-            if pending.cancel is not None:
-                pending.cancel()
-        self._pending.clear()
-        self._backlog.clear()
+        self._cancel_pending()
+        if self._writer is not None:
+            cut_count = self._writer.handle_lost()
+            if cut_count:
+                self._handler.record_cut(cut_count, self._cut_cause)
+
+    def resume_writing(self) -> None:
+        """Go on, as all written answers have left."""
+        if self._writer is not None:
+            self._writer.handle_drained()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -186,8 +209,12 @@
             failure = self._check_length()
         if failure is not None:
             self._reject(failure)
-        elif _expects_continue(self._headers) and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        elif (
+            _expects_continue(self._headers)
+            and self._writer is not None
+            and self._writer.can_write
+        ):
+            self._writer.write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
@@ -200,7 +227,7 @@
 
     def on_message_complete(self) -> None:
         """Start to handle the complete request."""
-        if self._is_closing:
+        if self._is_closing or self._writer is None:
             return
         request = CallerRequest(
             self._parser.get_method(),
@@ -211,20 +238,33 @@
             self._parser.should_keep_alive(),
         )
         self._reset_request()
-        pending = _PendingRequest(request.method == b"HEAD", request.keep_alive)
-        self._pending.append(pending)
-        if len(self._pending) > MAX_PIPELINED:
+        pending = PendingResponse(request.method == b"HEAD", request.keep_alive)
+        self._writer.add(pending)
+        if self._writer.under_way_count > MAX_PIPELINED:
             # The rest of a chunk that was read before reading paused.
             self._backlog.append((request, pending))
             return
         self._start(request, pending)
-        if len(self._pending) >= MAX_PIPELINED and self._transport is not None:
-            self._is_paused = True
-            self._transport.pause_reading()
+        if self._writer.under_way_count >= MAX_PIPELINED:
+            self._pause_reading()
+
+    # WriterOwner
+
+    def stall_timeout_s(self) -> float:
+        """Return the time after which a caller that receives nothing has stalled."""
+        return self._handler.limits().idle_timeout_s
+
+    def handle_sent(self) -> None:
+        """Start delayed requests, read on or begin the idle timeout."""
+        self._continue()
+
+    def handle_stalled(self) -> None:
+        """Reset the connection of a caller that does not receive."""
+        self.cut("stalled")
 
     # Steps
 
-    def _start(self, request: CallerRequest, pending: _PendingRequest) -> None:
+    def _start(self, request: CallerRequest, pending: PendingResponse) -> None:
         def reply(response: Response) -> None:
             pending.response = response
             pending.cancel = None
@@ -232,12 +272,33 @@
 
         pending.cancel = self._handler.start(request, reply)
 
-    def _start_backlog(self) -> None:
-        """Start delayed requests for which there is room again."""
+    def _continue(self) -> None:
+        """Start delayed requests and read on if there is room again."""
+        writer = self._writer
+        if writer is None or not writer.can_write:
+            return
         while self._backlog and (
-            len(self._pending) - len(self._backlog) < MAX_PIPELINED
+            writer.under_way_count - len(self._backlog) < MAX_PIPELINED
         ):
             self._start(*self._backlog.popleft())
+        if self._is_paused and writer.under_way_count < MAX_PIPELINED:
+            self._resume_reading()
+        self._restart_timer()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _cancel_pending(self) -> None:
+        if self._writer is not None:
+            self._writer.cancel_waiting()
+        self._backlog.clear()
 
     def _check_head_size(self) -> None:
         if self._head_bytes > 2 * self._handler.limits().max_header_bytes:
@@ -254,42 +315,35 @@
 
     def _reject(self, failure: Failure) -> None:
         """Queue an error response behind the pending ones and stop reading requests."""
-        if self._is_closing:
+        if self._is_closing or self._writer is None:
             return
         self._is_closing = True
-        pending = _PendingRequest(False, False, self._handler.reject(failure))
-        self._pending.append(pending)
+        self._writer.add(PendingResponse(False, False, self._handler.reject(failure)))
         self._write_responses()
 
     def _write_responses(self) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        writer = self._writer
+        if writer is None or not writer.can_write:
             return
-        while self._pending and self._pending[0].response is not None:
-            pending = self._pending.popleft()
+        while (pending := writer.take_ready()) is not None:
             response = cast("Response", pending.response)
             close = (
                 not pending.keep_alive
                 or not response.keep_alive
-                or (self._handler.is_stopping() and not self._pending)
-                or (self._is_closing and not self._pending)
+                or (self._handler.is_stopping() and not writer.waiting_count)
+                or (self._is_closing and not writer.waiting_count)
             )
-            transport.write(encode_response(response, pending.is_head, close))
+            writer.write(pending, close)
             if close:
-                self._is_closing = True
-                transport.close()
+                self.finish()
                 return
-        self._start_backlog()
-        if self._is_paused and len(self._pending) < MAX_PIPELINED:
-            self._is_paused = False
-            transport.resume_reading()
-        self._restart_timer()
+        self._continue()
 
     def _restart_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._pending or self._transport is None:
+        if self._writer is None or self._writer.under_way_count or self._is_closing:
             return
         limits = self._handler.limits()
         in_head = self._is_reading and not self._has_head
@@ -297,12 +351,12 @@
         self._timer = self._loop.call_later(delay_s, self._handle_timeout)
 
     def _handle_timeout(self) -> None:
-        if self._transport is None or self._pending:
+        if self._writer is None or self._writer.under_way_count:
             return
         if self._is_reading:
             self._reject(Failure(REQUEST_TIMEOUT))
         else:
-            self._transport.close()
+            self.finish()
 
 
 def _check_head(version: str, headers: Headers) -> Failure | None:
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -68,6 +68,8 @@
     fault_probability: float = 1.0
     """Probability that ``behaviour`` applies to a request, 0 to 1; otherwise the request
     is handled normally."""
+    answer_padding: bytes = b""
+    """Bytes behind the usual body of each answer."""
     rate_limit: bytes = b""
     """Requests per second stated in each response; empty to state no limit."""
     is_leaving: bool = False
@@ -155,7 +157,7 @@
         if behaviour is Behaviour.ERROR:
             return format_response(500, sealed_headers, b"failed")
         await anyio.sleep(self.processing_time_s)
-        body = b"answer to " + headers[0][1]
+        body = b"answer to " + headers[0][1] + self.answer_padding
         response = format_response(200, sealed_headers, body)
         match behaviour:
             case Behaviour.HANG:
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from gentianfold.forwarding.caller_connection import CallerConnection
     from gentianfold.forwarding.messages import CallerRequest, Response
     from gentianfold.forwarding.request_forwarder import RequestForwarder
     from gentianfold.vm.metrics import Metrics
@@ -51,7 +52,19 @@
     rejects_requests: bool = False
     """Whether to reject new requests, since they might not complete before the exit."""
     running_count: int = 0
-    """Number of requests in progress."""
+    """Number of requests whose response is not known."""
+    connections: set[CallerConnection] = attrs.field(factory=set)
+    """Open connections of callers."""
+
+    @property
+    def unsent_count(self) -> int:
+        """Number of answers that have not left the process."""
+        return sum(connection.unsent_count for connection in self.connections)
+
+    @property
+    def under_way_count(self) -> int:
+        """Number of requests whose answer has not left the process."""
+        return self.running_count + self.unsent_count
 
     def limits(self) -> CallerLimits:
         """Return the current size and time limits for callers."""
@@ -75,6 +88,18 @@
         response.keep_alive = False
         return response
 
+    def record_cut(self, count: int, cause: str) -> None:
+        """Count and log answers that had not left when their connection ended.
+
+        Args:
+            count: Number of answers.
+            cause: ``caller``, ``stalled`` if the caller did not receive for too long, or
+                ``grace`` if the grace period of a planned stop ended.
+        """
+        self.metrics.count("answers_cut", count, cause=cause)
+        level = "INFO" if cause == "caller" else "WARNING"
+        logger.log(level, "caller: {} answers cut, cause={}", count, cause)
+
     def start(
         self, request: CallerRequest, reply: Callable[[Response], None]
     ) -> Callable[[], None]:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -53,7 +53,8 @@
         "store_era": node.view.upstreams.revision.era,
         "upstreams_revision": node.view.upstreams.revision.number,
         "upstreams_age_s": min(node.view.upstreams_age_s(now_s), 1e9),
-        "requests_under_way": handler.running_count,
+        "requests_under_way": handler.under_way_count,
+        "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
         "blocked_requests": [
             {
@@ -79,7 +80,8 @@
     now_s = asyncio.get_running_loop().time()
     trackers = list(node.scheduler.trackers())
     gauges = {
-        "requests_under_way": handler.running_count,
+        "requests_under_way": handler.under_way_count,
+        "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
         "slots_in_use": node.scheduler.granted_count,
         "members": node.fleet_size,
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -58,7 +58,11 @@
 """Shortest suspension of the VM that increases the age of its state (seconds): about
 one heartbeat interval."""
 STOP_MARGIN_S = 0.4
-"""Time before the forced termination at which the process exits (seconds)."""
+"""Time before the forced termination at which requests without an answer are aborted
+(seconds)."""
+SEND_MARGIN_S = 0.2
+"""Time before the forced termination at which answers that callers still receive are cut
+and the process exits (seconds)."""
 LISTEN_BACKLOG = 512
 """Limit on connections waiting to be accepted (count); covers simultaneous connections
 from all callers of a VM."""
@@ -92,6 +96,7 @@
     open_tunnels: set[TunnelConnection] = attrs.field(factory=set)
     """Open tunnels of other VMs through this one."""
     _caller_server: asyncio.Server | None = None
+    _other_servers: list[asyncio.Server] = attrs.field(factory=list)
     _node: Node | None = None
     _tunnels: FleetTunnels | None = None
     _settings_mtime_ns: int = 0
@@ -147,25 +152,32 @@
         fetcher = ConfigurationFetcher(
             node, sink, synchronizer, self.pool, self.settings.operators.port
         )
-        async with anyio.create_task_group() as task_group:
-            handler = self._build_handler(node, task_group)
-            await self._listen(handler, node, fetcher)
-            logger.info(
-                "vm: started, version {} name {} zone {}",
-                __version__,
-                self.settings.vm,
-                self.settings.zone,
-            )
-            task_group.start_soon(poller.run)
-            task_group.start_soon(fetcher.run)
-            task_group.start_soon(self._run_periodic_work, node)
+        async with anyio.create_task_group() as signal_tasks:
             if self.handles_signals:
-                task_group.start_soon(self._receive_signals)
-            await self.stop_requested.wait()
-            await self._stop(handler, node)
-            task_group.cancel_scope.cancel()
-        self.pool.close()
-        transport.close()
+                signal_tasks.start_soon(self._receive_signals)
+            async with anyio.create_task_group() as task_group:
+                handler = self._build_handler(node, task_group)
+                await self._listen(handler, node, fetcher)
+                logger.info(
+                    "vm: started, version {} name {} zone {}",
+                    __version__,
+                    self.settings.vm,
+                    self.settings.zone,
+                )
+                task_group.start_soon(poller.run)
+                task_group.start_soon(fetcher.run)
+                task_group.start_soon(self._run_periodic_work, node)
+                await self.stop_requested.wait()
+                end_s = anyio.current_time() + self.settings.stop.grace_s
+                await self._stop(handler, node, end_s - STOP_MARGIN_S)
+                task_group.cancel_scope.cancel()
+            # Only answers are left: their callers hold nothing else of this VM.
+            for server in self._other_servers:
+                server.close()
+            self.pool.close()
+            transport.close()
+            await self._send_rest(handler, end_s - SEND_MARGIN_S)
+            signal_tasks.cancel_scope.cancel()
         logger.info("vm: stopped")
         self.log_writer.flush()
 
@@ -214,7 +226,11 @@
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
         self._tunnels = tunnels
         return CallerRequestHandler(
-            forwarder, self.metrics, task_group, self.settings.logging.decisions
+            forwarder,
+            self.metrics,
+            task_group,
+            self.settings.logging.decisions,
+            connections=self.caller_connections,
         )
 
     async def _listen(
@@ -261,7 +277,7 @@
         """Accept tunnels of other VMs at the address that they use for datagrams."""
         tunnels = self._tunnels
         if tunnels is not None:
-            await asyncio.get_running_loop().create_server(
+            server = await asyncio.get_running_loop().create_server(
                 lambda: TunnelConnection(
                     tunnels.find_target, self.open_tunnels, CONNECT_TIMEOUT_S
                 ),
@@ -269,6 +285,7 @@
                 self.settings.fleet.port,
                 backlog=LISTEN_BACKLOG,
             )
+            self._other_servers.append(server)
 
     def _build_configuration_response(self) -> Response:
         """Return the configuration for another VM, or 404 if there is none.
@@ -286,9 +303,10 @@
         self, endpoint: Endpoint, respond: PathResponder
     ) -> None:
         loop = asyncio.get_running_loop()
-        await loop.create_server(
+        server = await loop.create_server(
             lambda: InternalHttpConnection(respond), *_socket_address(endpoint)
         )
+        self._other_servers.append(server)
 
     def _build_readiness_response(self, handler: CallerRequestHandler) -> Response:
         """Return 200, or 503 if the VM is stopping or has no published state yet."""
@@ -369,24 +387,32 @@
                 else:
                     self.stop_requested.set()
 
-    async def _stop(self, handler: CallerRequestHandler, node: Node) -> None:
-        """Complete the requests in progress within the grace period.
+    async def _stop(
+        self, handler: CallerRequestHandler, node: Node, end_s: float
+    ) -> None:
+        """Obtain the answers to the requests in progress within the grace period.
 
         New requests are accepted for ``settle_s``, until the load balancer has removed
         the VM.
+
+        Args:
+            handler: Handles the requests of callers.
+            node: Fleet node of this VM.
+            end_s: Time at which requests without an answer are aborted (loop time).
         """
-        stop = self.settings.stop
-        logger.info("vm: planned stop, {} requests in progress", handler.running_count)
+        logger.info(
+            "vm: planned stop, {} requests in progress", handler.under_way_count
+        )
         handler.stopping = True
         node.begin_stop()
-        with anyio.move_on_after(max(stop.grace_s - STOP_MARGIN_S, 0.0)) as scope:
-            await anyio.sleep(stop.settle_s)
+        with anyio.move_on_after(end_s - anyio.current_time()) as scope:
+            await anyio.sleep(self.settings.stop.settle_s)
             self._stop_accepting(handler)
             node.slots.refuse_new_requests()
             while (
                 handler.running_count
                 or self.open_tunnels
-                or any(connection.is_busy for connection in self.caller_connections)
+                or any(connection.is_awaiting for connection in self.caller_connections)
             ):
                 await anyio.sleep(TICK_INTERVAL_S)
         if scope.cancelled_caught:
@@ -394,6 +420,25 @@
                 "vm: grace period expired, {} requests aborted", handler.running_count
             )
 
+    async def _send_rest(self, handler: CallerRequestHandler, end_s: float) -> None:
+        """Wait until the callers have received their answers.
+
+        Args:
+            handler: Handles the requests of callers.
+            end_s: Time at which the rest is cut (loop time).
+        """
+        if handler.unsent_count:
+            logger.info("vm: sending {} answers", handler.unsent_count)
+        for connection in list(self.caller_connections):
+            connection.finish()
+        while self.caller_connections and anyio.current_time() < end_s:
+            self.log_writer.flush()
+            await anyio.sleep(TICK_INTERVAL_S)
+        for connection in list(self.caller_connections):
+            connection.cut("grace")
+        # The connections are lost in a later iteration of the loop.
+        await anyio.sleep(0.01)
+
     def _stop_accepting(self, handler: CallerRequestHandler) -> None:
         """Reject new requests and close the caller listener and idle connections."""
         handler.rejects_requests = True
--- a/tests/forwarding/fake_transport.py
+++ b/tests/forwarding/fake_transport.py
@@ -13,12 +13,19 @@
         self.written = []
         self.is_aborted = False
         self.is_paused = False
+        self.is_stuck = False
 
     def write(self, data):
         self.written.append(data)
 
     def get_write_buffer_size(self):
-        return 0
+        return sum(map(len, self.written)) if self.is_stuck else 0
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def can_write_eof(self):
+        return False
 
     def is_closing(self):
         return self.is_aborted
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 
@@ -14,7 +13,7 @@
 from conftest import read_response
 from soak.relay import Relay
 
-from gentianfold.standins.site import make_configuration
+from gentianfold.standins.site import free_port, make_configuration
 from gentianfold.standins.store import StandinStore
 from gentianfold.standins.upstream import StandinUpstream
 
@@ -75,14 +74,16 @@
     upstreams: list = attrs.field(factory=list)
     relays: list = attrs.field(factory=list)
     vms: list = attrs.field(factory=list)
+    grace_s: float = 3.0
 
-    async def open(self, upstream_count, vm_count):
+    async def open(self, upstream_count, vm_count, grace_s=3.0):
+        self.grace_s = grace_s
         await self.store.server.open()
         self.store.put_configuration(make_configuration())
         for number in range(upstream_count):
             await self._add_upstream(f"u{number}")
-        fleet_port = _free_port(socket.SOCK_DGRAM, "127.0.0.1")
-        operator_port = _free_port(socket.SOCK_STREAM, "127.0.0.1")
+        fleet_port = free_port("127.0.0.1")
+        operator_port = free_port("127.0.0.1")
         for number in range(1, vm_count + 1):
             await self._add_vm(number, fleet_port, operator_port)
 
@@ -111,17 +112,17 @@
         relay = Relay("127.0.0.1", self.store.server.port)
         await relay.open()
         host = f"127.0.0.{number}"
-        port = _free_port(socket.SOCK_STREAM, host)
+        port = free_port(host)
         settings = {
             "vm": f"vm-{number}",
             "address": host,
             "zone": "z1",
             "callers": f"{host}:{port}",
-            "readiness": f"{host}:{_free_port(socket.SOCK_STREAM, host)}",
+            "readiness": f"{host}:{free_port(host)}",
             "operators": f"{host}:{operator_port}",
             "store": {"endpoint": f"127.0.0.1:{relay.port}"},
             "fleet": {"port": fleet_port, "seeds": [f"127.0.0.1:{operator_port}"]},
-            "stop": {"grace_s": 3.0, "settle_s": 0.3},
+            "stop": {"grace_s": self.grace_s, "settle_s": 0.3},
         }
         path = self.folder / f"vm-{number}.json"
         path.write_text(json.dumps(settings))
@@ -129,9 +130,3 @@
         vm = VmProcess(str(path), str(log_path), host, port, relay)
         self.vms.append(vm)
         vm.start()
-
-
-def _free_port(kind, host):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -84,6 +84,15 @@
         assert not any(row.received_requests for row in site.upstreams.values())
 
 
+async def test_a_caller_that_still_sends_gets_the_answer_to_a_body_over_the_limit():
+    # The unread rest of the body reset the connection, and with it the answer.
+    async with open_site() as site, connect_caller(site.vms[0]) as stream:
+        head = request_bytes(method="POST", extra=("Content-Length: 99999999999",))
+        with anyio.fail_after(30):
+            await stream.send(head + bytes(8_000_000))
+            assert (await read_response(stream))[0] == 413
+
+
 @pytest.mark.parametrize(
     "behaviour",
     [
