Keep headers of one connection on it

Cause: the upstream's wish to close its connection was kept in the response and read as a wish for the caller's. Of the same class: Proxy-... headers passed both ways, and Connection of an upstream could name the seal, without which an answer is not the upstream's. Ruled out: trailers, which were dropped both ways, and the idle timeout of Keep-Alive, which bounds the pool alone.

Change: hop_by_hop.py removes or translates these headers for both directions. A caller's connection ends for reasons of its own, behind what is under way on it. A stopping VM ends a connection behind the first request that it refuses; a caller that pipelines without end held the stop until the grace ended.

Tests: test_hop_by_hop (a table, new module), test_requests (leaving upstream: the connection ended behind the first answer; endless pipelining: refusals without end), both run and red on the code before.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -10,12 +10,10 @@
 from loguru import logger
 
 from gentianfold.forwarding.connection_pool import MAX_IDLE_S, NON_IDEMPOTENT_MAX_IDLE_S
-from gentianfold.forwarding.header_names import HOP_BY_HOP
 from gentianfold.forwarding.messages import (
     CallerRequest,
     Headers,
     Response,
-    connection_options,
     encode_request,
 )
 from gentianfold.forwarding.rate_limit_header import parse_limit
@@ -300,6 +298,7 @@
                 detail = "upstream crashed"
             return AttemptResult(Outcome.FAILED, detail=detail)
         self.forwarder.pool.release(address, placement.upstream, connection)
+        exchange.headers = self.forwarder.hop_filter.response_headers(exchange.headers)
         result = self._classify(exchange)
         if result.outcome is not Outcome.MISDIRECTED:
             pause_s = self._record_notice(placement, exchange, connection.vm)
@@ -425,15 +424,15 @@
             header_names.customer,
             header_names.upstream,
             header_names.time_left_ms,
-            b"content-length",
-            b"expect",
         }
         if plan.strips_authorization:
             replaced.add(b"authorization")
-        removed = replaced | HOP_BY_HOP | connection_options(request.headers)
-        removed -= {header_names.request_id, b"host"}
         headers: Headers = [
-            (name, value) for name, value in request.headers if name not in removed
+            (name, value)
+            for name, value in self.forwarder.hop_filter.request_headers(
+                request.headers
+            )
+            if name not in replaced
         ]
         headers.append((header_names.time_left_ms, b"%d" % max(time_left_s * 1000, 1)))
         headers.append((header_names.upstream, placement.upstream.encode()))
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -329,7 +329,7 @@
             response = cast("Response", pending.response)
             close = (
                 not pending.keep_alive
-                or not response.keep_alive
+                or response.ends_connection
                 or (self._handler.is_stopping() and not writer.waiting_count)
                 or (self._is_closing and not writer.waiting_count)
             )
--- a/src/gentianfold/forwarding/header_names.py
+++ b/src/gentianfold/forwarding/header_names.py
@@ -1,4 +1,4 @@
-"""Names of the headers that forwarding uses, and of hop-by-hop headers."""
+"""Names of the headers that forwarding uses."""
 
 from __future__ import annotations
 
@@ -32,16 +32,18 @@
     key_scheme: bytes = b"bearer"
     """``Authorization`` scheme that carries an API key, in lower case."""
 
-
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Headers that apply to one connection and are not forwarded (RFC 9110, 7.6.1)."""
+    @property
+    def all_names(self) -> frozenset[bytes]:
+        """Names of all headers of the deployment."""
+        return frozenset(
+            {
+                self.request_id,
+                self.time_left_ms,
+                self.customer,
+                self.upstream,
+                self.seal,
+                self.not_run,
+                self.rate_limit,
+                self.leaving,
+            }
+        )
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -7,8 +7,6 @@
 
 import attrs
 
-from gentianfold.forwarding.header_names import HOP_BY_HOP
-
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 """Pairs of lower-case name and value, in the order received."""
 
@@ -47,8 +45,9 @@
     """All headers as received, names in lower case."""
     body: bytes
     """Complete body; empty if the response has none."""
-    keep_alive: bool = True
-    """Whether the connection stays open after the response."""
+    ends_connection: bool = False
+    """Whether this VM ends the caller's connection behind it. What an upstream wants of
+    its own connection has no influence."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
@@ -59,31 +58,20 @@
 _BODYLESS = frozenset({204, 304})
 
 
-def connection_options(headers: Headers) -> frozenset[bytes]:
-    """Return the header names that ``Connection`` lists, in lower case."""
-    return frozenset(
-        option.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for option in value.split(b",")
-    )
-
-
 def encode_response(response: Response, is_head: bool, close: bool) -> bytes:
     """Encode a response.
 
     Args:
-        response: The response; its hop-by-hop headers are removed.
+        response: The response, without headers of another connection.
         is_head: Whether the request's method was HEAD.
         close: Whether the connection is closed afterwards.
     """
-    removed = HOP_BY_HOP | connection_options(response.headers)
     lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
     is_bodyless = is_head or response.status in _BODYLESS
     lines += [
         name + b": " + value
         for name, value in response.headers
-        if name not in removed and (is_bodyless or name != b"content-length")
+        if is_bodyless or name != b"content-length"
     ]
     if not is_bodyless:
         lines.append(b"content-length: %d" % len(response.body))
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -30,6 +30,7 @@
 from gentianfold.errors import Failure
 from gentianfold.forwarding.attempt import Attempt, AttemptResult, ForwardPlan
 from gentianfold.forwarding.error_response import error_response
+from gentianfold.forwarding.hop_by_hop import HopFilter
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
@@ -88,6 +89,8 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
+    hop_filter: HopFilter = attrs.field(init=False)
+    """Removes headers that concern one connection."""
     paths: UpstreamPaths = attrs.field(init=False)
     """Connects to upstreams."""
     notice_reader: NoticeReader = attrs.field(init=False)
@@ -97,6 +100,7 @@
     an ``other`` availability zone."""
 
     def __attrs_post_init__(self) -> None:
+        self.hop_filter = HopFilter(self.header_names)
         self.notice_reader = NoticeReader(self.header_names)
         self.paths = UpstreamPaths(self.pool)
 
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -268,7 +268,7 @@
             # An interim response; the final one follows.
             return
         keep_alive = self._parser.should_keep_alive() and not self._is_close_delimited
-        response = Response(status, self._headers, b"".join(self._body), keep_alive)
+        response = Response(status, self._headers, b"".join(self._body))
         if not pending.accept(response):
             self.is_reusable = False
             pending.unmatched_count += 1
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,8 @@
     is handled normally."""
     answer_padding: bytes = b""
     """Bytes behind the usual body of each answer."""
+    extra_headers: Headers = attrs.field(factory=list)
+    """Further headers of each response."""
     rate_limit: bytes = b""
     """Requests per second stated in each response; empty to state no limit."""
     is_leaving: bool = False
@@ -125,7 +127,7 @@
     async def _handle(self, request: ReceivedRequest) -> bytes:
         self.received_requests.append(request)
         request_id = request.headers.get(HEADERS.request_id, b"")
-        headers: Headers = [(HEADERS.request_id, request_id)]
+        headers: Headers = [(HEADERS.request_id, request_id), *self.extra_headers]
         if self.rate_limit:
             headers.append((HEADERS.rate_limit, self.rate_limit))
         if self.is_leaving:
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -84,9 +84,7 @@
         """
         self.metrics.count("rejected", code=str(failure.code.number))
         logger.info("request: rejected, {}", failure)
-        response = error_response(failure)
-        response.keep_alive = False
-        return response
+        return error_response(failure)
 
     def record_cut(self, count: int, cause: str) -> None:
         """Count and log answers that had not left when their connection ended.
@@ -150,7 +148,10 @@
     async def _respond(self, request: CallerRequest, record: RequestRecord) -> Response:
         if self.rejects_requests:
             record.code = STOPPING.number
-            return error_response(Failure(STOPPING, "", STOPPING_RETRY_AFTER_S))
+            response = error_response(Failure(STOPPING, "", STOPPING_RETRY_AFTER_S))
+            # Requests behind this one are refused too; the caller sends them elsewhere.
+            response.ends_connection = True
+            return response
         try:
             return await self.forwarder.forward(request, record)
         except Exception:  # noqa: BLE001
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import anyio
 import attrs
 import pytest
@@ -29,6 +31,10 @@
         upstream.behaviour = behaviour
 
 
+def execution_counts(upstream):
+    return upstream.execution_counts.total()
+
+
 def execution_count(site, request_id):
     return sum(
         row.execution_counts[request_id.encode()] for row in site.upstreams.values()
@@ -176,6 +182,33 @@
                 assert (status, body) == (200, f"answer to r{number}".encode())
 
 
+async def test_a_leaving_upstream_ends_no_connection_of_a_caller():
+    # Its "Connection: close" ended the caller's connection; the requests behind it,
+    # which ran at sound upstreams, got no answer.
+    async with open_site() as site, connect_caller(site.vms[0]) as stream:
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.2
+            upstream.extra_headers = [
+                (b"connection", b"close, x-hop"),
+                (b"x-hop", b"1"),
+                (b"keep-alive", b"timeout=1"),
+                (b"proxy-authenticate", b"Basic"),
+            ]
+        for first in (0, 6):
+            names = [f"r{first + number}" for number in range(6)]
+            await stream.send(b"".join(map(request_bytes, names)))
+            rest = b""
+            for name in names:
+                status, headers, body, rest = await read_response(stream, rest)
+                assert (status, body) == (200, f"answer to {name}".encode())
+                assert not {
+                    "connection",
+                    "x-hop",
+                    "keep-alive",
+                    "proxy-authenticate",
+                } & set(headers)
+
+
 async def test_a_chunked_body_is_forwarded_whole_without_request_smuggling():
     async with open_site() as site:
         inner = b"GET /search/2 HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -313,6 +346,35 @@
         assert execution_count(site, "r2") == 0
 
 
+async def test_a_caller_that_never_stops_to_pipeline_does_not_hold_a_planned_stop():
+    async with open_site() as site:
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.3
+        (vm,) = site.vms
+        async with connect_caller(vm) as stream, anyio.create_task_group() as tasks:
+
+            async def send_all():
+                for number in itertools.count():
+                    await stream.send(request_bytes(f"r{number}"))
+                    await anyio.sleep(0.05)
+
+            tasks.start_soon(send_all)
+            rest, is_open, statuses = b"", True, []
+            with anyio.fail_after(30):
+                while is_open:
+                    status, headers, _, rest = await read_response(stream, rest)
+                    statuses.append(status)
+                    is_open = headers.get("connection") != "close"
+                    vm.stop_requested.set()
+            tasks.cancel_scope.cancel()
+        answered = statuses.count(200)
+        # Nothing is answered behind the first request that no upstream got.
+        assert statuses[:-1] == [200] * (len(statuses) - 1)
+        assert statuses[-1] in (200, 503)
+        await wait_until(lambda: not vm.caller_connections)
+        assert sum(map(execution_counts, site.upstreams.values())) == answered
+
+
 @pytest.mark.parametrize("value", ["nan", "inf", "-inf"])
 async def test_a_time_left_that_is_not_finite_is_rejected(value):
     async with open_site() as site:
