--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -68,6 +68,10 @@
     fault_probability: float = 1.0
     """Probability that ``behaviour`` applies to a request, 0 to 1; otherwise the request
     is handled normally."""
+    answer_padding: bytes = b""
+    """Bytes behind the usual body of each answer."""
+    extra_headers: Headers = attrs.field(factory=list)
+    """Further headers of each response."""
     rate_limit: bytes = b""
     """Requests per second stated in each response; empty to state no limit."""
     is_leaving: bool = False
@@ -123,7 +127,7 @@
     async def _handle(self, request: ReceivedRequest) -> bytes:
         self.received_requests.append(request)
         request_id = request.headers.get(HEADERS.request_id, b"")
-        headers: Headers = [(HEADERS.request_id, request_id)]
+        headers: Headers = [(HEADERS.request_id, request_id), *self.extra_headers]
         if self.rate_limit:
             headers.append((HEADERS.rate_limit, self.rate_limit))
         if self.is_leaving:
@@ -155,7 +159,7 @@
         if behaviour is Behaviour.ERROR:
             return format_response(500, sealed_headers, b"failed")
         await anyio.sleep(self.processing_time_s)
-        body = b"answer to " + headers[0][1]
+        body = b"answer to " + headers[0][1] + self.answer_padding
         response = format_response(200, sealed_headers, body)
         match behaviour:
             case Behaviour.HANG:
