Lend a customer's tokens ahead to other VMs

Change: QuotaTable.lend returns a TokenLot, of which another VM may use the tokens until a time by the lender's clock; QuotaTable.settle takes totals of what was used and what is returned, so doubled, late and overtaken reports change nothing. Unsettled tokens count in the window as used at the end of their term, used ones at the time of the report. Half of the free tokens at most are lent, none if the customer is near its limit. The usage of one customer is a module of its own.

Why any window keeps to rate x window + burst: take the last lending or direct grant whose use lies in the window. At that moment everything else that can lie in the window was counted, since its latest time was not before the window's start.

--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
+from gentianfold.placement.customer_usage import CustomerUsage, TokenLot
 from gentianfold.placement.slot_request import (
     LIMIT_ELSEWHERE_RETRY_S,
     RefusalReason,
@@ -28,28 +29,13 @@
 WHOLE_TOKEN_SHARE = 0.125
 """Smallest share that saves up one token where its part of the burst is less: as shares
 add up to 1, at most eight holders exceed their parts, by one request each."""
+LENDABLE_FRACTION = 0.5
+"""Part of a customer's free tokens that may be lent ahead: requests of other VMs need
+the rest."""
 MIN_RATE_PER_S = 0.01
 """Lowest refill rate (requests per second); keeps the computed wait finite."""
 
 
-@attrs.define
-class _Usage:
-    """Usage of one customer."""
-
-    limit: RateLimit
-    """The customer's limit when the bucket was last refilled."""
-    tokens: float = math.inf
-    """Tokens in the bucket; a request takes one."""
-    share_s: float = 0.0
-    """Integral of the share over time at the last refill (seconds)."""
-    mature_share_s: float = 0.0
-    """Integral of the mature share at the last refill (seconds)."""
-    cap_number: int = 0
-    """Caps that were recorded at the last refill (count)."""
-    taken_s: deque[float] = attrs.field(factory=deque)
-    """Times of the requests counted within the window (seconds), oldest first."""
-
-
 @attrs.frozen
 class _Cap:
     """Bound of all buckets at a change of the share."""
@@ -83,7 +69,7 @@
     is_growing: bool = False
     """Whether the share is expected to be 1 soon."""
     _customers: Mapping[str, Customer] = attrs.field(factory=dict)
-    _usage: dict[str, _Usage] = attrs.field(factory=dict)
+    _usage: dict[str, CustomerUsage] = attrs.field(factory=dict)
     _share: float = 1.0
     _mature_share: float = 1.0
     _share_s: float = 0.0
@@ -122,11 +108,12 @@
         left of it: a later configuration may restore the customer.
         """
         self._customers = customers
+        now_s = self._updated_s or 0.0
         for name in [name for name in self._usage if name not in customers]:
             usage = self._usage[name]
             self._refill(usage, usage.limit)
             is_full = usage.tokens >= self._share_of(usage.limit.burst)
-            if is_full and not self._count(usage, self._updated_s or 0.0):
+            if is_full and not usage.count(now_s - self.window_s):
                 del self._usage[name]
 
     def has_limit(self, name: str) -> bool:
@@ -164,6 +151,56 @@
         usage.taken_s.remove(taken_s)
         usage.tokens = min(usage.tokens + 1, self._share_of(limit.burst))
 
+    def lend(self, name: str, count: int, until_s: float, now_s: float) -> TokenLot:
+        """Take tokens out of the bucket that another VM may use until a time.
+
+        Until they are settled, they count as used at that time. So direct requests and
+        lots together keep to the limit in any window. If the share changes hands while
+        lots are out, up to (rate + burst / window) times the term come on top.
+
+        Args:
+            name: The customer.
+            count: Tokens that the other VM wants (count).
+            until_s: When its use ends (seconds).
+            now_s: Current time (seconds).
+
+        Returns:
+            The lot. It has all tokens if the customer has no limit, and none if the
+            customer is near its limit.
+        """
+        if self._limit(name) is None:
+            return TokenLot(count, until_s)
+        has_tokens = self._has_tokens(name, 1, now_s)
+        usage = self._usage[name]
+        free = min(usage.tokens, self._room(usage, now_s)) - self.waiting[name]
+        lent = min(count, int(free * LENDABLE_FRACTION))
+        if not has_tokens or lent <= 0 or until_s <= now_s:
+            return TokenLot(0, until_s, usage)
+        lot = TokenLot(lent, until_s, usage, self._cap_number)
+        usage.add_lot(lot)
+        return lot
+
+    def settle(self, lot: TokenLot, used: int, returned: int, now_s: float) -> None:
+        """Record what the holder of a lot tells before its end.
+
+        Both numbers are totals since the lending, so a report that arrives twice or
+        after a later one changes nothing. What is not told before the end counts as
+        used at the end.
+
+        Args:
+            lot: The lot.
+            used: Tokens used so far (count); they count as used now if they are new.
+            returned: Tokens that the holder will not use (count).
+            now_s: Current time (seconds).
+        """
+        usage = lot.usage
+        if usage is None or now_s >= lot.until_s:
+            return
+        self._advance(now_s)
+        self._refill(usage, usage.limit)
+        tokens = usage.tokens + usage.settle(lot, used, returned, now_s)
+        usage.tokens = self._bound(tokens, usage.limit, lot.cap_number)
+
     def retry_after_s(self, name: str, now_s: float) -> float:
         """Return the time until the customer's limit allows a request (seconds)."""
         usage, limit = self._usage.get(name), self._limit(name)
@@ -205,18 +242,17 @@
         self._advance(now_s)
         usage = self._usage.get(name)
         if usage is None:
-            usage = self._usage[name] = _Usage(limit)
+            usage = self._usage[name] = CustomerUsage(limit)
         self._refill(usage, limit)
-        allowed = self._share_of(limit.rate_per_s * self.window_s + limit.burst)
         is_valid = now_s <= self._valid_until_s
-        counted = self._count(usage, now_s)
-        return is_valid and usage.tokens >= count and counted + count <= allowed
+        has_room = self._room(usage, now_s) >= count
+        return is_valid and usage.tokens >= count and has_room
 
-    def _count(self, usage: _Usage, now_s: float) -> int:
-        """Return the requests counted within the window."""
-        while usage.taken_s and usage.taken_s[0] <= now_s - self.window_s:
-            usage.taken_s.popleft()
-        return len(usage.taken_s)
+    def _room(self, usage: CustomerUsage, now_s: float) -> float:
+        """Return the requests for which the window has room."""
+        limit = usage.limit
+        allowed = self._share_of(limit.rate_per_s * self.window_s + limit.burst)
+        return allowed - usage.count(now_s - self.window_s)
 
     def _limit(self, name: str) -> RateLimit | None:
         customer = self._customers.get(name)
@@ -247,19 +283,25 @@
         self._caps.append(cap)
         self._cap_number += 1
 
-    def _refill(self, usage: _Usage, limit: RateLimit) -> None:
+    def _refill(self, usage: CustomerUsage, limit: RateLimit) -> None:
         """Refill a bucket for the shares held since its last refill."""
         usage.limit = limit
         tokens = usage.tokens + self._added(limit, usage.share_s, usage.mature_share_s)
+        if usage.cap_number != self._cap_number:
+            tokens = self._bound(tokens, limit, usage.cap_number)
+            usage.cap_number = self._cap_number
+        usage.tokens = min(tokens, self._share_of(limit.burst))
+        usage.share_s, usage.mature_share_s = self._share_s, self._mature_share_s
+
+    def _bound(self, tokens: float, limit: RateLimit, cap_number: int) -> float:
+        """Return what the present share and the caps from a number on allow."""
         for cap in reversed(self._caps):
-            if cap.number < usage.cap_number:
+            if cap.number < cap_number:
                 break
             most = self._part_of(limit.burst, cap.share)
             most += self._added(limit, cap.share_s, cap.mature_share_s)
             tokens = min(tokens, most)
-        usage.cap_number = self._cap_number
-        usage.tokens = min(tokens, self._share_of(limit.burst))
-        usage.share_s, usage.mature_share_s = self._share_s, self._mature_share_s
+        return min(tokens, self._share_of(limit.burst))
 
     def _added(self, limit: RateLimit, share_s: float, mature_share_s: float) -> float:
         """Return the tokens added since the integrals had the given values."""
