Keep the fleet out of availability zones that operators evacuate

Operators that evacuated a zone saw requests go on to its upstreams: nothing read the key of their request.

Cause: the adapter reads the entries of upstreams and the configuration only. Ruled out: a late list of upstreams, as their entries don't tell of an evacuation.

Change: each VM keeps the set of evacuated zones as of a revision of the store and merges it by heartbeats, the higher revision holds. Upstreams of such a zone count as draining for placement at once, and each VM refuses by itself to use them, whatever a broker grants. A broker of an older build sends no set; its members read the store themselves. Requests that wait for a service without any upstream left are refused at once, not when they are late.

--- a/src/gentianfold/cli/status.py
+++ b/src/gentianfold/cli/status.py
@@ -120,8 +120,16 @@
         )
         for upstream in states[0]["upstreams"]
     ]
-    return (
-        format_table(header, rows)
-        + "\n\n"
-        + format_table(upstream_header, upstream_rows)
-    )
+    evacuation_rows = [
+        (
+            evacuation["zone"],
+            evacuation["requests_running"],
+            " ".join(evacuation["waiting_vms"]) or "-",
+        )
+        for evacuation in states[0].get("evacuations", [])
+    ]
+    tables = [format_table(header, rows), format_table(upstream_header, upstream_rows)]
+    if evacuation_rows:
+        evacuation_header = ("EVACUATED ZONE", "RUNNING", "WAITS FOR")
+        tables.append(format_table(evacuation_header, evacuation_rows))
+    return "\n\n".join(tables)
--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -182,6 +182,7 @@
             heartbeat.configuration_version,
             heartbeat.upstreams_revision,
             heartbeat.is_cut_off,
+            heartbeat.evacuations.revision if heartbeat.evacuations else None,
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
@@ -352,6 +353,7 @@
             int(lease_now_s * 1000),
             0 if self.leases.is_forming(lease_now_s) else self.fleet_size(lease_now_s),
             self._tunnel_plan.choose(vm, self.member_table.members, now_s),
+            view.evacuations.report(),
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -258,6 +258,9 @@
     """Revision up to which the VM knows all upstream changes."""
     is_cut_off: bool = False
     """Whether the VM has lost its paths to the upstreams."""
+    evacuations_revision: StoreRevision | None = None
+    """Revision as of which the VM knows the evacuated zones; ``None`` if it runs a build
+    that doesn't know of evacuations."""
 
     @property
     def capacity(self) -> float:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -90,6 +90,15 @@
     if it states none."""
 
 
+class Evacuations(msgspec.Struct, array_like=True, frozen=True):
+    """Availability zones to which nothing may be sent, as of a revision."""
+
+    revision: StoreRevision = NO_REVISION
+    """Revision of the store as of which the set holds."""
+    zones: tuple[tuple[str, StoreRevision], ...] = ()
+    """Each zone with the revision at which its evacuation was requested."""
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag=6, frozen=True):
     """Heartbeat of a VM to its broker."""
 
@@ -123,6 +132,8 @@
     """VMs of the fleet as told by the last broker (count); 0 if unknown."""
     is_cut_off: bool = False
     """Whether the VM has lost its paths to the upstreams."""
+    evacuations: Evacuations | None = None
+    """Evacuated zones; ``None`` from builds that don't know of evacuations."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -156,6 +167,8 @@
     """VMs of the fleet, missing ones included (count); 0 while it is unknown."""
     tunnel_vms: tuple[str, ...] = ()
     """VMs through which the receiver may reach upstreams if it is cut off from them."""
+    evacuations: Evacuations | None = None
+    """Evacuated zones; ``None`` from builds that don't know of evacuations."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -29,8 +29,9 @@
     TunnelToken,
     UpstreamChanges,
 )
+from gentianfold.fleet.node_evacuations import NodeEvacuations
+from gentianfold.fleet.node_notices import NodeNotices
 from gentianfold.fleet.node_shares import NodeShares
-from gentianfold.fleet.pause_table import PauseTable
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.fleet.slot_client import SlotClient
 from gentianfold.fleet.tunnel_directory import TunnelDirectory
@@ -44,8 +45,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from gentianfold.fleet.broker import Broker
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.transport import Transport
@@ -84,8 +83,6 @@
     """Published configuration and upstreams as this VM knows them."""
     announced: AnnouncedConfiguration = attrs.field(factory=AnnouncedConfiguration)
     """Newest configuration version that brokers have announced."""
-    pauses: PauseTable = attrs.field(factory=PauseTable)
-    """Upstreams that want no requests of this VM for a while."""
     fleet_size: int = 1
     """VMs of the fleet, this one included, by the broker's last heartbeat reply."""
     started_s: float = 0.0
@@ -107,6 +104,10 @@
     """Obtains the slots of this VM's requests."""
     shares: NodeShares = attrs.field(init=False)
     """Parts of fleet-wide limits that this VM may use."""
+    notices: NodeNotices = attrs.field(init=False)
+    """What upstreams state about themselves."""
+    evacuations: NodeEvacuations = attrs.field(init=False)
+    """Zones to which nothing may be sent."""
 
     def __attrs_post_init__(self) -> None:
         self.shares = NodeShares(
@@ -115,6 +116,16 @@
         self.slots = SlotClient(
             self.vm, self.scheduler, self.membership, self.transport, self.is_withdrawn
         )
+        self.notices = NodeNotices(
+            self.vm,
+            self.view,
+            self.scheduler,
+            self.apply_upstreams,
+            self.membership.expedite_heartbeat,
+        )
+        self.evacuations = NodeEvacuations(
+            self.view, self.scheduler, self.apply_upstreams, self._now_s
+        )
 
     # Placer
 
@@ -171,31 +182,15 @@
         name, start_time_ms = placement.upstream, placement.start_time_ms
         if via:
             self.pass_notice(via, placement, notice.is_leaving, notice.pause_s)
-        self._record_stated(
-            "answer", name, start_time_ms, notice.is_leaving, notice.pause_s
+        self.notices.record(
+            "answer",
+            name,
+            start_time_ms,
+            notice.is_leaving,
+            notice.pause_s,
+            self._now_s(),
         )
 
-    def _record_stated(
-        self,
-        cause: str,
-        name: str,
-        start_time_ms: int,
-        is_leaving: bool,
-        pause_s: float | None,
-    ) -> None:
-        now_s = self._now_s()
-        if is_leaving and self._merge_leaving(cause, ((name, start_time_ms),), now_s):
-            self.membership.expedite_heartbeat(now_s)
-        if pause_s is not None:
-            logger.info(
-                "upstream: {} wants no requests of this VM, cause={} s={:.3g}",
-                name,
-                cause,
-                pause_s,
-            )
-            self.pauses.record(name, start_time_ms, now_s + pause_s)
-            self._apply_pauses(now_s)
-
     def may_carry(self, upstream: str, start_time_ms: int) -> bool:
         """Tell whether this VM opens tunnels to a start of an upstream for others."""
         return (
@@ -209,30 +204,9 @@
         return not self._takes_requests(placement.upstream, placement.start_time_ms)
 
     def _takes_requests(self, name: str, start_time_ms: int) -> bool:
-        return self.view.is_usable(name, start_time_ms) and not self.pauses.is_paused(
-            name, start_time_ms, self._now_s()
-        )
-
-    def _apply_pauses(self, now_s: float) -> None:
-        for name, start_time_ms, until_s in self.pauses.running(now_s):
-            self.scheduler.record_pause(name, start_time_ms, self.vm, until_s)
-
-    def _merge_leaving(
-        self, cause: str, leaving: Iterable[tuple[str, int]], now_s: float
-    ) -> bool:
-        """Stop to use upstreams that say that they leave; tell whether any is new."""
-        names = self.view.leaving.merge(leaving, now_s)
-        for name in names:
-            logger.info(
-                "upstream: {} is leaving, cause={} revision={} list_age_ms={:.0f}",
-                name,
-                cause,
-                self.view.upstreams.revision,
-                min(self.view.upstreams_age_s(now_s), 1e6) * 1000,
-            )
-        if names:
-            self.apply_upstreams(now_s)
-        return bool(names)
+        return self.view.is_usable(
+            name, start_time_ms
+        ) and not self.notices.pauses.is_paused(name, start_time_ms, self._now_s())
 
     def share_crashes(self) -> None:
         """Tell the other VMs of a changed request under which upstreams crashed."""
@@ -278,12 +252,13 @@
                 self.on_tunnel_token(vm)
             case TunnelNotice():
                 pause_ms = message.pause_ms
-                self._record_stated(
+                self.notices.record(
                     vm,
                     message.upstream,
                     message.start_time_ms,
                     message.is_leaving,
                     pause_ms / 1000 if pause_ms is not None else None,
+                    now_s,
                 )
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
@@ -302,7 +277,8 @@
                 return
             membership.become_broker()
             self._start_as_broker()
-        self._merge_leaving(vm, heartbeat.leaving, now_s)
+        self.notices.merge_leaving(vm, heartbeat.leaving, now_s)
+        self.evacuations.merge(vm, heartbeat.evacuations)
         lease_now_s = self.lease_clock.now_s()
         self.broker.handle_heartbeat(vm, heartbeat, now_s, lease_now_s)
         # A broker that started while the store held an older copy knows less.
@@ -325,7 +301,8 @@
             # The lease begins when the broker gets its stamp back.
             self.membership.expedite_heartbeat(now_s)
         self.scheduler.crashes.merge(reply.crash_records, now_s)
-        self._merge_leaving(vm, reply.leaving, now_s)
+        self.notices.merge_leaving(vm, reply.leaving, now_s)
+        self.evacuations.handle_reply(vm, reply)
         self.announced.record(
             reply.configuration_version,
             reply.configuration_source,
@@ -396,6 +373,7 @@
         if self.view.accept_withheld(now_s):
             logger.info("upstreams: accepted entries that outlasted the restored copy")
             self.apply_upstreams(now_s)
+        self.evacuations.advance()
         self.scheduler.observe_running(now_s)
         self._placement_log.log_placement(self.scheduler, now_s)
         self._deliver_decisions(now_s)
@@ -410,7 +388,7 @@
             upstream.name: upstream for upstream in upstreams
         }
         self.scheduler.replace_upstreams(upstreams, now_s)
-        self._apply_pauses(now_s)
+        self.notices.apply_pauses(now_s)
         if self.membership.role is Role.BROKER:
             self.broker.send_upstream_changes(now_s)
 
@@ -444,7 +422,7 @@
         logger.warning("vm: was suspended for {:.1f} s", suspended_s)
         self.membership.last_reply_s -= suspended_s
         self.view.record_suspension(suspended_s)
-        self.pauses.age(suspended_s)
+        self.notices.pauses.age(suspended_s)
         self.scheduler.crashes.age(suspended_s)
         self.membership.expedite_heartbeat(self._now_s())
 
@@ -488,10 +466,11 @@
             tuple(report_rate_limits(scheduler.trackers(), now_s)),
             tuple(scheduler.crashes.report(now_s)),
             tuple(view.leaving.report(now_s)),
-            tuple(self.pauses.report(now_s)),
+            tuple(self.notices.pauses.report(now_s)),
             self.shares.own.stamp_ms(self.membership.broker or ""),
             self.shares.own.fleet_size,
             self.paths.is_cut_off,
+            view.evacuations.report(),
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gentianfold.fleet.evacuation_table import EvacuationTable
 from gentianfold.fleet.leaving_table import LeavingTable
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.routing_state import RoutingState
@@ -34,6 +35,8 @@
 
     leaving: LeavingTable = attrs.field(factory=LeavingTable)
     """Upstreams that told a VM of the fleet that they are about to end."""
+    evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
+    """Availability zones to which operators want nothing to be sent."""
     restored_s: float = float("-inf")
     """When this VM learned that the store was restored from a copy (event loop time,
     seconds); minus infinity if it was not restored since the VM's start."""
@@ -48,18 +51,29 @@
 
     def is_usable(self, name: str, start_time_ms: int) -> bool:
         """Tell whether a start of an upstream may get requests."""
-        is_leaving = self.leaving.is_leaving(name, start_time_ms)
-        return not is_leaving and self.upstreams.is_usable(name)
+        return (
+            not self.leaving.is_leaving(name, start_time_ms)
+            and not self.evacuations.is_evacuated(self.upstreams.zone(name))
+            and self.upstreams.is_usable(name)
+        )
 
     def list_upstreams(self) -> list[Upstream]:
         """Return all upstreams; those that are leaving count as draining."""
         return [
-            attrs.evolve(upstream, state=UpstreamState.DRAINING)
-            if self.leaving.is_leaving(upstream.name, upstream.start_time_ms)
-            else upstream
+            upstream if state is upstream.state else attrs.evolve(upstream, state=state)
             for upstream in self.upstreams.upstreams()
+            for state in (self._state(upstream),)
         ]
 
+    def _state(self, upstream: Upstream) -> UpstreamState:
+        if self.leaving.is_leaving(upstream.name, upstream.start_time_ms):
+            return UpstreamState.DRAINING
+        if upstream.state is UpstreamState.LIVE and self.evacuations.is_evacuated(
+            upstream.zone
+        ):
+            return UpstreamState.EVACUATED
+        return upstream.state
+
     def accept_withheld(self, now_s: float) -> bool:
         """Accept the upstreams that a restored store still lists after a while.
 
@@ -73,6 +87,7 @@
     def record_suspension(self, suspended_s: float) -> None:
         """Age the recorded times by a suspension of this VM (seconds)."""
         self.restored_s -= suspended_s
+        self.evacuations.record_suspension(suspended_s)
         if self.store_read_s is not None:
             self.store_read_s -= suspended_s
         if self.routing.upstreams_current_at_s is not None:
--- a/src/gentianfold/fleet/upstream_list.py
+++ b/src/gentianfold/fleet/upstream_list.py
@@ -229,6 +229,11 @@
         entry = self._entries.get(name)
         return entry is None or not entry.is_draining
 
+    def zone(self, name: str) -> str | None:
+        """Return the availability zone of an upstream; ``None`` if it is not listed."""
+        entry = self._entries.get(name)
+        return entry.zone if entry is not None else None
+
     def upstreams(self) -> list[Upstream]:
         """Return all upstreams, draining ones included."""
         return [_to_upstream(entry) for entry in self._entries.values()]
--- a/src/gentianfold/model/service.py
+++ b/src/gentianfold/model/service.py
@@ -14,6 +14,8 @@
     """Accepts new requests."""
     DRAINING = "draining"
     """Completes running requests; gets no new ones."""
+    EVACUATED = "evacuated"
+    """The same, since operators evacuate its availability zone."""
 
 
 @attrs.frozen
--- a/src/gentianfold/placement/grant_table.py
+++ b/src/gentianfold/placement/grant_table.py
@@ -51,6 +51,16 @@
         """Return the grants of a VM."""
         return self._by_vm.get(vm, {}).items()
 
+    def unlisted(
+        self, vm: str, slot_request_ids: frozenset[int], granted_before_s: float
+    ) -> list[SlotRequestKey]:
+        """Return grants of a VM from before a time whose slots it does not list."""
+        return [
+            key
+            for key, grant in self.of_vm(vm)
+            if key[1] not in slot_request_ids and grant.granted_at_s < granted_before_s
+        ]
+
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
         """Yield identifier, upstream, route and customer of each slot of a VM."""
         for (_, slot_request_id), grant in self.of_vm(vm):
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -31,7 +31,7 @@
     Refused,
     SlotRequest,
 )
-from gentianfold.placement.tracker_table import TrackerTable
+from gentianfold.placement.tracker_table import TrackerTable, has_free_slot
 from gentianfold.placement.transfer_table import TransferTable
 from gentianfold.placement.wait_estimate import estimate_wait_s, shortest_pause_s
 from gentianfold.placement.wait_table import WaitTable
@@ -255,12 +255,7 @@
             granted_before_s: Only grants before this time are freed; the list may have
                 been sent before later ones arrived.
         """
-        unlisted = [
-            key
-            for key, grant in self._grants.of_vm(vm)
-            if key[1] not in slot_request_ids and grant.granted_at_s < granted_before_s
-        ]
-        for key in unlisted:
+        for key in self._grants.unlisted(vm, slot_request_ids, granted_before_s):
             self._free_slot(self._grants.pop(key))
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
@@ -365,7 +360,7 @@
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         trackers, index = self._trackers.live(service), self._state(service).queue_index
-        if self._has_free_slot(trackers, now_s):
+        if has_free_slot(trackers, now_s):
             self._order.update_fair_slots(service, queue)
             for key, entry in index.ordered(queue, self._order, now_s):
                 if not self._has_token(entry.request, now_s):
@@ -376,22 +371,20 @@
                 self._record_wait(entry, now_s)
                 self._waiting.remove(key)
                 yield key, granted
-                if not self._has_free_slot(trackers, now_s):
+                if not has_free_slot(trackers, now_s):
                     break
-        if not index.is_late_check_due(len(queue), now_s):
+        if trackers and not index.is_late_check_due(len(queue), now_s):
             return
         late = [
             (key, entry)
             for key, entry in queue.items()
-            if now_s > entry.latest_start_s(self._expected_s(entry.request))
+            if not trackers
+            or now_s > entry.latest_start_s(self._expected_s(entry.request))
         ]
         for key, entry in late:
             self._waiting.remove(key)
             yield key, self._decide_late(entry, trackers, len(queue), now_s)
 
-    def _has_free_slot(self, trackers: list[UpstreamTracker], now_s: float) -> bool:
-        return any(tracker.has_free_slot(now_s) for tracker in trackers)
-
     def _decide_late(
         self,
         entry: QueueEntry,
@@ -402,6 +395,9 @@
         """Decide on a request that has waited as long as it may."""
         request = entry.request
         demand = self._state(request.service).demand
+        if not trackers:
+            demand.count_unserved(now_s)
+            return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if not self._has_token(request, now_s):
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -65,3 +65,8 @@
         tracker = self._trackers.get(name)
         if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
             tracker.paused_until_s[vm] = until_s
+
+
+def has_free_slot(trackers: Iterable[UpstreamTracker], now_s: float) -> bool:
+    """Tell whether any of the upstreams would start a request at once."""
+    return any(tracker.has_free_slot(now_s) for tracker in trackers)
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -13,14 +13,18 @@
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.platform.wire import (
     CONFIGURATION_KEY,
+    EVACUATION_KEY_PREFIX,
     UPSTREAM_KEY_PREFIX,
     Item,
     decode_configuration,
+    decode_evacuation,
     decode_upstream,
     decode_value,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.fleet.messages import UpstreamEntry
     from gentianfold.model import Configuration
     from gentianfold.platform.store_client import StoreClient
@@ -97,6 +101,18 @@
         """Apply a configuration, given as published and decoded."""
         ...
 
+    def update_evacuation(
+        self, zone: str, revision: StoreRevision, is_requested: bool
+    ) -> None:
+        """Apply that the evacuation of a zone was requested or taken back."""
+        ...
+
+    def replace_evacuations(
+        self, zones: Mapping[str, StoreRevision], revision: StoreRevision
+    ) -> None:
+        """Replace the evacuated zones by those at a revision."""
+        ...
+
 
 @attrs.define(eq=False)
 class StoreSynchronizer:
@@ -170,10 +186,12 @@
         if not is_recent:
             # Read after the changes, so that it is no older than their revision.
             failure = await self.read_configuration()
+            failure = failure or await self._list_evacuations(page.era)
             if failure is not None:
                 return failure
         self._check_outage()
         entries = self._process_items(page.events, page.era)
+        self._update_evacuations(page.events, page.era)
         revision = StoreRevision(page.era, page.store_revision)
         self.revision = max(self.revision, revision)
         self.sink.update_upstreams(self._hold_deletions(entries), self.revision)
@@ -208,6 +226,7 @@
             for entry in self._process_items(items, first_revision.era)
             if not entry.is_deleted
         ]
+        self._replace_evacuations(items, first_revision)
         self.revision = first_revision
         if asyncio.get_running_loop().time() < self._hold_until_s:
             # A missing entry may have expired in the outage, or be missing in the copy,
@@ -219,6 +238,34 @@
             self._relist_after_s = float("inf")
         return None
 
+    async def _list_evacuations(self, era: int) -> Failure | None:
+        """List the evacuated zones alone and pass them to the sink."""
+        page = await self.client.list_items(EVACUATION_KEY_PREFIX)
+        if isinstance(page, Failure):
+            return page
+        if page.era != era:
+            return RESTORED_MEANWHILE
+        revision = StoreRevision(page.era, page.store_revision)
+        self._replace_evacuations(page.items, revision)
+        return None
+
+    def _replace_evacuations(self, items: list[Item], revision: StoreRevision) -> None:
+        zones = dict(
+            request
+            for item in items
+            if item.key.startswith(EVACUATION_KEY_PREFIX)
+            and (request := decode_evacuation(item, revision.era)) is not None
+        )
+        self.sink.replace_evacuations(zones, revision)
+
+    def _update_evacuations(self, items: list[Item], era: int) -> None:
+        """Pass each change to the sink, as a zone may be taken back at once."""
+        for item in items:
+            if item.key.startswith(EVACUATION_KEY_PREFIX):
+                request = decode_evacuation(item, era)
+                if request is not None:
+                    self.sink.update_evacuation(*request, not item.tombstone)
+
     def _check_restored(self, revision: StoreRevision) -> None:
         """Start to hold back deletions if the store was restored.
 
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -33,6 +33,8 @@
 """Prefix of the keys under which upstreams register."""
 CONFIGURATION_KEY = "op/config"
 """Key of the published configuration."""
+EVACUATION_KEY_PREFIX = "op/evacuate/"
+"""Prefix of the keys by which operators evacuate an availability zone."""
 ITEM_PATH = "/-/kv-key"
 """Path that returns one item."""
 KEY_PARAMETER = "key"
@@ -299,6 +301,21 @@
     )
 
 
+def decode_evacuation(item: Item, era: int) -> tuple[str, StoreRevision] | None:
+    """Decode the request to evacuate a zone that the store stated in an era.
+
+    The key alone is the request, whatever its value.
+
+    Returns:
+        The zone, and the revision of the request or of its end; ``None`` if the key
+        names no zone.
+    """
+    zone = item.key.removeprefix(EVACUATION_KEY_PREFIX)
+    if not zone or len(zone) > MAX_NAME_LENGTH:
+        return None
+    return zone, StoreRevision(era, item.rev)
+
+
 def _decode_address(address: str) -> tuple[str, int]:
     """Return the host and the port of an address.
 
--- a/src/gentianfold/standins/site.py
+++ b/src/gentianfold/standins/site.py
@@ -111,10 +111,10 @@
         self.operator_port = _free_port()
 
     async def add_upstream(
-        self, name: str, service: str = "registry"
+        self, name: str, service: str = "registry", zone: str = "z1"
     ) -> StandinUpstream:
         """Start an upstream and add its entry to the store."""
-        upstream = StandinUpstream(name, service)
+        upstream = StandinUpstream(name, service, zone)
         await upstream.server.open()
         self.upstreams[name] = upstream
         self.store.put_upstream(upstream.store_entry())
--- a/src/gentianfold/standins/store.py
+++ b/src/gentianfold/standins/store.py
@@ -88,6 +88,14 @@
             wire.encode_upstream(upstream, sequence),
         )
 
+    def put_evacuation(self, zone: str) -> None:
+        """Request the evacuation of an availability zone."""
+        self.put(wire.EVACUATION_KEY_PREFIX + zone, b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of an availability zone."""
+        self.delete(wire.EVACUATION_KEY_PREFIX + zone)
+
     def delete_upstream(self, name: str) -> None:
         """Delete the entry of an upstream."""
         self.delete(wire.UPSTREAM_KEY_PREFIX + name)
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from gentianfold.fleet.membership import Role
 from gentianfold.forwarding.messages import Response
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node import Node
+    from gentianfold.fleet.node_evacuations import EvacuationProgress
     from gentianfold.settings import Settings
     from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
     from gentianfold.vm.metrics import Metrics
@@ -43,6 +45,15 @@
         }
         for tracker in node.scheduler.trackers()
     ]
+    evacuations = [
+        {
+            "zone": progress.zone,
+            "revision": str(progress.revision),
+            "requests_running": progress.running,
+            "waiting_vms": progress.waiting_vms,
+        }
+        for progress in _evacuation_progress(node)
+    ]
     body = {
         "vm": settings.vm,
         "standing": node.membership.role.value,
@@ -63,12 +74,19 @@
             }
             for fingerprint, standing, crash_count in node.scheduler.crashes.blocked()
         ],
+        "evacuations": evacuations,
         "upstreams": upstreams,
     }
     headers = [(b"content-type", b"application/json")]
     return Response(200, headers, msgspec.json.encode(body))
 
 
+def _evacuation_progress(node: Node) -> list[EvacuationProgress]:
+    is_broker = node.membership.role is Role.BROKER
+    members = node.broker.member_table.members if is_broker else {}
+    return node.evacuations.progress(members)
+
+
 def update_gauges(
     metrics: Metrics,
     node: Node,
@@ -102,6 +120,10 @@
         "is_cut_off": node.paths.is_cut_off,
         "tunnels_opened": handler.forwarder.paths.tunnel_count,
         "store_era": node.view.upstreams.revision.era,
+        "zones_evacuated": len(node.view.evacuations.zones),
+        "evacuations_unconfirmed": sum(
+            len(progress.waiting_vms) for progress in _evacuation_progress(node)
+        ),
         "requests_blocked": sum(1 for _ in node.scheduler.crashes.blocked()),
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -12,6 +12,8 @@
 from gentianfold.fleet.membership import Role
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.fleet.messages import UpstreamEntry
     from gentianfold.fleet.node import Node
     from gentianfold.fleet.store_revision import StoreRevision
@@ -79,7 +81,11 @@
             return waited_s > STARTUP_WAIT_S + self._jitter_s
         if self.synchronizer.is_list_due(self._now_s() - self._jitter_s):
             return True
-        return self.node.view.upstreams_age_s(self._now_s()) > self._max_age_s()
+        view, now_s = self.node.view, self._now_s()
+        # A broker of an older build does not pass evacuations on.
+        evacuations_age_s = now_s - view.evacuations.current_at_s
+        age_s = max(view.upstreams_age_s(now_s), evacuations_age_s)
+        return age_s > self._max_age_s()
 
     def _max_age_s(self) -> float:
         if self.node.vm in self.node.membership.deputies:
@@ -98,6 +104,8 @@
         routing = view.routing
         previous_s = routing.upstreams_current_at_s
         routing.upstreams_current_at_s = max(started_s, previous_s or started_s)
+        evacuations = view.evacuations
+        evacuations.current_at_s = max(started_s, evacuations.current_at_s)
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -154,6 +162,18 @@
         self._apply_list(upstreams.add_listed(entries, revision))
         return not upstreams.names() <= {entry.name for entry in entries}
 
+    def update_evacuation(
+        self, zone: str, revision: StoreRevision, is_requested: bool
+    ) -> None:
+        """Apply that the evacuation of a zone was requested or taken back."""
+        self.node.evacuations.record_change(zone, revision, is_requested)
+
+    def replace_evacuations(
+        self, zones: Mapping[str, StoreRevision], revision: StoreRevision
+    ) -> None:
+        """Replace the evacuated zones by those at a store revision."""
+        self.node.evacuations.replace(zones, revision)
+
     def _apply_list(self, has_changed: bool) -> None:
         self.node.view.record_era(self._now_s())
         if has_changed:
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from gentianfold.fleet.evacuation_table import EvacuationTable
 from gentianfold.fleet.store_revision import StoreRevision
 from gentianfold.fleet.upstream_list import UpstreamList
 from gentianfold.forwarding.connection_pool import ConnectionPool
@@ -29,6 +30,7 @@
     versions: list[int] = attrs.field(factory=list)
     last_read_time_s: float | None = None
     restored_time_s: float = float("-inf")
+    evacuations: EvacuationTable = attrs.field(factory=EvacuationTable)
 
     def last_read_s(self):
         return self.last_read_time_s
@@ -54,6 +56,12 @@
     def update_configuration(self, document, configuration):
         self.versions.append(configuration.version)
 
+    def update_evacuation(self, zone, revision, is_requested):
+        self.evacuations.record_change(zone, revision, is_requested, 0.0)
+
+    def replace_evacuations(self, zones, revision):
+        self.evacuations.replace(zones, revision, 0.0)
+
 
 def make_upstream(name, **changes):
     upstream = Upstream(
@@ -259,3 +267,53 @@
     )
     assert not await synchronizer.poll()
     assert not sink.upstreams.names()
+
+
+def evacuated(sink):
+    return set(sink.evacuations.zones)
+
+
+async def test_an_evacuation_is_read_and_taken_back(store_setup):
+    # Nothing read the operators' requests.
+    store, sink, synchronizer = store_setup
+    store.put_upstream(make_upstream("u1"))
+    store.put_evacuation("z1")
+    await synchronizer.poll()
+    assert evacuated(sink) == {"z1"}
+    store.put(wire.EVACUATION_KEY_PREFIX + "z2", b"not a document")
+    store.put(wire.EVACUATION_KEY_PREFIX, b"{}")
+    await synchronizer.poll()
+    assert evacuated(sink) == {"z1", "z2"}
+    store.take_back("z1")
+    await synchronizer.poll()
+    assert evacuated(sink) == {"z2"}
+
+
+async def test_evacuations_are_read_behind_a_gap_and_dropped_history(store_setup):
+    store, sink, synchronizer = store_setup
+    store.put_configuration(make_configuration())
+    await synchronizer.poll()
+    # A poll after a gap reads the changes of upstreams alone.
+    synchronizer._read_s = -100.0
+    store.put_evacuation("z1")
+    assert await synchronizer.poll()
+    assert evacuated(sink) == {"z1"}
+    store.take_back("z1")
+    store.compact_history()
+    assert await synchronizer.poll()
+    assert not evacuated(sink)
+
+
+async def test_an_evacuation_that_a_restored_store_lacks_is_kept(store_setup):
+    store, sink, synchronizer = store_setup
+    store.put_upstream(make_upstream("u1"))
+    copy = store.make_copy()
+    store.put_evacuation("z1")
+    await synchronizer.poll()
+    store.restore(copy)
+    assert await synchronizer.poll()
+    assert evacuated(sink) == {"z1"}
+    store.put_evacuation("z1")
+    store.take_back("z1")
+    assert await synchronizer.poll()
+    assert not evacuated(sink)
--- a/tests/vm/test_tunnels.py
+++ b/tests/vm/test_tunnels.py
@@ -179,9 +179,12 @@
         for upstream in site.upstreams.values():
             upstream.behaviour, upstream.pause = Behaviour.SHED, b"30"
         await send_request(vm, request_bytes("a", "/claim/1", "POST", b"b"))
-        told = [name for name, *_ in vm._node.pauses.running(0.0)]
+        told = [name for name, *_ in vm._node.notices.pauses.running(0.0)]
         await wait_until(
-            lambda: {name for name, *_ in other._node.pauses.running(0.0)} >= set(told)
+            lambda: (
+                {name for name, *_ in other._node.notices.pauses.running(0.0)}
+                >= set(told)
+            )
         )
         assert told
 
