--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -377,12 +377,13 @@
                 yield key, granted
                 if not pool.may_start(now_s):
                     break
-        if not index.is_late_check_due(len(queue), now_s):
+        if pool.trackers and not index.is_late_check_due(len(queue), now_s):
             return
         late = [
             (key, entry)
             for key, entry in queue.items()
-            if now_s > entry.latest_start_s(self._expected_s(entry.request))
+            if not pool.trackers
+            or now_s > entry.latest_start_s(self._expected_s(entry.request))
         ]
         for key, entry in late:
             self._waiting.remove(key)
@@ -398,6 +399,9 @@
         """Decide on a request that has waited as long as it may."""
         request = entry.request
         demand = self._state(request.service).demand
+        if not pool.trackers:
+            demand.count_unserved(now_s)
+            return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if not self._has_token(request, now_s):
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
