Look at requests that wait for tokens once a tick, not for each event

A pass over a queue leaves out customers without a token until the next tick; a service without any event is passed over once a tick if its queue is long. A request whose customer has a token no longer waits behind those that have none while slots are free. The fair shares are computed when the order is made.

--- a/src/gentianfold/placement/queue_index.py
+++ b/src/gentianfold/placement/queue_index.py
@@ -27,6 +27,10 @@
 class QueueIndex:
     """Order of one service's queue, as of the last tick and the requests that came."""
 
+    is_stalled: bool = False
+    """Whether the last pass over the queue left slots free: the requests in it wait
+    for something else, such as tokens of their customers."""
+    _without_token: set[str] = attrs.field(factory=set)
     _order: list[tuple[SortKey, SlotRequestKey]] = attrs.field(factory=list)
     _first: int = 0
     _built_s: float = NEVER_S
@@ -40,7 +44,8 @@
     ) -> Iterator[tuple[SlotRequestKey, QueueEntry]]:
         """Yield the waiting requests, those to serve first at the front.
 
-        Requests may be removed from the queue meanwhile.
+        Requests may be removed from the queue meanwhile. First attempts of customers
+        without a token are left out until the order is made again.
         """
         self._refresh(queue, order, now_s)
         while self._first < len(self._order) and (
@@ -50,9 +55,16 @@
         for index in range(self._first, len(self._order)):
             key = self._order[index][1]
             entry = queue.get(key)
-            if entry is not None:
+            if entry is not None and (
+                entry.request.attempt > 1
+                or entry.request.customer not in self._without_token
+            ):
                 yield key, entry
 
+    def leave_out(self, customer: str) -> None:
+        """Leave out the first attempts of a customer that has no token."""
+        self._without_token.add(customer)
+
     def count_ahead(
         self,
         queue: Mapping[SlotRequestKey, QueueEntry],
@@ -84,12 +96,20 @@
             return
         insort(self._order, (order.sort_key(entry), key), self._first)
 
+    def is_due(self, length: int, now_s: float) -> bool:
+        """Tell whether the queue is looked at although no event concerned its service.
+
+        A long queue is looked at once in a tick, as are its requests that waited too
+        long.
+        """
+        return length <= LONG_QUEUE or now_s - self._late_checked_s >= REBUILD_S
+
     def is_late_check_due(self, length: int, now_s: float) -> bool:
-        """Tell, once in a tick, whether requests that waited too long are looked for."""
-        if length > LONG_QUEUE and now_s - self._late_checked_s < REBUILD_S:
-            return False
-        self._late_checked_s = now_s
-        return True
+        """Tell whether requests that waited too long are looked for now."""
+        is_due = self.is_due(length, now_s)
+        if is_due:
+            self._late_checked_s = now_s
+        return is_due
 
     def _refresh(
         self,
@@ -100,7 +120,9 @@
         is_kept = len(queue) > LONG_QUEUE and now_s - self._built_s < REBUILD_S
         if is_kept and self._first < len(self._order):
             return
+        order.update_fair_slots(queue)
         self._order = sorted(
             (order.sort_key(entry), key) for key, entry in queue.items()
         )
         self._first, self._built_s = 0, now_s
+        self._without_token.clear()
--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -69,10 +69,15 @@
         sort_key = self.new_key(request, now_s)
         return sum(self.sort_key(entry) < sort_key for entry in queue.values())
 
-    def update_fair_slots(
-        self, service: str, queue: Mapping[tuple[str, int], QueueEntry]
-    ) -> None:
-        """Set the fair share: slots in use per customer that holds or waits for one."""
+    def update_fair_slots(self, queue: Mapping[tuple[str, int], QueueEntry]) -> None:
+        """Set the fair share: slots in use per customer that holds or waits for one.
+
+        Args:
+            queue: The waiting requests of one service; nothing changes without any.
+        """
+        service = next((entry.request.service for entry in queue.values()), None)
+        if service is None:
+            return
         held = self._slots_held[service]
         waiting = {entry.request.customer for entry in queue.values()}
         count = len(waiting | held.keys())
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -79,6 +79,7 @@
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
+    _changed: set[str] = attrs.field(factory=set)
 
     def set_share(
         self, share: float, mature_share: float, now_s: float, valid_s: float = math.inf
@@ -146,7 +147,7 @@
             if not self.quota.has_room(request.customer, now_s):
                 if self.quota.is_growing and self._can_wait_for_token(request, now_s):
                     self.budget.count_request(request.service, now_s)
-                    self._queue_request(key, QueueEntry(request, now_s), queue)
+                    self._queue_request(key, QueueEntry(request, now_s))
                     return Queued(len(queue))
                 demand.count_unserved(now_s)
                 return self.quota.refuse(request.customer, now_s)
@@ -278,8 +279,10 @@
         self, now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         """Grant free slots to queued requests; refuse those past their latest start."""
+        changed, self._changed = self._changed, set()
         for service, queue in self._waiting.services():
-            if queue:
+            index = self._state(service).queue_index
+            if queue and (service in changed or index.is_due(len(queue), now_s)):
                 yield from self._advance_service(service, queue, now_s)
 
     def observe_running(self, now_s: float) -> None:
@@ -332,7 +335,7 @@
             return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
-        if not ahead:
+        if not ahead or (index.is_stalled and pool.may_start(now_s)):
             granted = self._grant(request, pool, now_s)
             if granted is not None:
                 return granted
@@ -347,27 +350,24 @@
                 return degraded
             retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
             return Refused(RefusalReason.NO_ROOM, retry_after_s, ahead)
-        self._queue_request((request.vm, request.slot_request_id), entry, queue)
+        self._queue_request((request.vm, request.slot_request_id), entry)
         return Queued(ahead)
 
-    def _queue_request(
-        self,
-        key: SlotRequestKey,
-        entry: QueueEntry,
-        queue: dict[SlotRequestKey, QueueEntry],
-    ) -> None:
+    def _queue_request(self, key: SlotRequestKey, entry: QueueEntry) -> None:
         self._waiting.add(key, entry)
-        index = self._state(entry.request.service).queue_index
+        service = entry.request.service
+        index, queue = self._state(service).queue_index, self._waiting.queue(service)
         index.add(key, entry, queue, self._order)
 
     def _advance_service(
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         pool, index = self._trackers.pool(service), self._state(service).queue_index
-        if pool.may_start(now_s):
-            self._order.update_fair_slots(service, queue)
+        index.is_stalled = pool.may_start(now_s)
+        if index.is_stalled:
             for key, entry in index.ordered(queue, self._order, now_s):
                 if not self._has_token(entry.request, now_s):
+                    index.leave_out(entry.request.customer)
                     continue
                 granted = self._grant(entry.request, pool, now_s)
                 if granted is None:
@@ -375,7 +375,8 @@
                 self._record_wait(entry, now_s)
                 self._waiting.remove(key)
                 yield key, granted
-                if not pool.may_start(now_s):
+                index.is_stalled = pool.may_start(now_s)
+                if not index.is_stalled:
                     break
         if not index.is_late_check_due(len(queue), now_s):
             return
@@ -468,6 +469,7 @@
             grant.tracker.running_s = 0.0
         grant.tracker.trials_in_use -= grant.is_trial
         self._trackers.file(grant.tracker)
+        self._changed.add(grant.request.service)
         self._order.count_slot(grant.request, -1)
 
     def _record_outcome(
