Bound the broker's work on slot requests by the time that they wait

Callers were refused for as long as a crowd lasted and for seconds afterwards, since the broker decided on requests in the order of arrival: on requests whose VMs had given them up, and on their repeats, while heartbeats and withdrawals lay behind them in the socket. Repeating each 50 ms made that worse.

Slot requests now wait in a queue of their own, of which a few are decided on between two reads of the socket, so heartbeats, releases and withdrawals come first. A broker that is behind takes the newest request first and refuses what waited for 200 ms with a spread Retry-After (code 4002, broker-behind); a VM that may place by itself then does. Repeated and withdrawn requests cost no decision, and requests carry their age. SlotQueued, SlotRefused and HeartbeatReply say how far the broker is behind; VMs wait longer for their answers then, spread their repeats, and repeat one request in two at most.

Wire: fields at the end of AcquireSlot, SlotQueued, SlotRefused and HeartbeatReply, with defaults. An old build reads the new reason as no-free-slot.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -7,6 +7,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.fleet.decision_loop import DecisionLoop
 from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
 from gentianfold.fleet.messages import (
     AcquireSlot,
@@ -24,13 +25,13 @@
 from gentianfold.fleet.share_lease import LeaseTable
 from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
-from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
+from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
-    from gentianfold.placement.slot_scheduler import SlotScheduler
+    from gentianfold.placement.slot_scheduler import Decision, SlotScheduler
 
 GRANT_IN_FLIGHT_S = 0.3
 """Age below which a grant may be missing from a heartbeat (seconds): the VM may have
@@ -69,11 +70,15 @@
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
     """Source from which each member fetches a new configuration."""
+    decisions: DecisionLoop = attrs.field(init=False)
+    """Decides on the slot requests of the members."""
     _tunnel_plan: TunnelPlan = attrs.field(factory=TunnelPlan)
     _announced_s: float = -1e9
+    _behind_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
+        self.decisions = DecisionLoop(self.scheduler, self.send_decision)
 
     def start(self, known_size: int, lease_now_s: float) -> None:
         """Take the broker role, without members at first.
@@ -86,16 +91,18 @@
         self.member_table = MemberTable()
         self.leases = LeaseTable(self.seeds, known_size, lease_now_s)
         self.relay_plan = RelayPlan(self.vm)
+        self.decisions.queue.clear()
         self._announced_s = -1e9
 
     def handle_acquire(self, vm: str, message: AcquireSlot, now_s: float) -> None:
-        """Handle a request for a slot: grant, queue or refuse it.
+        """Handle a request for a slot, which is decided on soon.
 
         Args:
             vm: Address of the sender.
             message: The request.
             now_s: Event loop time (seconds).
         """
+        age_s = message.age_ms / 1000
         request = SlotRequest(
             vm=vm,
             slot_request_id=message.slot_request_id,
@@ -107,25 +114,27 @@
             idempotent=message.idempotent,
             attempt=message.attempt,
             excluded=message.excluded,
-            time_left_s=message.time_left_ms / 1000,
-            target_left_s=message.target_left_ms / 1000,
+            time_left_s=message.time_left_ms / 1000 - age_s,
+            target_left_s=message.target_left_ms / 1000 - age_s,
             zone=message.zone,
             fingerprint=message.fingerprint,
         )
-        decision = self.scheduler.request_slot(request, now_s)
-        if isinstance(decision, Granted | Refused):
-            self.send_decision(vm, message.slot_request_id, decision)
-        else:
-            self.transport.send(vm, SlotQueued(message.slot_request_id))
+        self.decisions.request_slot(request, now_s)
 
     def send_decision(
-        self, vm: str, slot_request_id: int, decision: Granted | Refused
+        self, vm: str, slot_request_id: int, decision: Decision | None
     ) -> None:
-        """Send a grant or a refusal to the VM that requested the slot."""
+        """Send a decision, or an acknowledgement, to the VM that requested the slot."""
+        if decision is None or isinstance(decision, Queued):
+            self.transport.send(vm, SlotQueued(slot_request_id, self._behind_ms))
+            return
         if isinstance(decision, Refused):
-            retry_after_ms = int(decision.retry_after_s * 1000)
             message = SlotRefused(
-                slot_request_id, decision.reason, retry_after_ms, decision.ahead
+                slot_request_id,
+                decision.reason,
+                int(decision.retry_after_s * 1000),
+                decision.ahead,
+                self._behind_ms,
             )
             self.transport.send(vm, message)
             return
@@ -145,7 +154,12 @@
         )
 
     def handle_release(self, vm: str, release: ReleaseSlot, now_s: float) -> None:
-        """Free a slot and record the outcome; an unknown outcome counts as cancelled."""
+        """Free a slot and record the outcome, or withdraw a request that waits.
+
+        An unknown outcome counts as cancelled.
+        """
+        if self.decisions.queue.withdraw((vm, release.slot_request_id)):
+            return
         try:
             outcome = Outcome(release.outcome)
         except ValueError:
@@ -160,6 +174,7 @@
             release.rate_limit_per_s,
             release.pause_ms / 1000 if release.pause_ms is not None else None,
         )
+        self.decisions.free_slot(now_s)
 
     def handle_heartbeat(
         self, vm: str, heartbeat: Heartbeat, now_s: float, lease_now_s: float
@@ -236,6 +251,7 @@
         logger.info("fleet: VM {} is the broker now", vm)
         size = self.told_size(lease_now_s)
         self.leases = LeaseTable()
+        self.decisions.queue.clear()
         stamp_ms = int(lease_now_s * 1000)
         for member in {*self.member_table.members, vm}:
             self.transport.send(member, Redirect(vm, stamp_ms, size))
@@ -298,6 +314,8 @@
         for vm in self.member_table.expire(now_s):
             self.scheduler.remove_vm(vm)
             logger.info("fleet: VM {} timed out, {} members", vm, self.member_count)
+        self._behind_ms = int(self.decisions.queue.behind_s(now_s) * 1000)
+        self.decisions.log(now_s)
         if now_s - self._announced_s > ANNOUNCE_INTERVAL_S:
             self._announced_s = now_s
             candidates = {*self.seeds, *self.member_table.timed_out()}
@@ -352,6 +370,7 @@
             int(lease_now_s * 1000),
             0 if self.leases.is_forming(lease_now_s) else self.fleet_size(lease_now_s),
             self._tunnel_plan.choose(vm, self.member_table.members, now_s),
+            self._behind_ms,
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -35,6 +35,8 @@
     target_left_ms: int
     zone: str
     fingerprint: bytes = b""
+    age_ms: int = 0
+    """Time since the times left were computed (milliseconds)."""
 
 
 class SlotGranted(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -54,10 +56,12 @@
 
 
 class SlotQueued(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """Acknowledges a request that is queued until a slot is free."""
+    """Acknowledges a request that awaits its decision or a free slot."""
 
     slot_request_id: int
     """Identifier of the slot request."""
+    behind_ms: int = 0
+    """How far the broker's decisions are behind the requests (milliseconds)."""
 
 
 class SlotRefused(msgspec.Struct, array_like=True, tag=4, frozen=True):
@@ -70,6 +74,8 @@
     retry_after_ms: int
     ahead: int
     """Requests ahead of this one in the queue of its service."""
+    behind_ms: int = 0
+    """How far the broker's decisions are behind the requests (milliseconds)."""
 
 
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -156,6 +162,8 @@
     """VMs of the fleet, missing ones included (count); 0 while it is unknown."""
     tunnel_vms: tuple[str, ...] = ()
     """VMs through which the receiver may reach upstreams if it is cut off from them."""
+    behind_ms: int = 0
+    """How far the broker's decisions are behind the requests (milliseconds)."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -275,8 +283,13 @@
         return None
 
 
-def to_acquire_slot(request: SlotRequest) -> AcquireSlot:
-    """Return the message that requests a slot from the broker."""
+def to_acquire_slot(request: SlotRequest, age_s: float = 0.0) -> AcquireSlot:
+    """Return the message that requests a slot from the broker.
+
+    Args:
+        request: The request.
+        age_s: Time since its times left were computed (seconds).
+    """
     return AcquireSlot(
         request.slot_request_id,
         request.service,
@@ -291,4 +304,5 @@
         int(request.target_left_s * 1000),
         request.zone,
         request.fingerprint,
+        int(age_s * 1000),
     )
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -115,6 +115,7 @@
         self.slots = SlotClient(
             self.vm, self.scheduler, self.membership, self.transport, self.is_withdrawn
         )
+        self.broker.decisions.deliver = self._deliver_decisions
 
     # Placer
 
@@ -257,10 +258,9 @@
             case ReleaseSlot():
                 if is_broker:
                     self.broker.handle_release(vm, message, now_s)
-                    self._deliver_decisions(now_s)
             case SlotGranted() | SlotRefused() | SlotQueued():
                 self.membership.record_answer(vm, now_s)
-                self.slots.handle_reply(vm, message)
+                self.slots.handle_reply(vm, message, now_s)
             case Heartbeat():
                 self._handle_heartbeat(vm, message, now_s)
             case HeartbeatReply():
@@ -321,6 +321,7 @@
             logger.info("fleet: joined broker {}", vm)
         self.fleet_size = reply.member_count + 1
         self.tunnels.candidates = reply.tunnel_vms
+        self.slots.pace.record_behind(reply.behind_ms / 1000, now_s)
         if self.shares.lend(vm, reply.lease_stamp_ms, reply.fleet_size):
             # The lease begins when the broker gets its stamp back.
             self.membership.expedite_heartbeat(now_s)
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -9,6 +9,7 @@
 import attrs
 
 from gentianfold.fleet.messages import SlotGranted, SlotRefused
+from gentianfold.fleet.resend_pace import ResendPace
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.slot_request import (
     Granted,
@@ -18,14 +19,6 @@
     SlotRequest,
 )
 
-REQUEST_RETRY_S = 0.05
-"""Time after which an unacknowledged slot request is sent again (seconds): more than
-ten round trips between zones."""
-MAX_REQUEST_RETRY_S = 0.4
-"""Longest time until an unacknowledged slot request is sent again (seconds)."""
-QUEUED_RETRY_S = 0.25
-"""Time between repeated requests for a slot that the broker has queued (seconds)."""
-
 PlacementDecision: TypeAlias = Placement | Refused
 """A granted slot, or the refusal of one."""
 
@@ -41,7 +34,9 @@
     acknowledged: bool = False
     """Whether the broker has answered the last transmission of the request."""
 
-    async def await_decision(self, unanswered: int) -> PlacementDecision | None:
+    async def await_decision(
+        self, unanswered: int, pace: ResendPace
+    ) -> PlacementDecision | None:
         """Wait for a decision until the next retry; ``None`` if there is none yet.
 
         The retry comes sooner while the broker has not acknowledged the request, and
@@ -49,9 +44,10 @@
 
         Args:
             unanswered: Tries that the broker has left unanswered (count).
+            pace: Decides how long an answer is awaited.
         """
-        retry_s = min(REQUEST_RETRY_S * 2**unanswered, MAX_REQUEST_RETRY_S)
-        for delay_s in (retry_s, QUEUED_RETRY_S - REQUEST_RETRY_S):
+        now_s = asyncio.get_running_loop().time()
+        for delay_s in (pace.delay_s(unanswered, now_s), pace.queued_delay_s(now_s)):
             with anyio.move_on_after(delay_s):
                 await asyncio.shield(self.decided)
             if self.decided.done():
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -20,12 +20,12 @@
     to_acquire_slot,
 )
 from gentianfold.fleet.pending_request import (
-    REQUEST_RETRY_S,
     PendingRequest,
     PlacementDecision,
     to_decision,
     to_placement,
 )
+from gentianfold.fleet.resend_pace import REQUEST_RETRY_S, ResendPace
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
@@ -70,6 +70,8 @@
     """Sends messages to the broker."""
     is_withdrawn: Callable[[Placement], bool]
     """Tells whether the upstream of a grant takes no requests of this VM."""
+    pace: ResendPace = attrs.field(factory=ResendPace)
+    """Decides when unanswered requests are sent again."""
     _slot_request_ids: itertools.count[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
@@ -116,6 +118,8 @@
                 self.membership.has_live_broker(now_s)
             ):
                 decision = await self._request_from_broker(request, latest_s)
+                if self._decides_instead(request, decision):
+                    decision = ()
                 if isinstance(decision, Placement | Refused):
                     return decision
                 waited_s = self._now_s() - asked_s
@@ -143,6 +147,16 @@
         has_share = self.membership.role is Role.BROKER or quota.share > 0
         return has_share or request.attempt > 1 or not quota.has_limit(request.customer)
 
+    def _decides_instead(
+        self, request: SlotRequest, decision: Placement | Refused | tuple[str, ...]
+    ) -> bool:
+        """Tell whether this VM places a request that its broker had no time for."""
+        return (
+            isinstance(decision, Refused)
+            and decision.reason is RefusalReason.BROKER_BEHIND
+            and self._may_place_locally(request)
+        )
+
     async def _request_from_broker(
         self, request: SlotRequest, latest_s: float
     ) -> Placement | Refused | tuple[str, ...]:
@@ -160,14 +174,18 @@
         if broker is None:
             return ()
         pending = self._add_pending(request)
-        message = to_acquire_slot(request)
-        deadline_s = self._now_s() + request.time_left_s + DEADLINE_MARGIN_S
-        unanswered = 0
+        asked_s = self._now_s()
+        deadline_s = asked_s + request.time_left_s + DEADLINE_MARGIN_S
+        tries = unanswered = 0
+        self.pace.count_request()
         try:
             while self._now_s() < deadline_s:
                 pending.acknowledged = False
-                self.transport.send(broker, message)
-                decision = await pending.await_decision(unanswered)
+                if not tries or self.pace.try_resend():
+                    age_s = self._now_s() - asked_s
+                    self.transport.send(broker, to_acquire_slot(request, age_s))
+                tries += 1
+                decision = await pending.await_decision(unanswered, self.pace)
                 if decision is not None:
                     return self._accept_grant(request, decision, broker)
                 unanswered = 0 if pending.acknowledged else unanswered + 1
@@ -256,9 +274,17 @@
         return self._granted_by.pop(slot_request_id, "")
 
     def handle_reply(
-        self, vm: str, message: SlotGranted | SlotRefused | SlotQueued
+        self, vm: str, message: SlotGranted | SlotRefused | SlotQueued, now_s: float
     ) -> None:
-        """Resolve a pending request; return a grant for which none is pending."""
+        """Resolve a pending request; return a grant for which none is pending.
+
+        Args:
+            vm: Address of the sender.
+            message: The reply.
+            now_s: Event loop time (seconds).
+        """
+        if not isinstance(message, SlotGranted):
+            self.pace.record_behind(message.behind_ms / 1000, now_s)
         pending = self._pending.get(message.slot_request_id)
         if pending is None or pending.decided.done():
             if (
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gentianfold.codes.limits import LIMIT_ELSEWHERE, OVER_RATE
+from gentianfold.codes.peers import BROKER_BEHIND
 from gentianfold.codes.requests import (
     ANSWER_TIMEOUT,
     CRASHED_UPSTREAMS,
@@ -65,6 +66,7 @@
     RefusalReason.RETRY_BUDGET: RETRY_BUDGET_SPENT,
     RefusalReason.STOPPING: STOPPING,
     RefusalReason.LIMIT_ELSEWHERE: LIMIT_ELSEWHERE,
+    RefusalReason.BROKER_BEHIND: BROKER_BEHIND,
 }
 
 
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -50,6 +50,8 @@
     """The VM stops and sends no further requests."""
     LIMIT_ELSEWHERE = 6
     """Another VM holds the customer's rate limit, or most of it."""
+    BROKER_BEHIND = 7
+    """The broker has more requests than it can decide on in time."""
 
     @classmethod
     def _missing_(cls, value: object) -> RefusalReason:
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -157,6 +157,10 @@
             demand.count_unserved(now_s)
         return decision
 
+    def is_known(self, key: SlotRequestKey) -> bool:
+        """Tell whether a slot request holds a slot or waits for one."""
+        return key in self._grants or key in self._waiting
+
     def _can_wait_for_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows the request before it is late."""
         latest_s = QueueEntry(request, now_s).latest_start_s(self._expected_s(request))
@@ -390,11 +394,7 @@
             yield key, self._decide_late(entry, pool, len(queue), now_s)
 
     def _decide_late(
-        self,
-        entry: QueueEntry,
-        pool: UpstreamPool,
-        ahead: int,
-        now_s: float,
+        self, entry: QueueEntry, pool: UpstreamPool, ahead: int, now_s: float
     ) -> Granted | Refused:
         """Decide on a request that has waited as long as it may."""
         request = entry.request
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -57,5 +57,8 @@
         for key in [key for key in self._services if key[0] == vm]:
             self.remove(key)
 
+    def __contains__(self, key: SlotRequestKey) -> bool:
+        return key in self._services
+
     def __len__(self) -> int:
         return len(self._services)
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -110,6 +110,7 @@
         "store_polls_failed": fetcher.synchronizer.failure_count,
         "is_broker": node.membership.role.value == "broker",
         "quota_share": node.scheduler.quota.share,
+        "broker_behind_seconds": node.broker.decisions.queue.behind_s(now_s),
         "upstream_connections_opened": handler.forwarder.pool.opened_count,
     }
     for name, level in gauges.items():
@@ -118,5 +119,7 @@
         metrics.set_gauge("request_bytes", float(count), zone=zone)
     for outcome, count in fetcher.outcome_counts.items():
         metrics.set_gauge("configuration_fetches", float(count), outcome=outcome)
+    for outcome, count in node.broker.decisions.queue.counts.items():
+        metrics.set_gauge("slot_requests", float(count), outcome=outcome)
     for message, count in node.transport.sent_bytes.items():
         metrics.set_gauge("datagram_bytes", float(count), message=message)
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -183,6 +183,8 @@
         broker = Broker(
             settings.address, incarnation, seeds, scheduler, transport, self.view
         )
+        loop = asyncio.get_running_loop()
+        broker.decisions.now_s, broker.decisions.call_soon = loop.time, loop.call_soon
         return Node(
             settings.address,
             settings.zone,
