--- a/tests/fleet/test_evacuation_fleet.py
+++ b/tests/fleet/test_evacuation_fleet.py
@@ -283,6 +283,6 @@
     for zone in (*ZONES, "z3"):
         fleet.store.write(zone, True)
     fleet.read(0, True)
-    assert not node.scheduler._trackers.live("desk")
+    assert not node.scheduler._trackers.pool("desk").trackers
     decision = node.scheduler.request_slot(make_request(1), fleet.clock.now_s)
     assert isinstance(decision, Refused)
