Know the size of a fleet only by evidence, not by time

Cause: what a VM has seen is a lower bound of the fleet, and was taken for its size by time alone. The same class, found beside it: all seeds restarted while the rest is cut off; new VMs counted in the place of VMs that are cut off; the share of a restarted VM lent while its earlier lease could run.

Change: a broker that met nobody who knows the fleet uses nothing without a majority of the seeds, all limits if these are first processes ever (the platform states it), else half; all seeds held for 12.4 s are a new fleet. A part of a fleet without a majority of its seeds uses half of its shares, and without any for 10 s none. New VMs own shares once all owners know that theirs are less. A restarted process leaves its share alone for 1.2 s. New setting fleet.largest_size, by default not stated.

VMs of the stand-in site and of the simulated fleet state that the system starts for the first time; restarted ones don't.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -7,6 +7,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.fleet.lease_table import LeaseTable
 from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
 from gentianfold.fleet.messages import (
     AcquireSlot,
@@ -21,7 +22,6 @@
     SlotRefused,
 )
 from gentianfold.fleet.relay_plan import RelayPlan
-from gentianfold.fleet.share_lease import LeaseTable
 from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
@@ -43,6 +43,8 @@
 effect within the required 2 s."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
+MAX_SEED_AGE_S = 1e6
+"""Longest time without a seed that members are told (seconds)."""
 MAX_CHANGE_DATAGRAMS = 4
 """Datagrams of upstream changes sent to one member at a time (count)."""
 
@@ -65,6 +67,10 @@
     """Published configuration and upstreams as this VM knows them."""
     member_table: MemberTable = attrs.field(factory=MemberTable)
     """Members of the fleet besides this VM."""
+    is_first_start: bool = False
+    """Whether the system never ran before this process."""
+    stated_size: int = 0
+    """Size of the largest fleet by the settings (count); 0 if they state none."""
     leases: LeaseTable = attrs.field(factory=LeaseTable)
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
@@ -75,16 +81,28 @@
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
 
-    def start(self, known_size: int, lease_now_s: float) -> None:
+    def start(
+        self, known_size: int, lease_now_s: float, seed_seen_s: float = -1e9
+    ) -> None:
         """Take the broker role, without members at first.
 
         Args:
             known_size: Size of the fleet as told by the last broker; 0 if unknown.
             lease_now_s: Time of the clock of the leases (seconds).
+            seed_seen_s: When this VM was last in touch with a seed that knows the
+                fleet, by the clock of the leases (seconds).
         """
         logger.info("fleet: this VM is the broker now, known_size={}", known_size)
         self.member_table = MemberTable()
-        self.leases = LeaseTable(self.seeds, known_size, lease_now_s)
+        self.leases = LeaseTable(
+            self.vm,
+            self.seeds,
+            max(known_size, self.stated_size),
+            lease_now_s,
+            seed_seen_s,
+            self.is_first_start,
+            is_size_stated=self.stated_size > 0,
+        )
         self.relay_plan = RelayPlan(self.vm)
         self._announced_s = -1e9
 
@@ -187,12 +205,13 @@
         if self.member_table.record_heartbeat(vm, member):
             # Slots granted to an earlier process of the VM are no longer held.
             self.scheduler.remove_vm(vm)
-            self.leases.remove(vm)
-            self.leases.record_known_size(heartbeat.fleet_size)
+            self.leases.join(vm, heartbeat.fleet_size, heartbeat.is_first_start)
             logger.info(
                 "fleet: VM {} joined, {} members", vm, len(self.member_table.members)
             )
-        self.leases.record(vm, heartbeat.lease_stamp_ms, lease_now_s)
+        self.leases.record(
+            vm, heartbeat.lease_stamp_ms, lease_now_s, heartbeat.fleet_size
+        )
         self._reconcile(vm, heartbeat, now_s)
         for name, rate_per_s, age_ms in heartbeat.rate_limits:
             stated_s = now_s - age_ms / 1000
@@ -234,10 +253,10 @@
         again when they are redirected.
         """
         logger.info("fleet: VM {} is the broker now", vm)
-        size = self.told_size(lease_now_s)
-        self.leases = LeaseTable()
+        leases, self.leases = self.leases, LeaseTable(self.vm)
         stamp_ms = int(lease_now_s * 1000)
         for member in {*self.member_table.members, vm}:
+            size = leases.told_size(member)
             self.transport.send(member, Redirect(vm, stamp_ms, size))
 
     def send_crash_records(self, now_s: float) -> None:
@@ -310,19 +329,6 @@
         """Number of members besides this VM."""
         return len(self.member_table.members)
 
-    def fleet_size(self, lease_now_s: float) -> int:
-        """Return the size of the fleet, missing VMs and this one included (count)."""
-        timed_out = len(self.member_table.timed_out())
-        return self.leases.size(self.member_count + timed_out + 1, lease_now_s)
-
-    def told_size(self, lease_now_s: float) -> int:
-        """Return the size that other VMs may rely on; 0 while the fleet is forming."""
-        if self.leases.is_forming(lease_now_s) and not self.leases.has_all_seeds(
-            self.vm
-        ):
-            return 0
-        return self.fleet_size(lease_now_s)
-
     def shares(
         self, own: tuple[float, float], lease_now_s: float
     ) -> tuple[float, float]:
@@ -332,8 +338,8 @@
             own: This VM's own share, and the mature part of that.
             lease_now_s: Time of the clock of the leases (seconds).
         """
-        size = self.fleet_size(lease_now_s)
-        return self.leases.shares(self.vm, own, size, lease_now_s)
+        self.leases.seeds = self.seeds
+        return self.leases.shares(own, lease_now_s)
 
     def _send_heartbeat_reply(self, vm: str, now_s: float, lease_now_s: float) -> None:
         view = self.view
@@ -350,8 +356,9 @@
             tuple(self.scheduler.crashes.report(now_s)),
             tuple(self.view.leaving.report(now_s)),
             int(lease_now_s * 1000),
-            0 if self.leases.is_forming(lease_now_s) else self.fleet_size(lease_now_s),
+            self.leases.told_size(vm),
             self._tunnel_plan.choose(vm, self.member_table.members, now_s),
+            int(min(lease_now_s - self.leases.seed_seen_s, MAX_SEED_AGE_S) * 1000),
         )
         self.transport.send(vm, reply)
 
@@ -383,9 +390,9 @@
                 )
                 self.scheduler.register_grant(request, upstream_name, now_s)
 
-    def find_stronger(self, own_capacity: float, lease_now_s: float) -> str | None:
+    def find_stronger(self, own_capacity: float) -> str | None:
         """Return a much stronger member when the forming of a new fleet ends, once."""
-        if not self.leases.ends_forming(lease_now_s):
+        if not self.leases.ends_forming():
             return None
         for vm in self.member_table.deputies()[:1]:
             capacity = self.member_table.members[vm].capacity
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -123,6 +123,8 @@
     """VMs of the fleet as told by the last broker (count); 0 if unknown."""
     is_cut_off: bool = False
     """Whether the VM has lost its paths to the upstreams."""
+    is_first_start: bool = False
+    """Whether the system never ran before the VM's process."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -156,6 +158,9 @@
     """VMs of the fleet, missing ones included (count); 0 while it is unknown."""
     tunnel_vms: tuple[str, ...] = ()
     """VMs through which the receiver may reach upstreams if it is cut off from them."""
+    seed_age_ms: int = 0
+    """Time since the broker was in touch with a seed that knows the fleet
+    (milliseconds)."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -112,6 +112,7 @@
         self.shares = NodeShares(
             self.membership, self.broker, self.scheduler, self.lease_clock, self._now_s
         )
+        self.shares.start(self.broker.is_first_start)
         self.slots = SlotClient(
             self.vm, self.scheduler, self.membership, self.transport, self.is_withdrawn
         )
@@ -321,7 +322,7 @@
             logger.info("fleet: joined broker {}", vm)
         self.fleet_size = reply.member_count + 1
         self.tunnels.candidates = reply.tunnel_vms
-        if self.shares.lend(vm, reply.lease_stamp_ms, reply.fleet_size):
+        if self.shares.lend(vm, reply):
             # The lease begins when the broker gets its stamp back.
             self.membership.expedite_heartbeat(now_s)
         self.scheduler.crashes.merge(reply.crash_records, now_s)
@@ -383,9 +384,8 @@
             if previous_role is not Role.BROKER:
                 self._start_as_broker()
             capacity = capacity_of(self.cpu_share, self.link_mbps)
-            successor = self.broker.advance(now_s) or self.broker.find_stronger(
-                capacity, self.lease_clock.now_s()
-            )
+            successor = self.broker.advance(now_s)
+            successor = successor or self.broker.find_stronger(capacity)
             if successor is not None:
                 self._hand_over(successor)
         elif previous_role is Role.MEMBER and self.membership.role is Role.ALONE:
@@ -492,6 +492,7 @@
             self.shares.own.stamp_ms(self.membership.broker or ""),
             self.shares.own.fleet_size,
             self.paths.is_cut_off,
+            self.broker.is_first_start,
         )
 
     def _now_s(self) -> float:
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -7,12 +7,19 @@
 
 import attrs
 
+from gentianfold.clock import MAX_CLOCK_RATE_ERROR
 from gentianfold.fleet.membership import Membership, Role
-from gentianfold.fleet.share_lease import SHARE_VALIDITY_S, LentShare
+from gentianfold.fleet.share_lease import (
+    LEASE_TERM_S,
+    SHARE_VALIDITY_S,
+    LentShare,
+    seed_part,
+)
 
 if TYPE_CHECKING:
     from gentianfold.clock import Clock
     from gentianfold.fleet.broker import Broker
+    from gentianfold.fleet.messages import HeartbeatReply
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 
@@ -34,6 +41,13 @@
     """This VM's own share, and who holds it."""
     _updated_s: float = -1e9
 
+    def start(self, is_first_start: bool) -> None:
+        """Leave the own share alone while a lease of an earlier process may run."""
+        self.own.fleet_size = self.broker.stated_size
+        if not is_first_start:
+            term_s = LEASE_TERM_S * (1 + 2 * MAX_CLOCK_RATE_ERROR)
+            self.own.unused_until_s = self.clock.now_s() + term_s
+
     def refresh(self) -> None:
         """Compute the shares anew if they are outdated, as after a suspension."""
         if self.clock.now_s() - self._updated_s > SHARE_VALIDITY_S:
@@ -44,23 +58,39 @@
         now_s = self._updated_s = self.clock.now_s()
         is_broker = self.membership.role is Role.BROKER
         if is_broker:
-            own = self.own.own_share(self.broker.fleet_size(now_s), now_s)
+            leases = self.broker.leases
+            own = self.own.own_share(leases.known_size or 1, now_s)
             share, mature_share = self.broker.shares(own, now_s)
+            self.own.seed_seen_s = leases.seed_seen_s
         else:
-            share, mature_share = self.own.own_share(self.own.fleet_size, now_s)
+            share, mature_share = self._alone_share(now_s)
         loop_s = self.loop_time_s()
         self.scheduler.set_share(share, mature_share, loop_s, SHARE_VALIDITY_S)
         is_growing = is_broker and self.broker.leases.is_growing(now_s)
         self.scheduler.quota.is_growing = is_growing
 
-    def lend(self, broker: str, stamp_ms: int, fleet_size: int) -> bool:
+    def _alone_share(self, now_s: float) -> tuple[float, float]:
+        """Return the part that this VM may use without a broker, and its mature part."""
+        own = self.own
+        share, mature_share = own.own_share(own.fleet_size, now_s)
+        if self.broker.stated_size:
+            return share, mature_share
+        seeds = self.membership.seeds
+        held = int(self.membership.vm in seeds)
+        part = seed_part(held, len(seeds), now_s - own.seed_seen_s)
+        return share * part, mature_share * part
+
+    def lend(self, broker: str, reply: HeartbeatReply) -> bool:
         """Lend the own share to the broker that replied, if no other one holds it.
 
         Returns:
             Whether that is a new lease.
         """
         had_lease = self.own.stamp_ms(broker) != 0
-        self.own.record_reply(broker, stamp_ms, fleet_size, self.clock.now_s())
+        now_s = self.clock.now_s()
+        seed_seen_s = now_s - reply.seed_age_ms / 1000
+        self.own.seed_seen_s = max(self.own.seed_seen_s, seed_seen_s)
+        self.own.record_reply(broker, reply.lease_stamp_ms, reply.fleet_size, now_s)
         self.update()
         return not had_lease and self.own.stamp_ms(broker) != 0
 
@@ -69,13 +99,18 @@
         self.own.end_lease(broker, stamp_ms)
         if fleet_size:
             self.own.fleet_size = fleet_size
+            if self.membership.role is Role.BROKER:
+                self.broker.leases.record_known_size(fleet_size)
 
     def start_hand_over(self) -> None:
         """Keep the size of the fleet, of which the broker's part is handed over."""
-        self.own.fleet_size = self.broker.told_size(self.clock.now_s())
+        leases, now_s = self.broker.leases, self.clock.now_s()
+        leases.start_hand_over(self.own.own_share(leases.known_size or 1, now_s), now_s)
+        self.own.fleet_size = leases.told_size(self.broker.vm)
 
     def start_as_broker(self) -> None:
         """Start without members and without tokens: others may have used them."""
-        self.broker.start(self.own.fleet_size, self.clock.now_s())
+        own = self.own
+        self.broker.start(own.fleet_size, self.clock.now_s(), own.seed_seen_s)
         self.scheduler.quota.reset_usage(self.loop_time_s())
         self.update()
--- a/src/gentianfold/settings/_value_types.py
+++ b/src/gentianfold/settings/_value_types.py
@@ -93,6 +93,18 @@
         return value if isinstance(value, bool) else INVALID
 
 
+@attrs.frozen
+class TableType:
+    """A JSON object that is kept as it is."""
+
+    expected: str = "an object"
+    """Description of a valid value, for error messages."""
+
+    def parse(self, value: Any) -> Any:
+        """Return the object."""
+        return value if isinstance(value, dict) else INVALID
+
+
 @attrs.frozen
 class StringType:
     """A string that matches a regular expression."""
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 
 from gentianfold.settings import _value_types as value_types
@@ -47,6 +49,13 @@
         ),
     )
     """Operator endpoints of VMs to contact in order to join the fleet."""
+    largest_size: int = attrs.field(
+        default=0,
+        metadata=type_metadata(value_types.NumberType(0, 100_000, is_integer=True)),
+    )
+    """Most VMs that the fleet can have (count): each uses an equal part of limits, with
+    or without seeds. 0 if it is not known; the fleet then finds its size by its seeds.
+    """
 
 
 @attrs.frozen(kw_only=True)
@@ -127,6 +136,11 @@
 class LoggingSettings:
     """Level and content of the log."""
 
+    platform: dict[str, Any] = attrs.field(
+        factory=dict, metadata=type_metadata(value_types.TableType())
+    )
+    """Fields that the platform states, under its own names."""
+
     level: str = attrs.field(
         default="info", metadata=type_metadata(value_types.LOG_LEVEL)
     )
@@ -204,3 +218,7 @@
         metadata=type_metadata(value_types.ObjectType(LoggingSettings)),
     )
     """Level and content of the log."""
+    platform: dict[str, Any] = attrs.field(
+        factory=dict, metadata=type_metadata(value_types.TableType())
+    )
+    """Fields that the platform states, under its own names."""
--- a/src/gentianfold/standins/site.py
+++ b/src/gentianfold/standins/site.py
@@ -18,6 +18,7 @@
     RateLimit,
     Route,
 )
+from gentianfold.platform.deployment import FIRST_START_FIELD
 from gentianfold.settings import (
     Endpoint,
     FleetSettings,
@@ -136,6 +137,7 @@
                 seeds=(Endpoint("127.0.0.1", self.operator_port),),
             ),
             stop=ShutdownSettings(grace_s=6.0, settle_s=0.2),
+            platform={FIRST_START_FIELD: True},
         )
         vm = VirtualMachine(settings, LogWriter(), handles_signals=False)
         self.vms.append(vm)
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -31,6 +31,7 @@
 from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
 from gentianfold.placement.slot_scheduler import SlotScheduler
+from gentianfold.platform.deployment import is_first_start
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
@@ -181,7 +182,14 @@
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
         broker = Broker(
-            settings.address, incarnation, seeds, scheduler, transport, self.view
+            settings.address,
+            incarnation,
+            seeds,
+            scheduler,
+            transport,
+            self.view,
+            is_first_start=is_first_start(settings.platform),
+            stated_size=settings.fleet.largest_size,
         )
         return Node(
             settings.address,
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -87,16 +87,24 @@
         self.sent = {name: [] for name in self.customers}
         self.refused = {name: 0 for name in self.customers}
         for number in range(self.size):
-            self.start(f"vm{number}")
+            self.start(f"vm{number}", is_first_start=True)
 
-    def start(self, vm):
+    def start(self, vm, is_first_start=False):
         clock = ManualClock(self.now_s)
         scheduler = SlotScheduler(quota=QuotaTable(WINDOW_S))
         scheduler.quota.replace_customers(self.customers)
         scheduler.replace_upstreams([make_upstream("u", 100_000)], self.now_s)
         view, transport = NodeView(), Transport(vm, self)
         seeds = tuple(f"vm{number}" for number in range(min(SEED_COUNT, self.size)))
-        broker = Broker(vm, 1, seeds, scheduler, transport, view)
+        broker = Broker(
+            vm,
+            1,
+            seeds,
+            scheduler,
+            transport,
+            view,
+            is_first_start=is_first_start,
+        )
         incarnation = next(self.ids)
         self.nodes[vm] = SteppedNode(
             vm,
@@ -257,6 +265,82 @@
     assert fleet.most_in_window("greedy") <= BOUND
 
 
+@pytest.mark.parametrize("size", (3, 8, 40))
+def test_a_seed_that_is_cut_off_and_restarted_takes_no_second_part(size):
+    # After 5 s it took the VMs that it saw for the whole fleet: 250 of 3 VMs.
+    fleet = make_fleet(size)
+    fleet.run(12, per_s=200)
+    fleet.groups["vm0"] = "cut"
+    fleet.run(0.5, per_s=200)
+    fleet.start("vm0")
+    fleet.run(12, per_s=400)
+    fleet.groups.clear()
+    fleet.run(4, per_s=200)
+    assert fleet.most_in_window("greedy") <= LIMIT * 1.25
+
+
+@pytest.mark.parametrize("size", (8, 40))
+@pytest.mark.parametrize("new", (0, 4))
+def test_seeds_that_all_restart_take_no_part_of_those_that_are_cut_off(size, new):
+    fleet = make_fleet(size)
+    fleet.run(12, per_s=200)
+    for number in range(SEED_COUNT):
+        fleet.groups[f"vm{number}"] = "seeds"
+        fleet.start(f"vm{number}")
+    for number in range(new):
+        fleet.groups[f"new{number}"] = "seeds"
+        fleet.start(f"new{number}")
+    fleet.run(25, per_s=400)
+    assert fleet.most_in_window("greedy") <= LIMIT * 1.25
+
+
+def test_new_vms_take_no_part_of_those_that_are_cut_off():
+    fleet = make_fleet(8)
+    fleet.run(12, per_s=200)
+    fleet.groups = {f"vm{number}": "cut" for number in range(4, 8)}
+    for number in range(24):
+        fleet.start(f"new{number}")
+    fleet.run(25, per_s=1200)
+    assert fleet.most_in_window("greedy") <= LIMIT * 1.25
+
+
+def count_unserved(fleet, seconds):
+    """Return the part of a modest customer's requests that got no slot."""
+    fleet.asked.clear()
+    before = len(fleet.sent["modest"])
+    fleet.run(seconds, per_s=0, modest=True)
+    fleet.run(0.5, per_s=0)
+    served = len(fleet.sent["modest"]) - before
+    return len(fleet.asked) / (served + len(fleet.asked))
+
+
+@pytest.mark.parametrize("size", (3, 12))
+@pytest.mark.parametrize("dead", ("vm0", "vm1", "vm2"))
+def test_a_fleet_of_which_a_seed_never_starts_serves_a_modest_customer(size, dead):
+    fleet = make_fleet(size)
+    del fleet.nodes[dead]
+    fleet.run(4, per_s=0)
+    assert count_unserved(fleet, 20) == 0.0
+
+
+@pytest.mark.parametrize("size", (3, 12))
+@pytest.mark.parametrize("dead", (None, "vm1"))
+def test_a_fleet_that_restarts_as_a_whole_serves_a_modest_customer(size, dead):
+    # All seeds back: half of the limits for 12.4 s, then all; one missing: half.
+    fleet = make_fleet(size)
+    fleet.run(10, per_s=0)
+    for vm in fleet.nodes:
+        fleet.start(vm)
+    if dead:
+        del fleet.nodes[dead]
+    fleet.run(4, per_s=0)
+    assert count_unserved(fleet, 30) == 0.0
+    sent = len(fleet.sent["greedy"])
+    fleet.run(10, per_s=400)
+    share = 1.0 if dead is None else 0.5
+    assert len(fleet.sent["greedy"]) - sent >= 0.9 * share * RATE_PER_S * 10
+
+
 @pytest.mark.parametrize("size", (8, 40, 96))
 @pytest.mark.parametrize("end", ("killed", "stopped", "frozen", "cut"))
 def test_a_modest_customer_is_served_while_the_broker_changes(size, end):
