--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -140,6 +140,8 @@
     """Whether the VM has lost its paths to the upstreams."""
     evacuations: Evacuations | None = None
     """Evacuated zones; ``None`` from builds that don't know of evacuations."""
+    is_first_start: bool = False
+    """Whether the system never ran before the VM's process."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -177,6 +179,9 @@
     """Evacuated zones; ``None`` from builds that don't know of evacuations."""
     behind_ms: int = 0
     """How far the broker's decisions are behind the requests (milliseconds)."""
+    seed_age_ms: int = 0
+    """Time since the broker was in touch with a seed that knows the fleet
+    (milliseconds)."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
