Notice the end of a caller whose connection is not read

A request that may run once and was shed by its first upstream could no longer be cancelled.

Cause: with 16 requests under way the connection is not read, and a transport that does not read sees neither end nor reset. CallerRequest.is_committed was never reset. Ruled out: the backlog of requests that came in one read, which the end cancels.

Change: hangup_watcher.py asks the kernel for the end of connections that are not read; no byte is read for it. After an answer that says that the request did not run, it may be cancelled again, and if the caller has left it goes to no further upstream.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -147,6 +147,7 @@
             number: 1 for the first attempt of the request, 2 for the second.
             excluded: Names of upstreams that must not be used.
         """
+        request = self.plan.request
         result = AttemptResult(Outcome.TIMED_OUT, detail="no time left")
         for _ in range(MAX_PLACEMENTS):
             started_at_s = self.forwarder.now_s()
@@ -165,6 +166,10 @@
                 number = max(number, 2)
             elif result.outcome is not Outcome.CONNECT_FAILED:
                 break
+            # The request has not run, so it may be cancelled again.
+            request.is_committed = False
+            if request.is_abandoned:
+                break
         return result
 
     # Steps
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -21,6 +21,7 @@
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
+    from gentianfold.forwarding.hangup_watcher import HangupWatcher
     from gentianfold.model import CallerLimits
 
 MAX_PIPELINED = 16
@@ -66,10 +67,23 @@
     """Parses requests, writes responses in order, cancels on disconnection."""
 
     def __init__(
-        self, handler: RequestHandler, open_connections: set[CallerConnection]
+        self,
+        handler: RequestHandler,
+        open_connections: set[CallerConnection],
+        hangups: HangupWatcher | None = None,
     ) -> None:
+        """Handle a connection that is about to be made.
+
+        Args:
+            handler: Answers the requests.
+            open_connections: Holds the connection while it is open.
+            hangups: Notices the end of the caller while it is not read; without it, the
+                end is noticed when reading goes on.
+        """
         self._handler = handler
         self._open_connections = open_connections
+        self._hangups = hangups
+        self._fd = -1
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._writer: ResponseWriter | None = None
@@ -132,6 +146,7 @@
         self._writer = ResponseWriter(self._transport, self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
+            self._fd = sock.fileno()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open_connections.add(self)
         self._restart_timer()
@@ -144,6 +159,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the pending requests."""
         self._open_connections.discard(self)
+        self._unwatch()
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_pending()
@@ -289,12 +305,25 @@
         if self._transport is not None and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
+            if self._hangups is not None and self._fd >= 0:
+                self._hangups.watch(self._fd, self._handle_hangup)
 
     def _resume_reading(self) -> None:
         if self._transport is not None and self._is_paused:
             self._is_paused = False
+            self._unwatch()
             self._transport.resume_reading()
 
+    def _unwatch(self) -> None:
+        if self._hangups is not None:
+            self._hangups.unwatch(self._fd)
+
+    def _handle_hangup(self) -> None:
+        """Do what the transport does at the end of a connection that is read."""
+        self._cancel_pending()
+        if self._transport is not None:
+            self._transport.close()
+
     def _cancel_pending(self) -> None:
         if self._writer is not None:
             self._writer.cancel_waiting()
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -28,7 +28,10 @@
     keep_alive: bool = True
     """Whether the caller allows further requests on the connection."""
     is_committed: bool = False
-    """Whether the request was sent, is not idempotent and must not be cancelled."""
+    """Whether the request was sent, is not idempotent and must not be cancelled, unless
+    the upstream says that it did not run it."""
+    is_abandoned: bool = False
+    """Whether the caller has disconnected; the request is sent to no further upstream."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -138,6 +138,8 @@
         if self.random.random() >= self.fault_probability:
             behaviour = Behaviour.NORMAL
         if behaviour is Behaviour.SHED or self.slots_in_use >= self.slots:
+            if behaviour is Behaviour.SHED:
+                await anyio.sleep(self.processing_time_s)
             headers.append((HEADERS.not_run, b"1"))
             if self.pause:
                 headers.append((b"retry-after", self.pause))
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -118,7 +118,7 @@
         self.task_group.start_soon(self._run, request, record, reply, scope)
 
         def handle_disconnect() -> None:
-            record.caller_disconnected = True
+            record.caller_disconnected = request.is_abandoned = True
             if not request.is_committed:
                 scope.cancel()
 
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -22,6 +22,7 @@
 from gentianfold.fleet.transport import UdpTransport
 from gentianfold.forwarding.caller_connection import CallerConnection
 from gentianfold.forwarding.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
+from gentianfold.forwarding.hangup_watcher import HangupWatcher
 from gentianfold.forwarding.messages import Response
 from gentianfold.forwarding.request_forwarder import RequestForwarder
 from gentianfold.forwarding.service_selector import ServiceSelector
@@ -93,6 +94,8 @@
     """Published state and the time at which it was read."""
     caller_connections: set[CallerConnection] = attrs.field(factory=set)
     """Open connections of callers."""
+    hangups: HangupWatcher = attrs.field(factory=HangupWatcher)
+    """Notices the end of callers whose connections are not read."""
     open_tunnels: set[TunnelConnection] = attrs.field(factory=set)
     """Open tunnels of other VMs through this one."""
     _caller_server: asyncio.Server | None = None
@@ -177,6 +180,7 @@
             self.pool.close()
             transport.close()
             await self._send_rest(handler, end_s - SEND_MARGIN_S)
+            self.hangups.close()
             signal_tasks.cancel_scope.cancel()
         logger.info("vm: stopped")
         self.log_writer.flush()
@@ -249,7 +253,7 @@
             files = self.settings.caller_tls
             tls.load_cert_chain(files.certificate_file, files.key_file)
         self._caller_server = await loop.create_server(
-            lambda: CallerConnection(handler, self.caller_connections),
+            lambda: CallerConnection(handler, self.caller_connections, self.hangups),
             *_socket_address(self.settings.callers),
             backlog=LISTEN_BACKLOG,
             ssl=tls,
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -235,6 +235,44 @@
         assert execution_count(site, "r1") == 1
 
 
+async def test_the_end_of_a_caller_is_noticed_while_its_connection_is_not_read():
+    # The VM stopped to read at 16 requests and went on to send those of callers that
+    # had left.
+    configuration = make_configuration()
+    routes = tuple(attrs.evolve(row, timeout_s=90.0) for row in configuration.routes)
+    configuration = attrs.evolve(configuration, routes=routes)
+    async with open_site(upstreams=1, configuration=configuration) as site:
+        set_behaviour(site, Behaviour.HANG)
+        (vm,) = site.vms
+        names = [f"r{number}" for number in range(24)]
+        data = b"".join(map(request_bytes, names)).replace(b": 4000", b": 90000")
+        async with connect_caller(vm) as stream:
+            # The rest lies unread behind the last request that was started.
+            await stream.send(data)
+            await wait_until(lambda: site.upstreams["u1"].slots_in_use == 6)
+        await wait_until(lambda: not vm.caller_connections)
+        await wait_until(lambda: not site.upstreams["u1"].slots_in_use)
+        assert len(site.upstreams["u1"].received_requests) == 6
+        assert not vm._node.scheduler.waiting_count
+
+
+async def test_a_request_whose_caller_left_is_not_sent_again_after_it_was_shed():
+    async with open_site() as site:
+        set_behaviour(site, Behaviour.SHED)
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.3
+        (vm,) = site.vms
+
+        def arrivals():
+            return sum(len(up.received_requests) for up in site.upstreams.values())
+
+        async with connect_caller(vm) as stream:
+            await stream.send(request_bytes("r1", "/claim/1", "POST", b"b"))
+            await wait_until(lambda: arrivals() == 1)
+        await wait_until(lambda: any("left" in row[1] for row in vm.metrics.counters))
+        assert arrivals() == 1
+
+
 async def test_the_route_timeout_limits_the_wait_for_a_response():
     async with open_site() as site:
         set_behaviour(site, Behaviour.HANG)
