Hold signals from the first line of the program on

Cause: handlers were installed in the event loop, after all modules were loaded; the time of the file was first read in the tenth tick. Found beside it: handlers were removed before the end of the process, so a second signal at the end ended it too.

Change: vm/start.py, which loads nothing else, holds signals; the VM handles those held once its loop runs, before it listens. SettingsFile reads time, inode and size of the file before it reads the file.

--- a/src/gentianfold/vm/__main__.py
+++ b/src/gentianfold/vm/__main__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from gentianfold.vm.main import main
+from gentianfold.vm.start import main
 
 main()
--- a/src/gentianfold/vm/main.py
+++ b/src/gentianfold/vm/main.py
@@ -1,4 +1,4 @@
-"""Entry point of ``gentianfoldd``: runs one VM from a settings file."""
+"""Runs one VM from a settings file; ``gentianfold.vm.start`` calls it."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 import anyio
 from loguru import logger
 
-from gentianfold.settings import load_settings
 from gentianfold.vm.log_setup import set_up_log
 from gentianfold.vm.log_writer import LogWriter
+from gentianfold.vm.settings_file import SettingsFile
 from gentianfold.vm.virtual_machine import VirtualMachine
 
 SETTINGS_VARIABLE = "GENTIANFOLD_SETTINGS"
@@ -28,7 +28,8 @@
     with 1 if the UDP port of the fleet can't be bound.
     """
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
-    settings = load_settings(path)
+    settings_file = SettingsFile(path)
+    settings = settings_file.load()
     if isinstance(settings, tuple):
         for failure in settings:
             print(failure, file=sys.stderr)
@@ -38,14 +39,11 @@
     set_up_log(settings.logging, writer)
     # Imported modules are never freed; skipping them shortens each garbage collection.
     gc.freeze()
-    virtual_machine = VirtualMachine(settings, writer, path)
+    virtual_machine = VirtualMachine(settings, writer, settings_file)
     try:
         anyio.run(virtual_machine.run, backend_options={"use_uvloop": True})
     except OSError as error:
         logger.error("vm: exiting after an error, {}", error)
-        writer.flush()
         sys.exit(1)
-
-
-if __name__ == "__main__":
-    main()
+    finally:
+        writer.flush()
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -35,12 +34,12 @@
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
-from gentianfold.settings import load_settings
 from gentianfold.vm.configuration_fetcher import (
     CONFIGURATION_PATH,
     ConfigurationFetcher,
     compress_document,
 )
+from gentianfold.vm.early_signals import SIGNALS, ignore_signals, take_held_signals
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
 from gentianfold.vm.request_handler import CallerRequestHandler
@@ -48,10 +47,11 @@
 from gentianfold.vm.store_poller import StateSink, StorePoller
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
+    from anyio.abc import TaskGroup, TaskStatus
 
     from gentianfold.settings import Endpoint, Settings
     from gentianfold.vm.log_writer import LogWriter
+    from gentianfold.vm.settings_file import SettingsFile
 
 MAINTENANCE_TICKS = 10
 """Ticks between two checks for expired connections and changed settings (count)."""
@@ -77,8 +77,8 @@
     """Current settings; a reload replaces the parts that can change at run time."""
     log_writer: LogWriter
     """Log output, flushed each tick."""
-    settings_path: str = ""
-    """Path of the settings file, reloaded when it changes; empty for no reloads."""
+    settings_file: SettingsFile | None = None
+    """The settings file, reloaded when it changes; ``None`` for no reloads."""
     handles_signals: bool = True
     """Whether to handle SIGTERM and SIGINT (planned stop) and SIGHUP (settings reload).
 
@@ -102,7 +102,6 @@
     _other_servers: list[asyncio.Server] = attrs.field(factory=list)
     _node: Node | None = None
     _tunnels: FleetTunnels | None = None
-    _settings_mtime_ns: int = 0
 
     @property
     def is_broker(self) -> bool:
@@ -114,11 +113,6 @@
         """Whether this VM requests its slots from a broker."""
         return self._has_role(Role.MEMBER)
 
-    @property
-    def has_read_settings_mtime(self) -> bool:
-        """Whether the modification time of the settings file has been read."""
-        return self._settings_mtime_ns != 0
-
     def record_suspension(self, suspended_s: float) -> None:
         """Increase the age of the VM's state after a suspension.
 
@@ -157,7 +151,12 @@
         )
         async with anyio.create_task_group() as signal_tasks:
             if self.handles_signals:
-                signal_tasks.start_soon(self._receive_signals)
+                await signal_tasks.start(self._receive_signals)
+            if self.stop_requested.is_set():
+                logger.info("vm: stopped before it served requests")
+                transport.close()
+                signal_tasks.cancel_scope.cancel()
+                return
             async with anyio.create_task_group() as task_group:
                 handler = self._build_handler(node, task_group)
                 await self._listen(handler, node, fetcher)
@@ -182,6 +181,8 @@
             await self._send_rest(handler, end_s - SEND_MARGIN_S)
             self.hangups.close()
             signal_tasks.cancel_scope.cancel()
+        if self.handles_signals:
+            ignore_signals()
         logger.info("vm: stopped")
         self.log_writer.flush()
 
@@ -345,24 +346,18 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _reload_if_changed(self) -> None:
-        """Reload the settings if the modification time of their file has changed."""
-        if not self.settings_path:
-            return
-        try:
-            changed_ns = os.stat(self.settings_path).st_mtime_ns
-        except OSError as error:
-            logger.debug("vm: can't read the status of the settings file, {}", error)
-            return
-        if self._settings_mtime_ns not in (0, changed_ns):
+        """Reload the settings if their file is another one than that which was read."""
+        if self.settings_file is not None and self.settings_file.has_changed():
             self._reload()
-        self._settings_mtime_ns = changed_ns
 
     def _reload(self) -> None:
         """Reload the settings file and apply the settings that can change at run time.
 
         Invalid settings are logged and ignored.
         """
-        settings = load_settings(self.settings_path)
+        if self.settings_file is None:
+            return
+        settings = self.settings_file.load()
         if isinstance(settings, tuple):
             for failure in settings:
                 logger.warning("vm: settings reload rejected, {}", failure)
@@ -381,15 +376,21 @@
             "vm: settings reloaded, applied seeds, limits, retries and stop times"
         )
 
-    async def _receive_signals(self) -> None:
-        """Reload the settings on SIGHUP; begin a planned stop on SIGTERM and SIGINT."""
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
+    async def _receive_signals(self, task_status: TaskStatus[None]) -> None:
+        """Handle signals, first those that arrived before this was called."""
+        with anyio.open_signal_receiver(*SIGNALS) as received:
+            for signum in take_held_signals():
+                self._handle_signal(signum)
+            task_status.started()
             async for signum in received:
-                if signum == signal.SIGHUP:
-                    self._reload()
-                else:
-                    self.stop_requested.set()
+                self._handle_signal(signum)
+
+    def _handle_signal(self, signum: signal.Signals) -> None:
+        """Reload the settings on SIGHUP; begin a planned stop on SIGTERM and SIGINT."""
+        if signum == signal.SIGHUP:
+            self._reload()
+        else:
+            self.stop_requested.set()
 
     async def _stop(
         self, handler: CallerRequestHandler, node: Node, end_s: float
--- a/tests/vm/test_fleet.py
+++ b/tests/vm/test_fleet.py
@@ -20,6 +20,7 @@
 from gentianfold.standins.site import make_configuration
 from gentianfold.vm import configuration_fetcher
 from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
+from gentianfold.vm.settings_file import SettingsFile
 
 pytestmark = pytest.mark.anyio
 
@@ -145,8 +146,9 @@
             ' "fleet": {"seeds": ["%s:3"]}}'
         )
         path.write_text(text % "127.0.0.8")
-        vm.settings_path = str(path)
-        await wait_until(lambda: vm.has_read_settings_mtime)
+        settings_file = SettingsFile(str(path))
+        settings_file.load()
+        vm.settings_file = settings_file
         path.write_text("{")
         os.utime(path, ns=(1, 1))
         path.write_text(text % "127.0.0.9")
