Treat what is no answer in the protocol as a failure of the upstream

Cause: the parser takes three digits of any value, versions 0.9 and 2.0 and codings other than chunked; nothing looked at them behind it. 101 raised an error that was not caught. Held already, by the parser: 1000, "2 00", signs, no status, other digits than ASCII, two lengths, a length beside chunks; and the bound on floods of interim answers.

Change: response_head.py looks at each head, interim ones too. What is not valid fails the exchange at once: the connection is closed, the request is tried again where it may be, the attempt in its log line names the fault. Answers 204 and 304 go out without a length, which a caller could wait for.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -297,6 +297,8 @@
             return AttemptResult(Outcome.TIMED_OUT, detail="no answer in time")
         if isinstance(exchange, ExchangeFailure):
             detail = exchange.value
+            if connection.fault:
+                detail += f", {connection.fault}"
             if exchange.is_end_of_connection and await self._record_crash(
                 placement, sent_s
             ):
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -71,10 +71,12 @@
     """
     lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
     is_bodyless = is_head or response.status in _BODYLESS
+    # Only in a response to HEAD a length can't be taken for that of bytes that follow.
+    keeps_length = is_head and response.status not in _BODYLESS
     lines += [
         name + b": " + value
         for name, value in response.headers
-        if is_bodyless or name != b"content-length"
+        if keeps_length or name != b"content-length"
     ]
     if not is_bodyless:
         lines.append(b"content-length: %d" % len(response.body))
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from gentianfold.forwarding.messages import Headers, Response
+from gentianfold.forwarding.response_head import find_head_fault
 
 MAX_RESPONSE_BYTES = 8 << 20
 """Most bytes that are received in one exchange (bytes): a twenty-fifth of the smallest
@@ -71,6 +72,7 @@
             it states none.
         is_reusable: Whether another request may follow the current exchange.
         exchanged_bytes: Bytes sent and received in the last exchange.
+        fault: Why the last response was not valid; empty if it was or if there was none.
         vm: Address of the VM through which it goes, which carries one exchange; empty
             if it is direct.
     """
@@ -80,6 +82,7 @@
         self.keep_alive_s: float | None = None
         self.is_reusable = True
         self.exchanged_bytes = 0
+        self.fault = ""
         self.vm = ""
         self._received_bytes = 0
         self._head_bytes = 0
@@ -135,6 +138,7 @@
         self._pending = _PendingResponse(accept, is_head, result, on_progress)
         self.exchanged_bytes = len(request)
         self._received_bytes = self._head_bytes = 0
+        self.fault = ""
         self._transport.write(request)
         try:
             return await result
@@ -180,8 +184,11 @@
                 return
             try:
                 self._parser.feed_data(piece)
-            except httptools.HttpParserError:
-                self._fail(ExchangeFailure.INVALID)
+            except httptools.HttpParserUpgrade:
+                # The head is refused before, as no request asks for another protocol.
+                return
+            except httptools.HttpParserError as error:
+                self._refuse(str(error))
                 return
 
     def _take_piece(self, data: bytes) -> tuple[bytes, bytes]:
@@ -230,9 +237,13 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
         self._has_headers = True
+        status = self._parser.get_status_code()
+        fault = find_head_fault(self._parser.get_http_version(), status, self._headers)
+        if fault:
+            self._refuse(fault)
+            return
         names = {name for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
-        status = self._parser.get_status_code()
         self._has_final_head = status >= 200
         if self._has_final_head:
             self._head_bytes = 0
@@ -273,13 +284,19 @@
             self.is_reusable = False
             pending.unmatched_count += 1
             if pending.unmatched_count >= MAX_UNMATCHED_RESPONSES or not keep_alive:
-                self._fail(ExchangeFailure.INVALID)
+                self._refuse("answer to another request")
             self._has_begun = False
             return
         self.is_reusable = self.is_reusable and keep_alive
         self.keep_alive_s = keep_alive_timeout_s(response)
         pending.result.set_result(response)
 
+    def _refuse(self, fault: str) -> None:
+        """Fail the exchange, as the bytes are no valid response."""
+        if self._pending is not None and not self._pending.result.done():
+            self.fault = fault
+        self._fail(ExchangeFailure.INVALID)
+
     def _fail(self, failure: ExchangeFailure) -> None:
         self.is_reusable = False
         if self._pending is not None and not self._pending.result.done():
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,8 @@
     is handled normally."""
     answer_padding: bytes = b""
     """Bytes behind the usual body of each answer."""
+    status_line: bytes = b""
+    """Replaces the status line of answers; empty for the usual one."""
     extra_headers: Headers = attrs.field(factory=list)
     """Further headers of each response."""
     rate_limit: bytes = b""
@@ -163,6 +165,8 @@
         await anyio.sleep(self.processing_time_s)
         body = b"answer to " + headers[0][1] + self.answer_padding
         response = format_response(200, sealed_headers, body)
+        if self.status_line:
+            response = self.status_line + response[response.index(b"\r\n") :]
         match behaviour:
             case Behaviour.HANG:
                 await anyio.sleep_forever()
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -142,6 +142,25 @@
             assert response[2] == b"answer to " + request_id.encode()
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "101", "2 00", "204"])
+async def test_what_is_no_answer_in_the_protocol_reaches_no_caller(status):
+    # Callers got a status of 600, and of 204 with a length; 000 was waited out.
+    async with open_site(upstreams=2) as site:
+        (vm,) = site.vms
+        first, second = site.upstreams.values()
+        first.status_line = f"HTTP/1.1 {status} X".encode()
+        number = 0
+        while not first.received_requests:
+            number += 1
+            response = await send_request(vm, request_bytes(f"a{number}"))
+            assert (response[0], response[2]) == (200, b"answer to a%d" % number)
+        second.status_line = first.status_line
+        data = request_bytes("once", "/claim/1", "POST", b"b")
+        response = await send_request(vm, data)
+        assert response[0] == 502 and SEAL not in response[1]
+        assert execution_count(site, "once") == 1
+
+
 async def test_a_rejected_non_idempotent_request_is_not_executed():
     async with open_site() as site:
         set_behaviour(site, Behaviour.SHED)
--- a/tests/vm/test_tunnels.py
+++ b/tests/vm/test_tunnels.py
@@ -158,6 +158,24 @@
         assert (await send_request(vm, data))[0] == 502
 
 
+@pytest.mark.parametrize("status", ["000", "600", "2 00", "204"])
+async def test_what_is_no_answer_in_the_protocol_passes_no_tunnel(status):
+    async with open_site(vms=2, upstreams=2) as site:
+        vm = site.vms[1]
+        await wait_until(lambda: vm.is_member)
+        cut_off(site, vm)
+        first, second = site.upstreams.values()
+        first.status_line = f"HTTP/1.1 {status} X".encode()
+        number = 0
+        while not first.received_requests:
+            number += 1
+            assert (await send_request(vm, request_bytes(f"a{number}")))[0] == 200
+        second.status_line = first.status_line
+        data = request_bytes("once", "/claim/1", "POST", b"b")
+        assert (await send_request(vm, data))[0] == 502
+        assert total_runs(site, b"once") == 1
+
+
 async def test_a_lost_path_is_no_evidence_of_a_crash():
     async with open_site(vms=2) as site:
         vm = site.vms[1]
