--- a/tests/soak/test_process_soak.py
+++ b/tests/soak/test_process_soak.py
@@ -21,6 +21,7 @@
 CALLER_COUNT = 12
 REQUESTS_PER_CALLER = 12
 CALLER_TIMEOUT_S = 6.0
+PADDING = bytes(range(256)) * 400
 BEHAVIOURS = [Behaviour.NORMAL] * 8 + list(Behaviour)
 
 
@@ -74,7 +75,8 @@
             if status in (408, 421, 429, 503) and request_id in self.non_idempotent_ids:
                 assert runs[request_id] == 0, f"{request_id} ran and got {status}"
             if 200 <= status < 300:
-                assert body == b"answer to " + request_id.encode(), request_id
+                whole = b"answer to " + request_id.encode() + PADDING
+                assert body == whole, request_id
                 assert SEAL in headers, request_id
         for upstream in self.fleet.upstreams:
             for request in upstream.received_requests:
@@ -103,6 +105,7 @@
     upstream = rng.choice(fleet.upstreams)
     upstream.behaviour = rng.choice(BEHAVIOURS)
     upstream.fault_probability = rng.choice([0.3, 0.9, 1.0])
+    upstream.extra_headers = rng.choice([[], [(b"connection", b"close")]])
 
 
 async def inject_upstream_network_fault(fleet, rng):
@@ -173,6 +176,8 @@
         with anyio.fail_after(180):
             await fleet.open(upstream_count=6, vm_count=4)
             await wait_for_status(fleet, 200, "before")
+            for upstream in fleet.upstreams:
+                upstream.answer_padding = PADDING
             callers, stop = Callers(fleet), anyio.Event()
             async with anyio.create_task_group() as faults:
                 faults.start_soon(inject_faults, fleet, rng, stop)
--- a/tests/vm/test_planned_stop.py
+++ b/tests/vm/test_planned_stop.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 from conftest import open_site, read_response, request_bytes, wait_until
+from soak.narrow_link import connect_on_narrow_link
 from soak.process_fleet import ProcessFleet
 from soak.test_process_soak import wait_for_status
 
@@ -16,16 +17,6 @@
 GRACE_S = 12.0
 
 
-async def connect_on_narrow_link(host, port):
-    """Connect a caller whose kernel takes few bytes unless they are read."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-    # Segments as on Ethernet; those of loopback let the kernel take megabytes.
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
-    sock.connect((host, port))
-    return await anyio.abc.SocketStream.from_socket(sock)
-
-
 async def receive_head(stream):
     data = b""
     while b"\r\n\r\n" not in data:
