Cut a stalled caller after 15 s at least

A link between caller and VM may be cut for some seconds while the operators allow short idle times only; the answers on it would have been cut with the idle timeout. Not seen in play, found by reading.

The test of signals opens its FIFO without blocking a thread: a process that ended before reading would have held the test for ever.

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -27,6 +27,9 @@
 MAX_PIPELINED = 16
 """Requests of one connection whose answers have not left the process (count); at this
 number reading pauses, and further requests stay in the socket buffer."""
+MIN_STALL_TIMEOUT_S = 15.0
+"""Shortest time without a byte received after which a caller is cut (seconds): a link may
+be cut for some seconds while the operators allow short idle times only."""
 
 
 class RequestHandler(Protocol):
@@ -268,7 +271,7 @@
 
     def stall_timeout_s(self) -> float:
         """Return the time after which a caller that receives nothing has stalled."""
-        return self._handler.limits().idle_timeout_s
+        return max(self._handler.limits().idle_timeout_s, MIN_STALL_TIMEOUT_S)
 
     def handle_sent(self) -> None:
         """Start delayed requests, read on or begin the idle timeout."""
--- a/tests/forwarding/test_caller_connection.py
+++ b/tests/forwarding/test_caller_connection.py
@@ -6,6 +6,7 @@
 from conftest import wait_until
 from forwarding.fake_transport import FakeTransport
 
+from gentianfold.forwarding import caller_connection
 from gentianfold.forwarding.caller_connection import MAX_PIPELINED, CallerConnection
 from gentianfold.forwarding.messages import Response
 from gentianfold.model import CallerLimits
@@ -93,7 +94,8 @@
     assert handler.cancelled == [b"/0"] and handler.cuts == [(1, "caller")]
 
 
-async def test_a_caller_that_receives_nothing_for_the_idle_timeout_is_cut():
+async def test_a_caller_that_receives_nothing_for_the_idle_timeout_is_cut(monkeypatch):
+    monkeypatch.setattr(caller_connection, "MIN_STALL_TIMEOUT_S", 0.0)
     handler = Handler()
     handler.idle_timeout_s = 0.01
     connection = CallerConnection(handler, set())
--- a/tests/vm/test_signals.py
+++ b/tests/vm/test_signals.py
@@ -24,16 +24,26 @@
     path.unlink()
     os.mkfifo(path)
     vm.start()
-    # Opening waits until the process has opened the file.
-    with await anyio.to_thread.run_sync(open, path, "w") as fifo:
-        if number is not None:
-            vm.signal(number)
-        changed = path.with_suffix(".new")
-        seeds = '"seeds": ["127.0.0.1'
-        assert seeds in text
-        changed.write_text(text.replace(seeds, f'"seeds": ["{SEED}'))
-        changed.rename(path)
-        fifo.write(text)
+    writers = []
+
+    def is_being_read():
+        try:
+            writers.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError:
+            # Nobody has opened the file to read it.
+            return False
+        return True
+
+    await wait_until(is_being_read)
+    if number is not None:
+        vm.signal(number)
+    changed = path.with_suffix(".new")
+    seeds = '"seeds": ["127.0.0.1'
+    assert seeds in text
+    changed.write_text(text.replace(seeds, f'"seeds": ["{SEED}'))
+    changed.rename(path)
+    os.write(writers[0], text.encode())
+    os.close(writers[0])
 
 
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, None])
