--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -28,7 +28,10 @@
     keep_alive: bool = True
     """Whether the caller allows further requests on the connection."""
     is_committed: bool = False
-    """Whether the request was sent, is not idempotent and must not be cancelled."""
+    """Whether the request was sent, is not idempotent and must not be cancelled, unless
+    the upstream says that it did not run it."""
+    is_abandoned: bool = False
+    """Whether the caller has disconnected; the request is sent to no further upstream."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
@@ -68,10 +71,12 @@
     """
     lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
     is_bodyless = is_head or response.status in _BODYLESS
+    # Only in a response to HEAD a length can't be taken for that of bytes that follow.
+    keeps_length = is_head and response.status not in _BODYLESS
     lines += [
         name + b": " + value
         for name, value in response.headers
-        if is_bodyless or name != b"content-length"
+        if keeps_length or name != b"content-length"
     ]
     if not is_bodyless:
         lines.append(b"content-length: %d" % len(response.body))
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -142,6 +142,25 @@
             assert response[2] == b"answer to " + request_id.encode()
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "101", "2 00", "204"])
+async def test_what_is_no_answer_in_the_protocol_reaches_no_caller(status):
+    # Callers got a status of 600, and of 204 with a length; 000 was waited out.
+    async with open_site(upstreams=2) as site:
+        (vm,) = site.vms
+        first, second = site.upstreams.values()
+        first.status_line = f"HTTP/1.1 {status} X".encode()
+        number = 0
+        while not first.received_requests:
+            number += 1
+            response = await send_request(vm, request_bytes(f"a{number}"))
+            assert (response[0], response[2]) == (200, b"answer to a%d" % number)
+        second.status_line = first.status_line
+        data = request_bytes("once", "/claim/1", "POST", b"b")
+        response = await send_request(vm, data)
+        assert response[0] == 502 and SEAL not in response[1]
+        assert execution_count(site, "once") == 1
+
+
 async def test_a_rejected_non_idempotent_request_is_not_executed():
     async with open_site() as site:
         set_behaviour(site, Behaviour.SHED)
@@ -235,6 +254,44 @@
         assert execution_count(site, "r1") == 1
 
 
+async def test_the_end_of_a_caller_is_noticed_while_its_connection_is_not_read():
+    # The VM stopped to read at 16 requests and went on to send those of callers that
+    # had left.
+    configuration = make_configuration()
+    routes = tuple(attrs.evolve(row, timeout_s=90.0) for row in configuration.routes)
+    configuration = attrs.evolve(configuration, routes=routes)
+    async with open_site(upstreams=1, configuration=configuration) as site:
+        set_behaviour(site, Behaviour.HANG)
+        (vm,) = site.vms
+        names = [f"r{number}" for number in range(24)]
+        data = b"".join(map(request_bytes, names)).replace(b": 4000", b": 90000")
+        async with connect_caller(vm) as stream:
+            # The rest lies unread behind the last request that was started.
+            await stream.send(data)
+            await wait_until(lambda: site.upstreams["u1"].slots_in_use == 6)
+        await wait_until(lambda: not vm.caller_connections)
+        await wait_until(lambda: not site.upstreams["u1"].slots_in_use)
+        assert len(site.upstreams["u1"].received_requests) == 6
+        assert not vm._node.scheduler.waiting_count
+
+
+async def test_a_request_whose_caller_left_is_not_sent_again_after_it_was_shed():
+    async with open_site() as site:
+        set_behaviour(site, Behaviour.SHED)
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.3
+        (vm,) = site.vms
+
+        def arrivals():
+            return sum(len(up.received_requests) for up in site.upstreams.values())
+
+        async with connect_caller(vm) as stream:
+            await stream.send(request_bytes("r1", "/claim/1", "POST", b"b"))
+            await wait_until(lambda: arrivals() == 1)
+        await wait_until(lambda: any("left" in row[1] for row in vm.metrics.counters))
+        assert arrivals() == 1
+
+
 async def test_the_route_timeout_limits_the_wait_for_a_response():
     async with open_site() as site:
         set_behaviour(site, Behaviour.HANG)
