Look at each of many upstreams a few times a second, not in each tick

A tick sorted all upstreams of each service: at 5,700 upstreams a fourteenth of a core of every VM. Working sets are updated at most every 50 microseconds for each upstream (5 ms at 111, 0.29 s at 5,700); an upstream that recovers meanwhile is filed by that event. A measurement that can't make a request late is not decayed first, and a request that waited under 2 ms is not copied.

tests/placement/test_choice_cost.py fails before: 114,000 looks in the 20 ticks of a second at 5,700 upstreams, bound 28,500.

--- a/src/gentianfold/placement/admission.py
+++ b/src/gentianfold/placement/admission.py
@@ -39,6 +39,8 @@
 RETRY_AFTER_S = 0.5
 """Shortest retry delay of a request that was not decided on (seconds); the longest is
 twice that, so that those refused together don't return together."""
+UNCOUNTED_WAIT_S = 0.002
+"""Wait that is not taken off the times left (seconds): less than they are exact to."""
 RECENT_TIME_CONSTANT_S = 0.3
 """Time constant with which the told delay decays (seconds)."""
 
@@ -108,6 +110,8 @@
                 self.counts["expired"] += 1
                 continue
             self.counts["decided"] += 1
+            if waited_s < UNCOUNTED_WAIT_S:
+                return request
             return attrs.evolve(
                 request,
                 time_left_s=request.time_left_s - waited_s,
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -198,7 +198,7 @@
         def is_fit(tracker: UpstreamTracker) -> bool:
             return (
                 tracker.success_ratio >= self.policy.min_success_ratio
-                and expected_s * tracker.slowness(now_s) <= request.time_left_s
+                and tracker.is_timely(expected_s, request.time_left_s, now_s)
             )
 
         groups = [
@@ -461,6 +461,5 @@
         return not self._has_timely
 
     def _is_timely(self, tracker: UpstreamTracker) -> bool:
-        return self.expected_s * tracker.slowness(self.now_s) <= (
-            self.request.time_left_s
-        )
+        time_left_s = self.request.time_left_s
+        return tracker.is_timely(self.expected_s, time_left_s, self.now_s)
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -100,7 +100,7 @@
     def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Replace the upstreams; those that did not restart keep their statistics."""
         self._trackers.replace(upstreams, now_s, self.chooser.random.random)
-        self._update_working_sets(now_s)
+        self._update_working_sets(now_s, has_changed=True)
 
     def tracker(self, name: str) -> UpstreamTracker | None:
         """Return the tracker of an upstream; ``None`` if it is not listed."""
@@ -291,15 +291,17 @@
 
     def observe_running(self, now_s: float) -> None:
         """Update acceptance and slowness of upstreams from their running requests."""
-        trackers, grants = self._trackers.all(), self._grants.values()
         share, changes = self.quota.share, self.state_changes
-        observe_grants(trackers, grants, self._expected_s, share, changes, now_s)
+        observe_grants(
+            self._trackers, self._grants, self._expected_s, share, changes, now_s
+        )
         self._update_working_sets(now_s)
 
-    def _update_working_sets(self, now_s: float) -> None:
+    def _update_working_sets(self, now_s: float, has_changed: bool = False) -> None:
         for service, pool in self._trackers.pools():
-            slot_time_s = self.elapsed.slot_time_s(service)
-            self._state(service).working_sets.update(pool, slot_time_s, now_s)
+            sets = self._state(service).working_sets
+            if has_changed or sets.is_due(len(pool.trackers), now_s):
+                sets.update(pool, self.elapsed.slot_time_s(service), now_s)
 
     def _state(self, service: str) -> ServiceState:
         state = self._states.get(service)
@@ -352,8 +354,7 @@
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
             if degraded := self._grant_degraded(request, pool, now_s):
                 return degraded
-            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
-            return Refused(RefusalReason.NO_ROOM, retry_after_s, ahead)
+            return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
         self._queue_request((request.vm, request.slot_request_id), entry)
         return Queued(ahead)
 
@@ -490,8 +491,7 @@
             self.state_changes.record(tracker, state, outcome.name.lower(), now_s)
 
     def _expected_s(self, request: SlotRequest) -> float:
-        target_s = max(request.target_left_s, 0.1)
-        return self.elapsed.expected_s(request.route, target_s)
+        return self.elapsed.expected_s(request.route, max(request.target_left_s, 0.1))
 
     def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
         waited_s = now_s - entry.queued_at_s
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -179,6 +179,20 @@
             SPEED_PRIOR_S + self.decayed_expected_s * decay
         )
 
+    def is_timely(self, expected_s: float, time_left_s: float, now_s: float) -> bool:
+        """Tell whether a request would end in its time left at the present speed.
+
+        Args:
+            expected_s: Expected elapsed time at the usual speed (seconds).
+            time_left_s: Time until the deadline of the request (seconds).
+            now_s: Current time (seconds).
+        """
+        most_s = SPEED_PRIOR_S + self.decayed_elapsed_s + self.running_s
+        if expected_s * most_s <= time_left_s * SPEED_PRIOR_S:
+            # Measurements only decay, so the slowness is at most this.
+            return True
+        return expected_s * self.slowness(now_s) <= time_left_s
+
     def update_slow(self, now_s: float) -> bool:
         """Update ``is_slow``, which only the log uses, and tell whether it changed."""
         threshold = USUAL_SLOWNESS if self.is_slow else SLOW_THRESHOLD
--- a/tests/placement/test_choice_cost.py
+++ b/tests/placement/test_choice_cost.py
@@ -111,3 +111,20 @@
     for _ in range(10):
         assert list(scheduler.advance(10.12)) == []
     assert not choices
+
+
+def test_the_ticks_of_a_second_look_a_few_times_at_each_of_many_upstreams(monkeypatch):
+    # Each tick sorted all upstreams: 3.5 ms of 5,700, a fourteenth of a core.
+    looks = []
+    recent_failures = UpstreamTracker.recent_failures
+
+    def counted(tracker, now_s):
+        looks.append(tracker)
+        return recent_failures(tracker, now_s)
+
+    monkeypatch.setattr(UpstreamTracker, "recent_failures", counted)
+    scheduler = make_large_scheduler(5_700)
+    looks.clear()
+    for tick in range(20):
+        scheduler.observe_running(10.0 + tick * 0.05)
+    assert len(looks) <= 5 * 5_700
