Compute fair shares in each pass again, from counts kept by events

Customers that wait are counted by events, so the computation doesn't walk the queue. A pass tries both kinds of requests whatever it found for the other, and the first one in a tick tries up to 40 of each: the first request that may be a trial can lie behind many that may not.

--- a/src/gentianfold/placement/queue_index.py
+++ b/src/gentianfold/placement/queue_index.py
@@ -120,7 +120,6 @@
         is_kept = len(queue) > LONG_QUEUE and now_s - self._built_s < REBUILD_S
         if is_kept and self._first < len(self._order):
             return
-        order.update_fair_slots(queue)
         self._order = sorted(
             (order.sort_key(entry), key) for key, entry in queue.items()
         )
--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -10,7 +10,7 @@
 from gentianfold.placement.queue_entry import QueueEntry
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.wait_table import WaitClass
@@ -69,18 +69,15 @@
         sort_key = self.new_key(request, now_s)
         return sum(self.sort_key(entry) < sort_key for entry in queue.values())
 
-    def update_fair_slots(self, queue: Mapping[tuple[str, int], QueueEntry]) -> None:
+    def update_fair_slots(self, service: str, waiting: Collection[str]) -> None:
         """Set the fair share: slots in use per customer that holds or waits for one.
 
         Args:
-            queue: The waiting requests of one service; nothing changes without any.
+            service: The service.
+            waiting: Customers with requests in its queue.
         """
-        service = next((entry.request.service for entry in queue.values()), None)
-        if service is None:
-            return
         held = self._slots_held[service]
-        waiting = {entry.request.customer for entry in queue.values()}
-        count = len(waiting | held.keys())
+        count = len(held.keys() | waiting)
         self._fair_slots[service] = sum(held.values()) / max(count, 1)
 
     def _held(self, request: SlotRequest) -> int:
--- a/src/gentianfold/placement/queue_pass.py
+++ b/src/gentianfold/placement/queue_pass.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,9 +22,13 @@
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.waiting_requests import SlotRequestKey
 
+KINDS = 2
+"""Kinds of requests: those that may explore, and the others (count)."""
 MAX_PASSED_OVER = 8
-"""Requests for which no upstream is found, while healthy ones have free slots, after
-which a pass ends unless it is the one of a tick (count)."""
+"""Requests of a kind for which no upstream is found, after which a pass tries no more
+of them (count)."""
+MAX_PASSED_OVER_IN_TICK = 40
+"""The same for the first pass in a tick (count)."""
 
 
 @attrs.define(eq=False)
@@ -34,12 +39,12 @@
     """Upstreams of the service that accept new requests."""
     index: QueueIndex
     """Order of the queue."""
-    is_whole: bool
-    """Whether the pass tries all requests that could start."""
+    is_first: bool
+    """Whether it is the first pass in a tick, or the queue is short."""
     now_s: float
     """Current time (seconds)."""
-    _passed_over: int = 0
-    _not_tried: set[bool] = attrs.field(factory=lambda: {True, False})
+    _passed_over: Counter[bool] = attrs.field(factory=Counter)
+    _ended: set[bool] = attrs.field(factory=set)
 
     def entries(
         self, queue: Mapping[SlotRequestKey, QueueEntry], order: QueueOrder
@@ -48,27 +53,27 @@
         if not self.pool.may_start(self.now_s):
             return
         for key, entry in self.index.ordered(queue, order, self.now_s):
-            if entry.request.may_explore not in self._not_tried:
+            if entry.request.may_explore in self._ended:
                 continue
             yield key, entry
-            if not self._goes_on or not self.pool.may_start(self.now_s):
+            if len(self._ended) == KINDS or not self.pool.may_start(self.now_s):
                 break
 
     def pass_over(self, request: SlotRequest) -> None:
         """Record that no upstream was found for a request.
 
-        Without a healthy upstream only a trial was possible, which other requests of
-        the same kind don't get either.
+        Without a healthy upstream only a trial was possible, which few other requests
+        of the same kind get.
         """
-        self._passed_over += 1
-        if not self.pool.has_free_slot(self.now_s):
-            self._not_tried.discard(request.may_explore)
+        kind = request.may_explore
+        self._passed_over[kind] += 1
+        if self.is_first:
+            limit = MAX_PASSED_OVER_IN_TICK
+        else:
+            limit = MAX_PASSED_OVER if self.pool.has_free_slot(self.now_s) else 1
+        if self._passed_over[kind] >= limit:
+            self._ended.add(kind)
 
     def finish(self) -> None:
         """Record whether the requests left wait for something else than slots."""
-        self.index.is_stalled = self._goes_on and self.pool.has_free_slot(self.now_s)
-
-    @property
-    def _goes_on(self) -> bool:
-        is_bounded = not self.is_whole and self._passed_over >= MAX_PASSED_OVER
-        return bool(self._not_tried) and not is_bounded
+        self.index.is_stalled = not self._ended and self.pool.has_free_slot(self.now_s)
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -369,6 +369,8 @@
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         pool, index = self._trackers.pool(service), self._state(service).queue_index
+        if pool.may_start(now_s):
+            self._order.update_fair_slots(service, self._waiting.customers(service))
         queue_pass = QueuePass(pool, index, index.is_due(len(queue), now_s), now_s)
         for key, entry in queue_pass.entries(queue, self._order):
             if not self._has_token(entry.request, now_s):
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import ItemsView
+    from collections.abc import ItemsView, KeysView
 
     from gentianfold.placement.queue_entry import QueueEntry
 
@@ -24,6 +24,9 @@
     """First attempts that wait, by customer; kept up to date."""
     _queues: dict[str, dict[SlotRequestKey, QueueEntry]] = attrs.field(factory=dict)
     _services: dict[SlotRequestKey, str] = attrs.field(factory=dict)
+    _customers: defaultdict[str, Counter[str]] = attrs.field(
+        factory=lambda: defaultdict(Counter)
+    )
 
     def queue(self, service: str) -> dict[SlotRequestKey, QueueEntry]:
         """Return the queue of a service; only ``add`` and ``remove`` change it."""
@@ -33,10 +36,15 @@
         """Return the services with their queues, empty ones included."""
         return self._queues.items()
 
+    def customers(self, service: str) -> KeysView[str]:
+        """Return the customers with requests in the queue of a service."""
+        return self._customers[service].keys()
+
     def add(self, key: SlotRequestKey, entry: QueueEntry) -> None:
         """Add a request to the queue of its service."""
         self.queue(entry.request.service)[key] = entry
         self._services[key] = entry.request.service
+        self._customers[entry.request.service][entry.request.customer] += 1
         if entry.request.attempt == 1:
             self.by_customer[entry.request.customer] += 1
 
@@ -46,11 +54,9 @@
         if service is None:
             return
         entry = self._queues[service].pop(key)
+        _count_down(self._customers[service], entry.request.customer)
         if entry.request.attempt == 1:
-            customer = entry.request.customer
-            self.by_customer[customer] -= 1
-            if not self.by_customer[customer]:
-                del self.by_customer[customer]
+            _count_down(self.by_customer, entry.request.customer)
 
     def remove_vm(self, vm: str) -> None:
         """Remove all requests of a VM."""
@@ -62,3 +68,9 @@
 
     def __len__(self) -> int:
         return len(self._services)
+
+
+def _count_down(counts: Counter[str], name: str) -> None:
+    counts[name] -= 1
+    if not counts[name]:
+        del counts[name]
