--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -20,6 +20,7 @@
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
+from gentianfold.placement.queue_pass import QueuePass
 from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
 from gentianfold.placement.rate_limiter import UNLIMITED
 from gentianfold.placement.retry_budget import RetryBudget
@@ -100,7 +101,7 @@
     def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Replace the upstreams; those that did not restart keep their statistics."""
         self._trackers.replace(upstreams, now_s, self.chooser.random.random)
-        self._update_working_sets(now_s)
+        self._update_working_sets(now_s, has_changed=True)
 
     def tracker(self, name: str) -> UpstreamTracker | None:
         """Return the tracker of an upstream; ``None`` if it is not listed."""
@@ -291,15 +292,17 @@
 
     def observe_running(self, now_s: float) -> None:
         """Update acceptance and slowness of upstreams from their running requests."""
-        trackers, grants = self._trackers.all(), self._grants.values()
         share, changes = self.quota.share, self.state_changes
-        observe_grants(trackers, grants, self._expected_s, share, changes, now_s)
+        observe_grants(
+            self._trackers, self._grants, self._expected_s, share, changes, now_s
+        )
         self._update_working_sets(now_s)
 
-    def _update_working_sets(self, now_s: float) -> None:
+    def _update_working_sets(self, now_s: float, has_changed: bool = False) -> None:
         for service, pool in self._trackers.pools():
-            slot_time_s = self.elapsed.slot_time_s(service)
-            self._state(service).working_sets.update(pool, slot_time_s, now_s)
+            sets = self._state(service).working_sets
+            if has_changed or sets.is_due(len(pool.trackers), now_s):
+                sets.update(pool, self.elapsed.slot_time_s(service), now_s)
 
     def _state(self, service: str) -> ServiceState:
         state = self._states.get(service)
@@ -339,7 +342,7 @@
             return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
-        if not ahead or (index.is_stalled and pool.may_start(now_s)):
+        if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
             granted = self._grant(request, pool, now_s)
             if granted is not None:
                 return granted
@@ -352,8 +355,7 @@
         if now_s + wait_s > entry.latest_start_s(self._expected_s(request)):
             if degraded := self._grant_degraded(request, pool, now_s):
                 return degraded
-            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
-            return Refused(RefusalReason.NO_ROOM, retry_after_s, ahead)
+            return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
         self._queue_request((request.vm, request.slot_request_id), entry)
         return Queued(ahead)
 
@@ -367,21 +369,21 @@
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         pool, index = self._trackers.pool(service), self._state(service).queue_index
-        index.is_stalled = pool.may_start(now_s)
-        if index.is_stalled:
-            for key, entry in index.ordered(queue, self._order, now_s):
-                if not self._has_token(entry.request, now_s):
-                    index.leave_out(entry.request.customer)
-                    continue
-                granted = self._grant(entry.request, pool, now_s)
-                if granted is None:
-                    continue
-                self._record_wait(entry, now_s)
-                self._waiting.remove(key)
-                yield key, granted
-                index.is_stalled = pool.may_start(now_s)
-                if not index.is_stalled:
-                    break
+        if pool.may_start(now_s):
+            self._order.update_fair_slots(service, self._waiting.customers(service))
+        queue_pass = QueuePass(pool, index, index.is_due(len(queue), now_s), now_s)
+        for key, entry in queue_pass.entries(queue, self._order):
+            if not self._has_token(entry.request, now_s):
+                index.leave_out(entry.request.customer)
+                continue
+            granted = self._grant(entry.request, pool, now_s)
+            if granted is None:
+                queue_pass.pass_over(entry.request)
+                continue
+            self._record_wait(entry, now_s)
+            self._waiting.remove(key)
+            yield key, granted
+        queue_pass.finish()
         if pool.trackers and not index.is_late_check_due(len(queue), now_s):
             return
         late = [
@@ -421,12 +423,11 @@
     def _grant(
         self, request: SlotRequest, pool: UpstreamPool, now_s: float
     ) -> Granted | None:
-        may_explore = request.idempotent and request.attempt == 1
         estimate = RequestEstimate(
             self._expected_s(request), self.transfers.expected_kilobytes(request.route)
         )
-        state = self._state(request.service)
-        choice = self.chooser.choose(pool, request, now_s, may_explore, estimate, state)
+        state, explore = self._state(request.service), request.may_explore
+        choice = self.chooser.choose(pool, request, now_s, explore, estimate, state)
         if choice is None:
             return None
         return self._grant_choice(request, choice, now_s)
@@ -494,8 +495,7 @@
             self.state_changes.record(tracker, state, outcome.name.lower(), now_s)
 
     def _expected_s(self, request: SlotRequest) -> float:
-        target_s = max(request.target_left_s, 0.1)
-        return self.elapsed.expected_s(request.route, target_s)
+        return self.elapsed.expected_s(request.route, max(request.target_left_s, 0.1))
 
     def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
         waited_s = now_s - entry.queued_at_s
