--- a/src/gentianfold/standins/site.py
+++ b/src/gentianfold/standins/site.py
@@ -107,8 +107,8 @@
     async def open(self) -> None:
         """Start the store and choose the ports that all VMs share."""
         await self.store.server.open()
-        self.fleet_port = _free_port()
-        self.operator_port = _free_port()
+        self.fleet_port = free_port()
+        self.operator_port = free_port()
 
     async def add_upstream(
         self, name: str, service: str = "registry"
@@ -127,8 +127,8 @@
             vm=f"vm-{len(self.vms) + 1}",
             address=address,
             zone="z1",
-            callers=Endpoint(address, _free_port(address)),
-            readiness=Endpoint(address, _free_port(address)),
+            callers=Endpoint(address, free_port(address)),
+            readiness=Endpoint(address, free_port(address)),
             operators=Endpoint(address, self.operator_port),
             store=StoreSettings(endpoint=Endpoint("127.0.0.1", self.store.server.port)),
             fleet=FleetSettings(
@@ -152,7 +152,7 @@
             upstream.server.close()
 
 
-def _free_port(host: str = "127.0.0.1") -> int:
+def free_port(host: str = "127.0.0.1") -> int:
     """Return a port that is free for TCP and UDP and that no connection gets.
 
     Outgoing connections take ports from 32768 on by default.
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -4,8 +4,8 @@
 
 import json
 import os
+import resource
 import signal
-import socket
 import subprocess
 import sys
 
@@ -14,20 +14,25 @@
 from conftest import read_response
 from soak.relay import Relay
 
-from gentianfold.standins.site import make_configuration
+from gentianfold.standins.site import free_port, make_configuration
 from gentianfold.standins.store import StandinStore
 from gentianfold.standins.upstream import StandinUpstream
 
 
 @attrs.define(eq=False)
 class VmProcess:
-    """One VM process with its settings file, log file and store relay."""
+    """One VM process with its settings file, log file and store relay.
+
+    ``max_files`` is the limit on its open descriptors; 0 for that of the tests.
+    """
 
     settings_path: str
     log_path: str
     host: str
     port: int
     store_relay: Relay
+    settings: dict
+    max_files: int = 0
     process: subprocess.Popen | None = None
     _restarting: anyio.Lock = attrs.field(factory=anyio.Lock)
 
@@ -40,6 +45,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.max_files:
+            limits = self.max_files, self.max_files
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -68,9 +76,13 @@
     """Store, upstreams and VM processes.
 
     All connections from VMs to the store and to upstreams pass through relays.
+    ``extra_settings`` are added to the settings of each VM.
     """
 
     folder: object
+    configuration: object = attrs.field(factory=make_configuration)
+    extra_settings: dict = attrs.field(factory=dict)
+    max_files: int = 0
     store: StandinStore = attrs.field(factory=StandinStore)
     upstreams: list = attrs.field(factory=list)
     relays: list = attrs.field(factory=list)
@@ -78,11 +90,11 @@
 
     async def open(self, upstream_count, vm_count):
         await self.store.server.open()
-        self.store.put_configuration(make_configuration())
+        self.store.put_configuration(self.configuration)
         for number in range(upstream_count):
             await self._add_upstream(f"u{number}")
-        fleet_port = _free_port(socket.SOCK_DGRAM, "127.0.0.1")
-        operator_port = _free_port(socket.SOCK_STREAM, "127.0.0.1")
+        fleet_port = free_port("127.0.0.1")
+        operator_port = free_port("127.0.0.1")
         for number in range(1, vm_count + 1):
             await self._add_vm(number, fleet_port, operator_port)
 
@@ -111,27 +123,24 @@
         relay = Relay("127.0.0.1", self.store.server.port)
         await relay.open()
         host = f"127.0.0.{number}"
-        port = _free_port(socket.SOCK_STREAM, host)
+        port = free_port(host)
         settings = {
             "vm": f"vm-{number}",
             "address": host,
             "zone": "z1",
             "callers": f"{host}:{port}",
-            "readiness": f"{host}:{_free_port(socket.SOCK_STREAM, host)}",
+            "readiness": f"{host}:{free_port(host)}",
             "operators": f"{host}:{operator_port}",
             "store": {"endpoint": f"127.0.0.1:{relay.port}"},
             "fleet": {"port": fleet_port, "seeds": [f"127.0.0.1:{operator_port}"]},
             "stop": {"grace_s": 3.0, "settle_s": 0.3},
+            **self.extra_settings,
         }
         path = self.folder / f"vm-{number}.json"
         path.write_text(json.dumps(settings))
         log_path = self.folder / f"vm-{number}.log"
-        vm = VmProcess(str(path), str(log_path), host, port, relay)
+        vm = VmProcess(
+            str(path), str(log_path), host, port, relay, settings, self.max_files
+        )
         self.vms.append(vm)
         vm.start()
-
-
-def _free_port(kind, host):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
