--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from gentianfold.forwarding.caller_connection import CallerConnection
     from gentianfold.forwarding.messages import CallerRequest, Response
     from gentianfold.forwarding.request_forwarder import RequestForwarder
     from gentianfold.vm.metrics import Metrics
@@ -51,7 +52,19 @@
     rejects_requests: bool = False
     """Whether to reject new requests, since they might not complete before the exit."""
     running_count: int = 0
-    """Number of requests in progress."""
+    """Number of requests whose response is not known."""
+    connections: set[CallerConnection] = attrs.field(factory=set)
+    """Open connections of callers."""
+
+    @property
+    def unsent_count(self) -> int:
+        """Number of answers that have not left the process."""
+        return sum(connection.unsent_count for connection in self.connections)
+
+    @property
+    def under_way_count(self) -> int:
+        """Number of requests whose answer has not left the process."""
+        return self.running_count + self.unsent_count
 
     def limits(self) -> CallerLimits:
         """Return the current size and time limits for callers."""
@@ -71,9 +84,19 @@
         """
         self.metrics.count("rejected", code=str(failure.code.number))
         logger.info("request: rejected, {}", failure)
-        response = error_response(failure)
-        response.keep_alive = False
-        return response
+        return error_response(failure)
+
+    def record_cut(self, count: int, cause: str) -> None:
+        """Count and log answers that had not left when their connection ended.
+
+        Args:
+            count: Number of answers.
+            cause: ``caller``, ``stalled`` if the caller did not receive for too long, or
+                ``grace`` if the grace period of a planned stop ended.
+        """
+        self.metrics.count("answers_cut", count, cause=cause)
+        level = "INFO" if cause == "caller" else "WARNING"
+        logger.log(level, "caller: {} answers cut, cause={}", count, cause)
 
     def start(
         self, request: CallerRequest, reply: Callable[[Response], None]
@@ -95,7 +118,7 @@
         self.task_group.start_soon(self._run, request, record, reply, scope)
 
         def handle_disconnect() -> None:
-            record.caller_disconnected = True
+            record.caller_disconnected = request.is_abandoned = True
             if not request.is_committed:
                 scope.cancel()
 
@@ -125,7 +148,10 @@
     async def _respond(self, request: CallerRequest, record: RequestRecord) -> Response:
         if self.rejects_requests:
             record.code = STOPPING.number
-            return error_response(Failure(STOPPING, "", STOPPING_RETRY_AFTER_S))
+            response = error_response(Failure(STOPPING, "", STOPPING_RETRY_AFTER_S))
+            # Requests behind this one are refused too; the caller sends them elsewhere.
+            response.ends_connection = True
+            return response
         try:
             return await self.forwarder.forward(request, record)
         except Exception:  # noqa: BLE001
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -87,8 +87,10 @@
     upstreams: list = attrs.field(factory=list)
     relays: list = attrs.field(factory=list)
     vms: list = attrs.field(factory=list)
+    grace_s: float = 3.0
 
-    async def open(self, upstream_count, vm_count):
+    async def open(self, upstream_count, vm_count, grace_s=3.0):
+        self.grace_s = grace_s
         await self.store.server.open()
         self.store.put_configuration(self.configuration)
         for number in range(upstream_count):
@@ -133,7 +135,7 @@
             "operators": f"{host}:{operator_port}",
             "store": {"endpoint": f"127.0.0.1:{relay.port}"},
             "fleet": {"port": fleet_port, "seeds": [f"127.0.0.1:{operator_port}"]},
-            "stop": {"grace_s": 3.0, "settle_s": 0.3},
+            "stop": {"grace_s": self.grace_s, "settle_s": 0.3},
             **self.extra_settings,
         }
         path = self.folder / f"vm-{number}.json"
--- a/tests/vm/test_requests.py
+++ b/tests/vm/test_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import anyio
 import attrs
 import pytest
@@ -29,6 +31,10 @@
         upstream.behaviour = behaviour
 
 
+def execution_counts(upstream):
+    return upstream.execution_counts.total()
+
+
 def execution_count(site, request_id):
     return sum(
         row.execution_counts[request_id.encode()] for row in site.upstreams.values()
@@ -84,6 +90,15 @@
         assert not any(row.received_requests for row in site.upstreams.values())
 
 
+async def test_a_caller_that_still_sends_gets_the_answer_to_a_body_over_the_limit():
+    # The unread rest of the body reset the connection, and with it the answer.
+    async with open_site() as site, connect_caller(site.vms[0]) as stream:
+        head = request_bytes(method="POST", extra=("Content-Length: 99999999999",))
+        with anyio.fail_after(30):
+            await stream.send(head + bytes(8_000_000))
+            assert (await read_response(stream))[0] == 413
+
+
 @pytest.mark.parametrize(
     "behaviour",
     [
@@ -167,6 +182,33 @@
                 assert (status, body) == (200, f"answer to r{number}".encode())
 
 
+async def test_a_leaving_upstream_ends_no_connection_of_a_caller():
+    # Its "Connection: close" ended the caller's connection; the requests behind it,
+    # which ran at sound upstreams, got no answer.
+    async with open_site() as site, connect_caller(site.vms[0]) as stream:
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.2
+            upstream.extra_headers = [
+                (b"connection", b"close, x-hop"),
+                (b"x-hop", b"1"),
+                (b"keep-alive", b"timeout=1"),
+                (b"proxy-authenticate", b"Basic"),
+            ]
+        for first in (0, 6):
+            names = [f"r{first + number}" for number in range(6)]
+            await stream.send(b"".join(map(request_bytes, names)))
+            rest = b""
+            for name in names:
+                status, headers, body, rest = await read_response(stream, rest)
+                assert (status, body) == (200, f"answer to {name}".encode())
+                assert not {
+                    "connection",
+                    "x-hop",
+                    "keep-alive",
+                    "proxy-authenticate",
+                } & set(headers)
+
+
 async def test_a_chunked_body_is_forwarded_whole_without_request_smuggling():
     async with open_site() as site:
         inner = b"GET /search/2 HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -193,6 +235,44 @@
         assert execution_count(site, "r1") == 1
 
 
+async def test_the_end_of_a_caller_is_noticed_while_its_connection_is_not_read():
+    # The VM stopped to read at 16 requests and went on to send those of callers that
+    # had left.
+    configuration = make_configuration()
+    routes = tuple(attrs.evolve(row, timeout_s=90.0) for row in configuration.routes)
+    configuration = attrs.evolve(configuration, routes=routes)
+    async with open_site(upstreams=1, configuration=configuration) as site:
+        set_behaviour(site, Behaviour.HANG)
+        (vm,) = site.vms
+        names = [f"r{number}" for number in range(24)]
+        data = b"".join(map(request_bytes, names)).replace(b": 4000", b": 90000")
+        async with connect_caller(vm) as stream:
+            # The rest lies unread behind the last request that was started.
+            await stream.send(data)
+            await wait_until(lambda: site.upstreams["u1"].slots_in_use == 6)
+        await wait_until(lambda: not vm.caller_connections)
+        await wait_until(lambda: not site.upstreams["u1"].slots_in_use)
+        assert len(site.upstreams["u1"].received_requests) == 6
+        assert not vm._node.scheduler.waiting_count
+
+
+async def test_a_request_whose_caller_left_is_not_sent_again_after_it_was_shed():
+    async with open_site() as site:
+        set_behaviour(site, Behaviour.SHED)
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.3
+        (vm,) = site.vms
+
+        def arrivals():
+            return sum(len(up.received_requests) for up in site.upstreams.values())
+
+        async with connect_caller(vm) as stream:
+            await stream.send(request_bytes("r1", "/claim/1", "POST", b"b"))
+            await wait_until(lambda: arrivals() == 1)
+        await wait_until(lambda: any("left" in row[1] for row in vm.metrics.counters))
+        assert arrivals() == 1
+
+
 async def test_the_route_timeout_limits_the_wait_for_a_response():
     async with open_site() as site:
         set_behaviour(site, Behaviour.HANG)
@@ -304,6 +384,35 @@
         assert execution_count(site, "r2") == 0
 
 
+async def test_a_caller_that_never_stops_to_pipeline_does_not_hold_a_planned_stop():
+    async with open_site() as site:
+        for upstream in site.upstreams.values():
+            upstream.processing_time_s = 0.3
+        (vm,) = site.vms
+        async with connect_caller(vm) as stream, anyio.create_task_group() as tasks:
+
+            async def send_all():
+                for number in itertools.count():
+                    await stream.send(request_bytes(f"r{number}"))
+                    await anyio.sleep(0.05)
+
+            tasks.start_soon(send_all)
+            rest, is_open, statuses = b"", True, []
+            with anyio.fail_after(30):
+                while is_open:
+                    status, headers, _, rest = await read_response(stream, rest)
+                    statuses.append(status)
+                    is_open = headers.get("connection") != "close"
+                    vm.stop_requested.set()
+            tasks.cancel_scope.cancel()
+        answered = statuses.count(200)
+        # Nothing is answered behind the first request that no upstream got.
+        assert statuses[:-1] == [200] * (len(statuses) - 1)
+        assert statuses[-1] in (200, 503)
+        await wait_until(lambda: not vm.caller_connections)
+        assert sum(map(execution_counts, site.upstreams.values())) == answered
+
+
 @pytest.mark.parametrize("value", ["nan", "inf", "-inf"])
 async def test_a_time_left_that_is_not_finite_is_rejected(value):
     async with open_site() as site:
