Bound what clients hold at the internal listeners

Clients that nobody controls reach the addresses for readiness, operators, metrics and tunnels. There, 500,000 short requests sent ahead made a process hold 311 to 459 MB of answers or kept it busy for over 30 s; targets without end made it 175 MB; 380 connections with half a request took all 400 descriptors for 20 s.

Cause: answers were written whether or not the client read them, a target had no bound, the idle timeout was the only one, and connections were not counted.

Change: forwarding/memory_budget.py decides about memory and connections without I/O, and vm/resource_limits.py makes its budgets from the settings. Tunnels claim their buffers. machine.max_fds is a setting, 4,100 if it isn't given. Ruled out: refusing by address, as the balancer and other VMs may share them.

--- a/src/gentianfold/forwarding/tunnel_server.py
+++ b/src/gentianfold/forwarding/tunnel_server.py
@@ -15,6 +15,14 @@
 
 import anyio
 
+from gentianfold.forwarding.memory_budget import (
+    TUNNEL_BYTES,
+    Claim,
+    ConnectionLimit,
+    MemoryBudget,
+    Use,
+)
+
 if TYPE_CHECKING:
     from gentianfold.forwarding.connection_pool import Address
 
@@ -96,17 +104,31 @@
 
 
 class TunnelConnection(asyncio.Protocol):
-    """The connection of the VM that opened the tunnel."""
+    """The connection of the VM that opened the tunnel. Implements ``Holder``."""
 
     def __init__(
         self,
         target: TunnelTarget,
         tunnels: set[TunnelConnection],
         connect_timeout_s: float,
+        budget: MemoryBudget | None = None,
+        limit: ConnectionLimit | None = None,
     ) -> None:
+        """Handle a connection that is about to be made.
+
+        Args:
+            target: Returns the address of an upstream.
+            tunnels: Holds the connection while it is a tunnel.
+            connect_timeout_s: Timeout of connections to upstreams (seconds).
+            budget: Memory of the process; ``None`` for no limit.
+            limit: Limit on the connections of the listener; ``None`` for none.
+        """
         self._target = target
         self._tunnels = tunnels
         self._connect_timeout_s = connect_timeout_s
+        self._limit = limit
+        self._claim = Claim(budget, Use.ANSWER) if budget is not None else None
+        self._opened_at_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._upstream: _UpstreamSide | None = None
         self._buffer = b""
@@ -118,8 +140,12 @@
         """Wait for the preface."""
         self._transport = cast("asyncio.Transport", transport)
         self._vm = transport.get_extra_info("peername")[0]
-        _disable_delay(transport)
         loop = asyncio.get_running_loop()
+        self._opened_at_s = loop.time()
+        if self._limit is not None and not self._limit.try_open(self, loop.time()):
+            self._transport.abort()
+            return
+        _disable_delay(transport)
         self._timer = loop.call_later(PREFACE_TIMEOUT_S, self._transport.abort)
 
     def data_received(self, data: bytes) -> None:
@@ -154,6 +180,20 @@
         if self._upstream is not None and self._upstream.transport is not None:
             self._upstream.transport.resume_reading()
 
+    # Holder
+
+    def idle_since_s(self) -> float | None:
+        """Return when a connection was opened that has sent no preface."""
+        return self._opened_at_s if self._task is None else None
+
+    def stalled_since_s(self, now_s: float) -> float | None:
+        """Return ``None``: what passes through a tunnel is the opener's to end."""
+        return None
+
+    def end_for_room(self, at_once: bool = True) -> None:
+        """Reset the connection."""
+        self.abort()
+
     # Called by the upstream's side
 
     def write(self, data: bytes) -> None:
@@ -201,11 +241,14 @@
             return TunnelStatus.UNAVAILABLE
         token, start_time_ms, upstream = preface
         address = self._target(self._vm, token, upstream, start_time_ms)
-        if address is None:
+        loop = asyncio.get_running_loop()
+        if address is None or (
+            self._claim is not None
+            and not self._claim.grow_to(TUNNEL_BYTES, loop.time())
+        ):
             return TunnelStatus.UNAVAILABLE
         self._tunnels.add(self)
         side = _UpstreamSide(self)
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(self._connect_timeout_s):
                 await loop.create_connection(lambda: side, *address)
@@ -218,6 +261,10 @@
 
     def _end(self) -> None:
         self._tunnels.discard(self)
+        if self._limit is not None:
+            self._limit.close(self)
+        if self._claim is not None:
+            self._claim.release()
         if self._timer is not None:
             self._timer.cancel()
 
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -103,8 +103,14 @@
     memory_mb: float = attrs.field(
         default=300, metadata=type_metadata(value_types.NumberType(32, 1e6))
     )
-    """Memory limit at which the process is killed (megabytes); the default is the limit
-    of the smallest VM."""
+    """Memory limit at which the process is killed (megabytes). Bytes held for clients
+    are bounded by it."""
+    max_fds: int = attrs.field(
+        default=4100,
+        metadata=type_metadata(value_types.NumberType(256, 1e6, is_integer=True)),
+    )
+    """Descriptors that the process may have open (count); a lower limit of the operating
+    system takes precedence. The default is the limit of the smallest VM."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -17,6 +17,7 @@
     from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
     from gentianfold.vm.metrics import Metrics
     from gentianfold.vm.request_handler import CallerRequestHandler
+    from gentianfold.vm.resource_limits import ResourceLimits
 
 
 def build_status_response(
@@ -93,6 +94,7 @@
     node: Node,
     handler: CallerRequestHandler,
     fetcher: ConfigurationFetcher,
+    resources: ResourceLimits,
 ) -> None:
     """Set all gauges to the current state of the VM."""
     now_s = asyncio.get_running_loop().time()
@@ -137,7 +139,7 @@
         "broker_behind_seconds": node.broker.decisions.queue.behind_s(now_s),
         "upstream_connections_opened": handler.forwarder.pool.opened_count,
     }
-    for name, level in gauges.items():
+    for name, level in (gauges | resources.gauges()).items():
         metrics.set_gauge(name, float(level))
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
@@ -145,5 +147,7 @@
         metrics.set_gauge("configuration_fetches", float(count), outcome=outcome)
     for outcome, count in node.broker.decisions.queue.counts.items():
         metrics.set_gauge("slot_requests", float(count), outcome=outcome)
+    for cause, count in resources.refusals().items():
+        metrics.set_gauge("resource_refusals", float(count), cause=cause)
     for message, count in node.transport.sent_bytes.items():
         metrics.set_gauge("datagram_bytes", float(count), message=message)
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -44,12 +44,14 @@
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
 from gentianfold.vm.request_handler import CallerRequestHandler
+from gentianfold.vm.resource_limits import ResourceLimits
 from gentianfold.vm.status import build_status_response, update_gauges
 from gentianfold.vm.store_poller import StateSink, StorePoller
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from gentianfold.forwarding.memory_budget import ConnectionLimit
     from gentianfold.settings import Endpoint, Settings
     from gentianfold.vm.log_writer import LogWriter
 
@@ -98,6 +100,13 @@
     """Notices the end of callers whose connections are not read."""
     open_tunnels: set[TunnelConnection] = attrs.field(factory=set)
     """Open tunnels of other VMs through this one."""
+    resources: ResourceLimits = attrs.field(
+        default=attrs.Factory(
+            lambda self: ResourceLimits.from_settings(self.settings.machine),
+            takes_self=True,
+        )
+    )
+    """Budgets of memory and connections."""
     _caller_server: asyncio.Server | None = None
     _other_servers: list[asyncio.Server] = attrs.field(factory=list)
     _node: Node | None = None
@@ -270,14 +279,17 @@
             if path == CONFIGURATION_PATH:
                 return self._build_configuration_response()
             if path.endswith(b"/metrics"):
-                update_gauges(self.metrics, node, handler, fetcher)
+                update_gauges(self.metrics, node, handler, fetcher, self.resources)
                 return Response(200, [], self.metrics.exposition().encode())
             return build_status_response(node, handler, self.settings)
 
-        await self._listen_internal(self.settings.readiness, respond_readiness)
-        await self._listen_internal(self.settings.operators, respond_operator)
-        if self.settings.metrics is not None:
-            await self._listen_internal(self.settings.metrics, respond_operator)
+        for endpoint, respond, limit in (
+            (self.settings.readiness, respond_readiness, self.resources.readiness),
+            (self.settings.operators, respond_operator, self.resources.operators),
+            (self.settings.metrics, respond_operator, self.resources.metrics),
+        ):
+            if endpoint is not None:
+                await self._listen_internal(endpoint, respond, limit)
 
     async def _listen_for_tunnels(self) -> None:
         """Accept tunnels of other VMs at the address that they use for datagrams."""
@@ -285,7 +297,11 @@
         if tunnels is not None:
             server = await asyncio.get_running_loop().create_server(
                 lambda: TunnelConnection(
-                    tunnels.find_target, self.open_tunnels, CONNECT_TIMEOUT_S
+                    tunnels.find_target,
+                    self.open_tunnels,
+                    CONNECT_TIMEOUT_S,
+                    self.resources.memory,
+                    self.resources.tunnels,
                 ),
                 self.settings.address,
                 self.settings.fleet.port,
@@ -306,11 +322,11 @@
         return Response(200, [], view.compressed_document)
 
     async def _listen_internal(
-        self, endpoint: Endpoint, respond: PathResponder
+        self, endpoint: Endpoint, respond: PathResponder, limit: ConnectionLimit
     ) -> None:
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: InternalHttpConnection(respond), *_socket_address(endpoint)
+            lambda: InternalHttpConnection(respond, limit), *_socket_address(endpoint)
         )
         self._other_servers.append(server)
 
@@ -343,6 +359,7 @@
             if ticks % MAINTENANCE_TICKS == 0:
                 self.pool.close_expired()
                 self._reload_if_changed()
+            self.resources.report(anyio.current_time())
             self.log_writer.flush()
             await anyio.sleep(TICK_INTERVAL_S)
 
