--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -20,13 +21,18 @@
 
 @attrs.define(eq=False)
 class VmProcess:
-    """One VM process with its settings file, log file and store relay."""
+    """One VM process with its settings file, log file and store relay.
+
+    ``max_files`` is the limit on its open descriptors; 0 for that of the tests.
+    """
 
     settings_path: str
     log_path: str
     host: str
     port: int
     store_relay: Relay
+    settings: dict
+    max_files: int = 0
     process: subprocess.Popen | None = None
     _restarting: anyio.Lock = attrs.field(factory=anyio.Lock)
 
@@ -39,6 +45,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.max_files:
+            limits = self.max_files, self.max_files
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -67,9 +76,13 @@
     """Store, upstreams and VM processes.
 
     All connections from VMs to the store and to upstreams pass through relays.
+    ``extra_settings`` are added to the settings of each VM.
     """
 
     folder: object
+    configuration: object = attrs.field(factory=make_configuration)
+    extra_settings: dict = attrs.field(factory=dict)
+    max_files: int = 0
     store: StandinStore = attrs.field(factory=StandinStore)
     upstreams: list = attrs.field(factory=list)
     relays: list = attrs.field(factory=list)
@@ -79,7 +92,7 @@
     async def open(self, upstream_count, vm_count, grace_s=3.0):
         self.grace_s = grace_s
         await self.store.server.open()
-        self.store.put_configuration(make_configuration())
+        self.store.put_configuration(self.configuration)
         for number in range(upstream_count):
             await self._add_upstream(f"u{number}")
         fleet_port = free_port("127.0.0.1")
@@ -123,10 +136,13 @@
             "store": {"endpoint": f"127.0.0.1:{relay.port}"},
             "fleet": {"port": fleet_port, "seeds": [f"127.0.0.1:{operator_port}"]},
             "stop": {"grace_s": self.grace_s, "settle_s": 0.3},
+            **self.extra_settings,
         }
         path = self.folder / f"vm-{number}.json"
         path.write_text(json.dumps(settings))
         log_path = self.folder / f"vm-{number}.log"
-        vm = VmProcess(str(path), str(log_path), host, port, relay)
+        vm = VmProcess(
+            str(path), str(log_path), host, port, relay, settings, self.max_files
+        )
         self.vms.append(vm)
         vm.start()
