Free the slots of other VMs when a broker hands over

What was seen: after a handover the former broker counted the slots that it had granted to other VMs as in use, and their waiting requests stayed in its queues, as their releases go to the new broker. Alone later, it found upstreams full.

Change: Broker.hand_over removes the grants and waiting requests of the members. They ask the new broker again, as a redirected VM withdraws its request.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -250,7 +250,9 @@
         """Redirect all members to another broker, and tell that broker.
 
         From now on this VM must not use the shares of the members, which may lend them
-        again when they are redirected.
+        again when they are redirected. It frees the slots that it granted to them, as
+        they release them to the other broker, and drops their requests that wait: they
+        ask that broker.
         """
         logger.info("fleet: VM {} is the broker now", vm)
         leases, self.leases = self.leases, LeaseTable(self.vm)
@@ -258,6 +260,7 @@
         for member in {*self.member_table.members, vm}:
             size = leases.told_size(member)
             self.transport.send(member, Redirect(vm, stamp_ms, size))
+            self.scheduler.remove_vm(member)
 
     def send_crash_records(self, now_s: float) -> None:
         """Send the requests under which upstreams crashed to all members."""
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -23,7 +23,7 @@
 from gentianfold.model import Customer, RateLimit
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.quota_table import QuotaTable
-from gentianfold.placement.slot_request import Granted
+from gentianfold.placement.slot_request import Granted, Queued
 from gentianfold.placement.slot_scheduler import SlotScheduler
 
 WINDOW_S = 5.0
@@ -369,6 +369,29 @@
     assert unserved <= 0.02 * (served + unserved)
 
 
+def test_a_broker_that_hands_over_frees_the_slots_of_others():
+    # Their releases go to the new broker, so they stayed in use for good.
+    fleet = make_fleet(3)
+    fleet.run(8, per_s=0)
+    (former,) = fleet.brokers()
+    scheduler = fleet.nodes[former].scheduler
+    scheduler.replace_upstreams([make_upstream("u", 2)], fleet.now_s)
+    others = sorted(set(fleet.nodes) - {former})
+    requests = [
+        make_request(number, vm=vm, customer="unlimited")
+        for number, vm in enumerate((former, others[0], others[1]))
+    ]
+    decisions = [scheduler.request_slot(row, fleet.now_s) for row in requests]
+    assert [type(row) for row in decisions] == [Granted, Granted, Queued]
+    fleet.nodes[former].begin_stop()
+    assert scheduler.granted_count == 1
+    assert scheduler.waiting_count == 0
+    assert isinstance(
+        scheduler.request_slot(attrs.evolve(requests[0], slot_request_id=9), 1010.0),
+        Granted,
+    )
+
+
 def test_a_new_fleet_gets_a_broker_with_the_capacity_for_it():
     # The seeds had the least processor time of all VMs, and the broker fell silent.
     fleet = make_fleet(12)
