Hold requests for a dropped customer to its last limit

What was seen: the state machine of the limits granted a customer that a configuration dropped more than its limit: requests of VMs that still knew it reached a broker that did not, and a customer without a limit is granted all.

Change: a dropped customer keeps its limit until the next configuration, and then until nothing is left of its usage.

--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -69,6 +69,7 @@
     is_growing: bool = False
     """Whether the share is expected to be 1 soon."""
     _customers: Mapping[str, Customer] = attrs.field(factory=dict)
+    _dropped: dict[str, Customer] = attrs.field(factory=dict)
     _usage: dict[str, CustomerUsage] = attrs.field(factory=dict)
     _share: float = 1.0
     _mature_share: float = 1.0
@@ -104,17 +105,24 @@
     def replace_customers(self, customers: Mapping[str, Customer]) -> None:
         """Replace the limits.
 
-        A customer that the new configuration lacks keeps its usage until nothing is
-        left of it: a later configuration may restore the customer.
+        A customer that the new configuration lacks keeps its limit and its usage, as
+        other VMs may still ask for it, or a later configuration may restore it: until
+        the next replacement, and then until nothing is left of its usage.
         """
-        self._customers = customers
+        before, self._customers = self._customers, customers
         now_s = self._updated_s or 0.0
         for name in [name for name in self._usage if name not in customers]:
             usage = self._usage[name]
             self._refill(usage, usage.limit)
             is_full = usage.tokens >= self._share_of(usage.limit.burst)
-            if is_full and not usage.count(now_s - self.window_s):
+            is_used = not is_full or usage.count(now_s - self.window_s) > 0
+            if name not in before and not is_used:
                 del self._usage[name]
+        self._dropped = {
+            name: customer
+            for name, customer in {**self._dropped, **before}.items()
+            if name not in customers and (name in before or name in self._usage)
+        }
 
     def has_limit(self, name: str) -> bool:
         """Tell whether a customer has a limit."""
@@ -255,7 +263,7 @@
         return allowed - usage.count(now_s - self.window_s)
 
     def _limit(self, name: str) -> RateLimit | None:
-        customer = self._customers.get(name)
+        customer = self._customers.get(name) or self._dropped.get(name)
         return customer.limit if customer is not None else None
 
     def _advance(self, now_s: float) -> None:
--- a/tests/placement/test_quota_table.py
+++ b/tests/placement/test_quota_table.py
@@ -155,13 +155,26 @@
     assert max_in_window(times) <= share * (2.0 * WINDOW_S + 400.0)
 
 
+def test_requests_for_a_dropped_customer_keep_to_its_limit():
+    # VMs that still knew it asked a broker that did not, and were granted all.
+    table = make_table(rate=10.0, burst=10.0)
+    table.replace_customers({})
+    assert sum(table.try_acquire("a", 100.0) for _ in range(50)) == 10
+    table.replace_customers({})
+    assert sum(table.try_acquire("a", 100.0) for _ in range(50)) == 0
+
+
 def test_the_usage_of_a_customer_that_stays_away_is_forgotten():
     table = make_table()
     assert table.try_acquire("a", 100.0)
     table.replace_customers({})
+    table.replace_customers({})
+    assert table._usage
+    assert table._dropped
     table.set_share(1.0, 1.0, 106.0)
     table.replace_customers({})
     assert not table._usage
+    assert not table._dropped
 
 
 def test_a_share_ends_unless_it_is_set_again():
