--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -18,6 +18,7 @@
 )
 from gentianfold.errors import Failure
 from gentianfold.forwarding.messages import CallerRequest, Headers, Response
+from gentianfold.forwarding.request_head import expects_continue, find_head_failure
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
@@ -214,22 +215,17 @@
     def on_headers_complete(self) -> None:
         """Validate the head before the body is read."""
         self._has_head = True
-        size = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
         self._head_bytes = 0
-        if size > self._handler.limits().max_header_bytes:
-            self._reject(Failure(HEADERS_TOO_LARGE))
-            return
-        failure = _check_head(self._parser.get_http_version(), self._headers)
-        if failure is None and not self._target.startswith(b"/"):
-            failure = Failure(REQUEST_MALFORMED, "the target is not a path")
-        if failure is None:
-            failure = self._check_length()
+        failure = find_head_failure(
+            self._parser.get_http_version(),
+            self._target,
+            self._headers,
+            self._handler.limits(),
+        )
         if failure is not None:
             self._reject(failure)
         elif (
-            _expects_continue(self._headers)
+            expects_continue(self._headers)
             and self._writer is not None
             and self._writer.can_write
         ):
@@ -336,15 +332,6 @@
         if self._head_bytes > 2 * self._handler.limits().max_header_bytes:
             self._reject(Failure(HEADERS_TOO_LARGE))
 
-    def _check_length(self) -> Failure | None:
-        for name, value in self._headers:
-            if name == b"content-length":
-                if not value.isdigit():
-                    return Failure(REQUEST_MALFORMED, "the length is not a number")
-                if int(value) > self._handler.limits().max_body_bytes:
-                    return Failure(BODY_TOO_LARGE)
-        return None
-
     def _reject(self, failure: Failure) -> None:
         """Queue an error response behind the pending ones and stop reading requests."""
         if self._is_closing or self._writer is None:
@@ -389,25 +376,3 @@
             self._reject(Failure(REQUEST_TIMEOUT))
         else:
             self.finish()
-
-
-def _check_head(version: str, headers: Headers) -> Failure | None:
-    """Return a failure if the message framing or host is ambiguous, else ``None``."""
-    names = [name for name, _ in headers]
-    if names.count(b"host") != 1 and (version != "1.0" or b"host" in names):
-        return Failure(REQUEST_MALFORMED, "a request has one host header")
-    if names.count(b"content-length") > 1:
-        return Failure(REQUEST_MALFORMED, "the length is given twice")
-    codings = [value for name, value in headers if name == b"transfer-encoding"]
-    if codings and (len(codings) > 1 or codings[0].strip().lower() != b"chunked"):
-        return Failure(REQUEST_MALFORMED, "the transfer coding is not chunked")
-    if codings and b"content-length" in names:
-        return Failure(REQUEST_MALFORMED, "both a length and a transfer coding")
-    return None
-
-
-def _expects_continue(headers: Headers) -> bool:
-    return any(
-        name == b"expect" and value.lower() == b"100-continue"
-        for name, value in headers
-    )
