End idle connections at once in a planned stop

Connections on which nothing is under way were half-closed and kept for a second, which made each planned stop a second longer if callers keep idle connections open. Found by reading, not seen in play. A connection lingers only behind an answer that was written just now, or that the caller's machine has not acknowledged.

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -124,16 +124,20 @@
     def close_if_idle(self) -> None:
         """End the connection unless a request is being read or awaits its response."""
         if not self.is_awaiting:
-            self.finish()
+            self.finish(lingers=False)
 
-    def finish(self) -> None:
-        """End the connection behind what was written; discard what is received."""
+    def finish(self, lingers: bool = True) -> None:
+        """End the connection behind what was written; discard what is received.
+
+        Args:
+            lingers: Whether an answer has been written just now.
+        """
         self._is_closing = True
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_pending()
         if self._writer is not None:
-            self._writer.finish()
+            self._writer.finish(lingers)
             self._resume_reading()
 
     def cut(self, cause: str) -> None:
@@ -375,4 +379,4 @@
         if self._is_reading:
             self._reject(Failure(REQUEST_TIMEOUT))
         else:
-            self.finish()
+            self.finish(lingers=False)
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -130,16 +130,22 @@
 
     # End of the connection
 
-    def finish(self) -> None:
-        """End the connection behind the last written byte."""
+    def finish(self, lingers: bool) -> None:
+        """End the connection behind the last written byte.
+
+        Args:
+            lingers: Whether the caller may not have received the last answer; without
+                it, a connection on which nothing is under way ends at once.
+        """
         if self._is_finishing or self._transport.is_closing():
             return
         self._is_finishing = True
-        if self._transport.can_write_eof():
+        lingers = lingers or self._received_bytes() < self._written_bytes
+        if lingers and self._transport.can_write_eof():
             self._transport.write_eof()
             self._watch_progress()
         else:
-            # TLS has no half-closed connections.
+            # With TLS there are no half-closed connections.
             self._transport.close()
 
     def handle_lost(self) -> int:
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -435,7 +435,7 @@
         if handler.unsent_count:
             logger.info("vm: sending {} answers", handler.unsent_count)
         for connection in list(self.caller_connections):
-            connection.finish()
+            connection.finish(lingers=False)
         while self.caller_connections and anyio.current_time() < end_s:
             self.log_writer.flush()
             await anyio.sleep(TICK_INTERVAL_S)
--- a/tests/forwarding/fake_transport.py
+++ b/tests/forwarding/fake_transport.py
@@ -14,6 +14,7 @@
         self.is_aborted = False
         self.is_paused = False
         self.is_stuck = False
+        self.is_half_closed = False
 
     def write(self, data):
         self.written.append(data)
@@ -25,7 +26,10 @@
         pass
 
     def can_write_eof(self):
-        return False
+        return True
+
+    def write_eof(self):
+        self.is_half_closed = True
 
     def is_closing(self):
         return self.is_aborted
--- a/tests/forwarding/test_caller_connection.py
+++ b/tests/forwarding/test_caller_connection.py
@@ -107,3 +107,25 @@
     await wait_until(lambda: transport.is_aborted)
     connection.connection_lost(None)
     assert handler.cuts == [(1, "stalled")]
+
+
+async def test_a_connection_ends_behind_its_last_answer_and_an_idle_one_at_once():
+    request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+    for has_request in (False, True):
+        handler = Handler()
+        connection = CallerConnection(handler, set())
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        if has_request:
+            connection.data_received(request)
+            connection.close_if_idle()
+            assert not transport.is_half_closed
+            handler.replies[0](Response(200, [], b"answer"))
+            # What crosses the end is discarded.
+            connection.data_received(b"\0 no request")
+        else:
+            connection.close_if_idle()
+        assert transport.is_half_closed == has_request
+        assert transport.is_aborted == (not has_request)
+        assert len(transport.written) == has_request
+        connection.connection_lost(None)
