--- a/tests/vm/test_planned_stop.py
+++ b/tests/vm/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 
 import anyio
@@ -36,9 +37,12 @@
             async with await connect_on_narrow_link(vm.host, vm.port) as stream:
                 await stream.send(request_bytes("r1", "/claim/1", "POST", b"b"))
                 data = await receive_head(stream)
-                vm.signal(15)
+                vm.signal(signal.SIGTERM)
                 # Longer than a stop takes without answers to send.
                 await anyio.sleep(2)
+                # Signals are handled to the end; by default both end a process.
+                vm.signal(signal.SIGHUP)
+                vm.signal(signal.SIGTERM)
                 status, _, body, _ = await read_response(stream, data)
             assert (status, len(body)) == (200, ANSWER_BYTES + len(b"answer to r1"))
             await wait_until(lambda: vm.process.poll() is not None)
