--- a/tests/placement/test_slot_scheduler.py
+++ b/tests/placement/test_slot_scheduler.py
@@ -69,6 +69,17 @@
     assert scheduler.tracker("u0").suspect_since_s is None
 
 
+def test_a_slot_of_an_earlier_start_does_not_bring_it_back():
+    scheduler = make_scheduler(upstream_count=1, slots=1)
+    scheduler.request_slot(make_request(1), 0.0)
+    scheduler.replace_upstreams([make_upstream("u0", 1, start_time_ms=2)], 0.1)
+    scheduler.release(("vm", 1), Outcome.FAILED, 0.2, 0.2)
+    granted = scheduler.request_slot(make_request(2), 0.3)
+    assert granted.upstream.start_time_ms == 2
+    assert scheduler.tracker("u0").in_use == 1
+    assert isinstance(scheduler.request_slot(make_request(3), 0.3), Queued)
+
+
 def test_address_taken_over_by_another_upstream_is_avoided_at_once():
     # Requests were sent repeatedly to an address that another service had taken over,
     # until the upstream's entry in the store expired; their retries used up the retry
