Bound the requests to cold upstreams over the whole fleet

Upstreams that had just started, or whose zone was taken back, got a burst: they had been without requests longest, so every exploring request went to them, and they crashed.

Cause: a warm-up only added a cost to the choice, only the first entry of a start counted, and one that begins again later was taken for no change. Ruled out: retries, as the burst is of first attempts.

Change: each cold upstream has a bucket whose tokens come with the leased shares of the VMs, at the rate that its service states. It is cold by its entry, also when that grows, by its answers, and for one warm-up after its zone is taken back. Its times don't count for its speed. A grant that is half a second old isn't used.

Tests: the bound from 2 to 550 VMs and under a state machine of kills, cuts, freezes, slow brokers and losses; whole VMs; the list of upstreams. They need names that the code before lacks. Without the limiter, without the validity of a share, without the end of its tokens or with a floor of one request for each VM, one each fails.

--- a/src/gentianfold/cli/status.py
+++ b/src/gentianfold/cli/status.py
@@ -106,6 +106,7 @@
         "SUSPECT",
         "LEAVING",
         "PAUSE S",
+        "COLD S",
     )
     upstream_rows = [
         (
@@ -117,6 +118,7 @@
             "yes" if upstream["is_suspect"] else "no",
             "yes" if upstream["is_leaving"] else "no",
             upstream["pause_s"],
+            upstream.get("warmup_left_s", 0.0),
         )
         for upstream in states[0]["upstreams"]
     ]
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -247,6 +247,16 @@
     if it states none."""
 
 
+class UpstreamCold(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """Tells the broker that an upstream has stated in an answer that it is cold."""
+
+    upstream: str
+    start_time_ms: int
+    """Unix time of the upstream's start (milliseconds)."""
+    left_ms: int
+    """Time for which it remains cold (milliseconds)."""
+
+
 class CrashReport(msgspec.Struct, array_like=True, tag=11, frozen=True):
     """Tells VMs at once that a request is blocked, or no longer."""
 
@@ -268,6 +278,7 @@
     | TunnelRequest
     | TunnelToken
     | TunnelNotice
+    | UpstreamCold
 )
 """Any message between VMs."""
 
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -28,6 +28,7 @@
     TunnelRequest,
     TunnelToken,
     UpstreamChanges,
+    UpstreamCold,
 )
 from gentianfold.fleet.node_evacuations import NodeEvacuations
 from gentianfold.fleet.node_notices import NodeNotices
@@ -43,6 +44,7 @@
     Refused,
     SlotRequest,
 )
+from gentianfold.placement.warmup_limiter import MAX_SEND_DELAY_S
 
 if TYPE_CHECKING:
     from gentianfold.fleet.broker import Broker
@@ -121,7 +123,8 @@
             self.view,
             self.scheduler,
             self.apply_upstreams,
-            self.membership.expedite_heartbeat,
+            self.membership,
+            self.transport,
         )
         self.evacuations = NodeEvacuations(
             self.view, self.scheduler, self.apply_upstreams, self._now_s
@@ -190,6 +193,10 @@
             notice.pause_s,
             self._now_s(),
         )
+        if notice.warmup_s > 0:
+            self.notices.record_cold(
+                "answer", name, start_time_ms, notice.warmup_s, self._now_s()
+            )
 
     def may_carry(self, upstream: str, start_time_ms: int) -> bool:
         """Tell whether this VM opens tunnels to a start of an upstream for others."""
@@ -200,8 +207,17 @@
         )
 
     def is_withdrawn(self, placement: Placement) -> bool:
-        """Tell whether the upstream has refused further requests since the grant."""
-        return not self._takes_requests(placement.upstream, placement.start_time_ms)
+        """Tell whether the grant may no longer be used.
+
+        The upstream may have refused further requests since, or be cold: grants that
+        are used late add up with those of the broker.
+        """
+        name, now_s = placement.upstream, self._now_s()
+        tracker = self.scheduler.tracker(name)
+        is_cold = tracker is not None and tracker.is_cold(now_s)
+        if is_cold and now_s - placement.granted_at_s > MAX_SEND_DELAY_S:
+            return True
+        return not self._takes_requests(name, placement.start_time_ms)
 
     def _takes_requests(self, name: str, start_time_ms: int) -> bool:
         return self.view.is_usable(
@@ -244,6 +260,11 @@
                     self._merge_upstreams(message, now_s)
             case CrashReport():
                 self.scheduler.crashes.merge(message.crash_records, now_s)
+            case UpstreamCold():
+                left_s, start_time_ms = message.left_ms / 1000, message.start_time_ms
+                self.notices.record_cold(
+                    vm, message.upstream, start_time_ms, left_s, now_s
+                )
             case TunnelRequest():
                 token = self.tunnels.give_token(vm, now_s)
                 self.transport.send(vm, TunnelToken(token))
@@ -403,6 +424,7 @@
                 len(configuration.customers),
             )
             self.scheduler.quota.replace_customers(configuration.customers)
+            self.scheduler.warmups.warmups = configuration.warmups
         now_s = self._now_s()
         if self.membership.role is Role.BROKER:
             self.broker.distribute_configuration(now_s, self.lease_clock.now_s())
--- a/src/gentianfold/fleet/node_notices.py
+++ b/src/gentianfold/fleet/node_notices.py
@@ -8,12 +8,16 @@
 import attrs
 from loguru import logger
 
+from gentianfold.fleet.membership import Role
+from gentianfold.fleet.messages import UpstreamCold
 from gentianfold.fleet.pause_table import PauseTable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from gentianfold.fleet.membership import Membership
     from gentianfold.fleet.node_view import NodeView
+    from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 
@@ -29,8 +33,10 @@
     """Places the requests of this VM."""
     apply_upstreams: Callable[[float], None]
     """Applies a changed list of upstreams at a time (event loop time, seconds)."""
-    expedite_heartbeat: Callable[[float], None]
-    """Sends the next heartbeat at once, given the event loop time (seconds)."""
+    membership: Membership
+    """Role of this VM and the broker that it uses."""
+    transport: Transport
+    """Sends messages to the broker."""
     pauses: PauseTable = attrs.field(factory=PauseTable)
     """Upstreams that want no requests of this VM for a while."""
 
@@ -55,7 +61,7 @@
             now_s: Event loop time (seconds).
         """
         if is_leaving and self.merge_leaving(cause, ((name, start_time_ms),), now_s):
-            self.expedite_heartbeat(now_s)
+            self.membership.expedite_heartbeat(now_s)
         if pause_s is not None:
             logger.info(
                 "upstream: {} wants no requests of this VM, cause={} s={:.3g}",
@@ -66,6 +72,29 @@
             self.pauses.record(name, start_time_ms, now_s + pause_s)
             self.apply_pauses(now_s)
 
+    def record_cold(
+        self, cause: str, name: str, start_time_ms: int, left_s: float, now_s: float
+    ) -> None:
+        """Record that a start of an upstream is cold; tell the broker if it is new.
+
+        Args:
+            cause: ``answer``, or the VM that tells it.
+            name: Name of the upstream.
+            start_time_ms: Unix time of its start (milliseconds).
+            left_s: Time for which it remains cold (seconds).
+            now_s: Event loop time (seconds).
+        """
+        tracker = self.scheduler.tracker(name)
+        if tracker is None or tracker.upstream.start_time_ms != start_time_ms:
+            return
+        if not tracker.warmup.start(now_s + left_s, now_s):
+            return
+        logger.info("upstream: {} is cold, cause={} s={:.3g}", name, cause, left_s)
+        broker = self.membership.broker
+        if broker and self.membership.role is Role.MEMBER:
+            message = UpstreamCold(name, start_time_ms, int(left_s * 1000))
+            self.transport.send(broker, message)
+
     def apply_pauses(self, now_s: float) -> None:
         """Tell the scheduler until when upstreams want no requests of this VM."""
         for name, start_time_ms, until_s in self.pauses.running(now_s):
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TypeAlias
 
 import anyio
@@ -61,7 +62,9 @@
         return None
 
 
-def to_placement(request: SlotRequest, granted: Granted, granted_by: str) -> Placement:
+def to_placement(
+    request: SlotRequest, granted: Granted, granted_by: str, now_s: float = math.inf
+) -> Placement:
     """Return the placement that a grant of this VM's own scheduler carries."""
     upstream = granted.upstream
     return Placement(
@@ -73,10 +76,13 @@
         granted.reason,
         granted_by,
         upstream.start_time_ms,
+        now_s,
     )
 
 
-def to_decision(message: SlotGranted | SlotRefused, broker: str) -> PlacementDecision:
+def to_decision(
+    message: SlotGranted | SlotRefused, broker: str, now_s: float
+) -> PlacementDecision:
     """Return the decision that a message of the broker at an address carries."""
     if isinstance(message, SlotRefused):
         reason = RefusalReason(message.reason)
@@ -90,4 +96,5 @@
         GrantReason(message.reason),
         broker,
         message.start_time_ms,
+        now_s,
     )
--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -7,6 +7,8 @@
 import attrs
 from loguru import logger
 
+from gentianfold.model import UpstreamState
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -69,15 +71,24 @@
         changed = [
             name
             for name, upstream in new.items()
-            if name in old and upstream.state != old[name].state
+            if upstream.state is UpstreamState.DRAINING
+            and name in old
+            and old[name].state is not UpstreamState.DRAINING
+        ]
+        cold = [
+            name
+            for name, upstream in new.items()
+            if upstream.warmup_remaining_s
+            and (name not in old or old[name].entry_revision != upstream.entry_revision)
         ]
         logger.info(
-            "upstreams: revision={} known={} came={} drained={} went={}",
+            "upstreams: revision={} known={} came={} drained={} went={} cold={}",
             revision,
             len(new),
             _format_names(added),
             _format_names(changed),
             _format_names(deleted),
+            _format_names(cold),
         )
 
 
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -228,7 +228,8 @@
         if isinstance(decision, Refused):
             return decision
         if isinstance(decision, Granted):
-            return to_placement(request, decision, self.membership.role.value)
+            granted_by = self.membership.role.value
+            return to_placement(request, decision, granted_by, self._now_s())
         pending = self._add_pending(request)
         try:
             with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
@@ -270,7 +271,7 @@
             return
         pending.acknowledged = True
         if not isinstance(message, SlotQueued):
-            pending.decided.set_result(to_decision(message, vm))
+            pending.decided.set_result(to_decision(message, vm, self._now_s()))
 
     def resolve(self, slot_request_id: int, decision: Granted | Refused) -> None:
         """Pass a decision of this VM's own scheduler to the request that awaits it."""
@@ -279,7 +280,7 @@
             self._cancel_locally(slot_request_id)
         elif isinstance(decision, Granted):
             placement = to_placement(
-                pending.request, decision, self.membership.role.value
+                pending.request, decision, self.membership.role.value, self._now_s()
             )
             pending.decided.set_result(placement)
         else:
--- a/src/gentianfold/fleet/upstream_list.py
+++ b/src/gentianfold/fleet/upstream_list.py
@@ -16,6 +16,8 @@
 
 MAX_ENTRIES_PER_DATAGRAM = 10
 """Entries in one datagram (count): keeps it below the usual packet size."""
+WARMUP_JITTER_MS = 100
+"""Growth of a remaining warm-up that is no new one (milliseconds)."""
 MAX_TOMBSTONES = 500
 """Deletions that are kept (count); a VM that missed more is sent all entries."""
 
@@ -70,7 +72,10 @@
             may_be_new = is_listed or entry.revision.era > old.revision.era
             revision = entry.revision if may_be_new else old.revision
             self._entries[entry.name] = msgspec.structs.replace(
-                old, revision=revision, sequence=entry.sequence
+                old,
+                revision=revision,
+                sequence=entry.sequence,
+                warmup_remaining_ms=entry.warmup_remaining_ms,
             )
             return False
         self._entries[entry.name] = entry
@@ -313,8 +318,10 @@
 def _is_unchanged(old: UpstreamEntry, new: UpstreamEntry) -> bool:
     """Tell whether two entries differ only in revision and remaining warm-up time.
 
-    The end of the warm-up counts as a difference.
+    The end of the warm-up counts as a difference, and so does one that begins or grows:
+    an upstream may become cold at any time.
     """
+    remaining_ms = old.warmup_remaining_ms
     return (
         old.service == new.service
         and old.host == new.host
@@ -323,7 +330,8 @@
         and old.slots == new.slots
         and old.is_draining == new.is_draining
         and old.start_time_ms == new.start_time_ms
-        and (old.warmup_remaining_ms == 0 or new.warmup_remaining_ms > 0)
+        and (remaining_ms > 0) == (new.warmup_remaining_ms > 0)
+        and new.warmup_remaining_ms <= remaining_ms + WARMUP_JITTER_MS
     )
 
 
@@ -338,4 +346,5 @@
         state=UpstreamState.DRAINING if entry.is_draining else UpstreamState.LIVE,
         start_time_ms=entry.start_time_ms,
         warmup_remaining_s=entry.warmup_remaining_ms / 1000,
+        entry_revision=msgspec.structs.astuple(entry.revision),
     )
--- a/src/gentianfold/forwarding/header_names.py
+++ b/src/gentianfold/forwarding/header_names.py
@@ -29,6 +29,8 @@
     responses of an upstream without a limit."""
     leaving: bytes = b"gentianfold-leaving"
     """Set to 1 on all responses of an upstream that is about to end."""
+    warmup: bytes = b"gentianfold-warmup-ms"
+    """Milliseconds for which the upstream remains cold; absent or 0 if it is warm."""
     key_scheme: bytes = b"bearer"
     """``Authorization`` scheme that carries an API key, in lower case."""
 
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -34,6 +35,8 @@
     as ``alone``, if its own scheduler did."""
     start_time_ms: int = 0
     """Unix time of the upstream's start (milliseconds)."""
+    granted_at_s: float = math.inf
+    """When this VM got the slot (event loop time, seconds); infinite if unknown."""
 
 
 class Placer(Protocol):
--- a/src/gentianfold/forwarding/upstream_notice.py
+++ b/src/gentianfold/forwarding/upstream_notice.py
@@ -1,4 +1,4 @@
-"""Reads what an upstream states about itself in a response: leaving, pausing."""
+"""Reads what an upstream states about itself: leaving, pausing, warming up."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 
 MAX_PAUSE_S = 600.0
 """Longest pause that is kept (seconds); a longer one is shortened to it."""
+MAX_WARMUP_S = 60.0
+"""Longest warm-up that an answer may state (seconds); a longer one is shortened to it."""
 _SECONDS = re.compile(rb"[0-9]{1,32}(\.[0-9]{1,32})?")
 
 
@@ -26,6 +28,8 @@
     pause_s: float | None = None
     """Time for which it wants no requests of this VM (seconds); ``None`` if it states
     none."""
+    warmup_s: float = 0.0
+    """Time for which it remains cold (seconds); 0 if it states none."""
 
 
 NO_NOTICE = UpstreamNotice()
@@ -49,9 +53,16 @@
         leaving = response.header(self.names.leaving)
         is_leaving = leaving is not None and leaving.strip() == b"1"
         pause_s = self._read_pause_s(response) if response.status == 503 else None
-        if not is_leaving and pause_s is None:
+        warmup_s = self._read_warmup_s(response)
+        if not is_leaving and pause_s is None and not warmup_s:
             return NO_NOTICE
-        return UpstreamNotice(is_leaving, pause_s)
+        return UpstreamNotice(is_leaving, pause_s, warmup_s)
+
+    def _read_warmup_s(self, response: Response) -> float:
+        value = response.header(self.names.warmup)
+        if value is None or not _SECONDS.fullmatch(value.strip()):
+            return 0.0
+        return min(float(value) / 1000, MAX_WARMUP_S)
 
     def _read_pause_s(self, response: Response) -> float | None:
         values = [
--- a/src/gentianfold/model/__init__.py
+++ b/src/gentianfold/model/__init__.py
@@ -5,7 +5,7 @@
 from gentianfold.model.configuration import CallerLimits, Configuration
 from gentianfold.model.customer import Customer, RateLimit
 from gentianfold.model.route import HeaderMatch, PathKind, Route, WeightedService
-from gentianfold.model.service import Service, Upstream, UpstreamState
+from gentianfold.model.service import Service, Upstream, UpstreamState, Warmup
 
 __all__ = [
     "CallerLimits",
@@ -18,5 +18,6 @@
     "Service",
     "Upstream",
     "UpstreamState",
+    "Warmup",
     "WeightedService",
 ]
--- a/src/gentianfold/model/configuration.py
+++ b/src/gentianfold/model/configuration.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from gentianfold.model.customer import Customer
     from gentianfold.model.route import Route
+    from gentianfold.model.service import Warmup
 
 
 @attrs.frozen
@@ -44,5 +45,7 @@
     """Limits for the requests of all callers."""
     health_paths: dict[str, str] = attrs.field(factory=dict)
     """Health check path by service name."""
+    warmups: dict[str, Warmup] = attrs.field(factory=dict)
+    """Warm-up by service name; others have no bound while they are cold."""
     max_connections: dict[str, int] = attrs.field(factory=dict)
     """Connections that one upstream accepts from all VMs together, by service name."""
--- a/src/gentianfold/model/service.py
+++ b/src/gentianfold/model/service.py
@@ -42,6 +42,18 @@
     """Unix time of the start (milliseconds); another value means a restarted server."""
     warmup_remaining_s: float = 0.0
     """Warm-up time remaining at publication (seconds); responses are slow meanwhile."""
+    entry_revision: tuple[int, int, int] = (0, 0, 0)
+    """Revision of its entry; another one means that the warm-up was stated anew."""
+
+
+@attrs.frozen
+class Warmup:
+    """What the upstreams of a service tolerate until they have warmed up."""
+
+    rate_per_s: float
+    """Requests per second that one upstream gets from all VMs together."""
+    duration_s: float
+    """Usual length of a warm-up (seconds)."""
 
 
 @attrs.frozen
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -330,7 +330,7 @@
         cost = policy.load_weight * tracker.in_use / max(tracker.upstream.slots, 1)
         cost += weight * staleness
         cost += policy.failure_weight * tracker.recent_failures(now_s)
-        if now_s < tracker.warmup_until_s:
+        if tracker.is_cold(now_s):
             cost += policy.warmup_weight
         slowness = tracker.slowness(now_s)
         cost += policy.slow_weight * min(max(slowness - USUAL_SLOWNESS, 0.0), 4.0)
--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from gentianfold.placement.elapsed_table import ElapsedTable
+    from gentianfold.placement.quota_table import QuotaTable
     from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.upstream_tracker import UpstreamTracker
@@ -28,6 +29,10 @@
 OVERDUE_SLACK_S = 0.3
 """Time added to that multiple (seconds), so that jitter fails no short request."""
 
+MAX_RUNNING_FACTOR = 6.0
+"""Multiple of the expected time up to which a running request counts towards the
+slowness of its upstream: some work takes that long by itself."""
+
 
 @attrs.define(eq=False)
 class Grant:
@@ -68,18 +73,21 @@
         elapsed: Usual elapsed times.
     """
     tracker, request = grant.tracker, grant.request
+    # The warm-up makes requests slow, which says nothing of the time after it.
+    was_cold = tracker.is_cold(grant.granted_at_s)
     is_final = not request.idempotent or request.attempt > 1
     if outcome is Outcome.CANCELLED or (outcome.is_failure and is_final):
         demand.count_unserved(now_s)
     if outcome is Outcome.SUCCEEDED:
         tracker.record_success(grant.granted_at_s, is_uncounted=not grant.is_accepted)
-        tracker.record_elapsed(elapsed_s, expected_s, now_s)
-        elapsed.record(request.service, request.route, elapsed_s)
+        if not was_cold:
+            tracker.record_elapsed(elapsed_s, expected_s, now_s)
+            elapsed.record(request.service, request.route, elapsed_s)
     elif outcome is Outcome.FAILED:
         tracker.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
-    elif outcome is Outcome.CANCELLED:
+    elif outcome is Outcome.CANCELLED and not was_cold:
         tracker.record_elapsed(elapsed_s, 0.0, now_s)
-    elif outcome is Outcome.TIMED_OUT:
+    elif outcome is Outcome.TIMED_OUT and not was_cold:
         tracker.record_elapsed(elapsed_s, 0.0, now_s)
         usual_s = elapsed.slot_time_s(request.service)
         is_long = elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S
@@ -95,6 +103,24 @@
         tracker.record_connect_failure(request.vm, now_s)
 
 
+def add_running(grant: Grant, expected_s: float, now_s: float) -> None:
+    """Count a request that runs longer than expected towards its upstream's slowness."""
+    running_s = now_s - grant.granted_at_s
+    if running_s > expected_s and not grant.tracker.is_cold(now_s):
+        limit_s = MAX_RUNNING_FACTOR * expected_s
+        grant.tracker.running_s += min(running_s, limit_s)
+
+
+def refund_unsent(grant: Grant, quota: QuotaTable) -> None:
+    """Return what was counted for a request that did not reach its upstream.
+
+    A cold upstream's token is not returned: it may be down, and cold when it is back.
+    """
+    grant.tracker.rate_limiter.refund_request()
+    if grant.has_token:
+        quota.refund(grant.request.customer, grant.granted_at_s)
+
+
 def record_accepted(grant: Grant, now_s: float) -> bool:
     """Count a request as accepted once it has run without failing quickly.
 
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -10,7 +10,13 @@
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.elapsed_table import ElapsedTable
-from gentianfold.placement.grant import Grant, apply_outcome, record_accepted
+from gentianfold.placement.grant import (
+    Grant,
+    add_running,
+    apply_outcome,
+    record_accepted,
+    refund_unsent,
+)
 from gentianfold.placement.grant_table import GrantTable
 from gentianfold.placement.log_entries import (
     ServiceLoad,
@@ -36,6 +42,7 @@
 from gentianfold.placement.wait_estimate import estimate_wait_s, shortest_pause_s
 from gentianfold.placement.wait_table import WaitTable
 from gentianfold.placement.waiting_requests import SlotRequestKey, WaitingRequests
+from gentianfold.placement.warmup_limiter import WarmupBudget
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -46,9 +53,6 @@
 NO_UPSTREAM_RETRY_S = 0.5
 """Retry delay for a service without upstreams (seconds): upstreams that restart are
 listed within about a second."""
-MAX_RUNNING_FACTOR = 6.0
-"""Multiple of the expected time up to which a running request counts towards the
-slowness of its upstream: some work takes that long by itself."""
 
 Decision: TypeAlias = Granted | Queued | Refused
 """Result of a request for a slot."""
@@ -72,7 +76,11 @@
     """Requests under which upstreams crashed."""
     state_changes: StateChangeQueue = attrs.field(factory=StateChangeQueue)
     """State changes of upstreams that are not logged yet."""
-    _trackers: TrackerTable = attrs.field(factory=TrackerTable)
+    warmups: WarmupBudget = attrs.field(factory=WarmupBudget)
+    """Bound of the requests to cold upstreams."""
+    _trackers: TrackerTable = attrs.field(
+        default=attrs.Factory(lambda self: TrackerTable(self.warmups), True)
+    )
     _grants: GrantTable = attrs.field(factory=GrantTable)
     _waiting: WaitingRequests = attrs.field(
         default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
@@ -94,6 +102,7 @@
         """
         self.quota.set_share(share, mature_share, now_s, valid_s)
         self.budget.share = share
+        self.warmups.set_share(share, now_s, valid_s)
 
     # Upstreams
 
@@ -116,8 +125,6 @@
         """Record until when a start of an upstream wants no requests of a VM."""
         self._trackers.record_pause(name, start_time_ms, vm, until_s)
 
-    # Requests
-
     def request_slot(self, request: SlotRequest, now_s: float) -> Decision:
         """Grant a slot, queue the request or refuse it.
 
@@ -189,13 +196,10 @@
         self._record_outcome(grant, outcome, elapsed_s, now_s)
         if pause_s is not None:
             grant.tracker.paused_until_s[key[0]] = now_s + pause_s
-        limiter = grant.tracker.rate_limiter
         if outcome is Outcome.CONNECT_FAILED:
-            limiter.refund_request()
-            if grant.has_token:
-                self.quota.refund(grant.request.customer, grant.granted_at_s)
+            refund_unsent(grant, self.quota)
         if rate_limit_per_s == UNLIMITED:
-            if limiter.record_no_limit(grant.granted_at_s):
+            if grant.tracker.rate_limiter.record_no_limit(grant.granted_at_s):
                 self.state_changes.record(
                     grant.tracker, "not rate limited", "answer", now_s
                 )
@@ -284,11 +288,7 @@
         for grant in self._grants.values():
             if record_accepted(grant, now_s):
                 self.state_changes.record(grant.tracker, "well", "taken", now_s)
-            expected_s = self._expected_s(grant.request)
-            running_s = now_s - grant.granted_at_s
-            if running_s > expected_s:
-                limit_s = MAX_RUNNING_FACTOR * expected_s
-                grant.tracker.running_s += min(running_s, limit_s)
+            add_running(grant, self._expected_s(grant.request), now_s)
         for tracker in self._trackers.all():
             if tracker.update_slow(now_s):
                 state = "slow" if tracker.is_slow else "no longer slow"
@@ -458,7 +458,7 @@
     def _hold_slot(self, key: SlotRequestKey, grant: Grant) -> None:
         self._grants.add(key, grant)
         grant.tracker.in_use += 1
-        grant.tracker.rate_limiter.count_request(grant.granted_at_s)
+        grant.tracker.count_request(grant.granted_at_s)
         grant.tracker.last_used_s = grant.granted_at_s
         grant.tracker.trials_in_use += grant.is_trial
         self._order.count_slot(grant.request, 1)
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -8,6 +8,7 @@
 
 from gentianfold.model import Upstream, UpstreamState
 from gentianfold.placement.upstream_tracker import UpstreamTracker
+from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupLimiter
 
 if TYPE_CHECKING:
     from collections.abc import ItemsView, Iterable
@@ -17,6 +18,8 @@
 class TrackerTable:
     """One tracker for each start of a listed upstream."""
 
+    warmups: WarmupBudget = attrs.field(factory=WarmupBudget)
+    """Bound of the requests to cold upstreams."""
     _trackers: dict[str, UpstreamTracker] = attrs.field(factory=dict)
     _live: dict[str, list[UpstreamTracker]] = attrs.field(factory=dict)
 
@@ -29,11 +32,11 @@
                 tracker is None
                 or tracker.upstream.start_time_ms != upstream.start_time_ms
             ):
-                tracker = UpstreamTracker(
-                    upstream,
-                    now_s + upstream.warmup_remaining_s,
-                    listed_at_s=now_s,
-                )
+                limiter = WarmupLimiter(upstream.service, self.warmups)
+                tracker = UpstreamTracker(upstream, limiter, listed_at_s=now_s)
+                _start_warmup(tracker, now_s)
+            elif tracker.upstream is not upstream:
+                _update_warmup(tracker, upstream, now_s)
             tracker.upstream = upstream
             trackers[upstream.name] = tracker
         self._trackers = trackers
@@ -67,6 +70,23 @@
             tracker.paused_until_s[vm] = until_s
 
 
+def _start_warmup(tracker: UpstreamTracker, now_s: float) -> None:
+    tracker.warmup.start(now_s + tracker.upstream.warmup_remaining_s, now_s)
+
+
+def _update_warmup(tracker: UpstreamTracker, upstream: Upstream, now_s: float) -> None:
+    """Apply a warm-up that is stated anew, or unseen while its zone was evacuated.
+
+    An upstream may have become cold shortly before its zone is taken back, and say so
+    with its next write to the store only.
+    """
+    old = tracker.upstream
+    if upstream.entry_revision != old.entry_revision and upstream.warmup_remaining_s:
+        tracker.warmup.start(now_s + upstream.warmup_remaining_s, now_s)
+    if old.state is UpstreamState.EVACUATED and upstream.state is UpstreamState.LIVE:
+        tracker.warmup.start_unseen(now_s)
+
+
 def has_free_slot(trackers: Iterable[UpstreamTracker], now_s: float) -> bool:
     """Tell whether any of the upstreams would start a request at once."""
     return any(tracker.has_free_slot(now_s) for tracker in trackers)
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -8,6 +8,7 @@
 
 from gentianfold.model import Upstream
 from gentianfold.placement.rate_limiter import RateLimiter
+from gentianfold.placement.warmup_limiter import WarmupLimiter
 
 NEVER_S = -1e9
 """Time of an event that has not happened (seconds)."""
@@ -56,8 +57,8 @@
 
     upstream: Upstream
     """Published properties."""
-    warmup_until_s: float = 0.0
-    """When its warm-up ends (seconds)."""
+    warmup: WarmupLimiter = attrs.field(factory=WarmupLimiter)
+    """Keeps its requests to the rate that it tolerates while it is cold."""
     in_use: int = 0
     """Slots held by granted requests (count)."""
     last_accepted_s: float = NEVER_S
@@ -109,6 +110,27 @@
     rate_limiter: RateLimiter = attrs.field(factory=RateLimiter)
     """Keeps its requests to the rate that it states."""
 
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether it is warming up, so that its rate is bounded in the fleet."""
+        return now_s < self.warmup.until_s
+
+    def count_request(self, now_s: float) -> None:
+        """Count a granted request towards its bounds."""
+        self.rate_limiter.count_request(now_s)
+        self.warmup.count_request(now_s)
+
+    def capacity_slots(self, slot_time_s: float, now_s: float) -> float:
+        """Return how many of its slots can be in use within its bounds.
+
+        Args:
+            slot_time_s: Usual time for which a request holds a slot (seconds).
+            now_s: Current time (seconds).
+        """
+        stated = self.rate_limiter.capacity_slots(self.upstream.slots, slot_time_s)
+        if not self.is_cold(now_s):
+            return stated
+        return min(stated, self.warmup.capacity_slots(slot_time_s, now_s))
+
     def is_blocked_for(self, vm: str, now_s: float) -> bool:
         """Tell whether a VM failed to connect recently, or was told to pause."""
         if not self.blocked_until_s and not self.paused_until_s:
@@ -142,6 +164,7 @@
                 not self.rate_limiter.is_limited
                 or self.rate_limiter.allows_request(now_s)
             )
+            and (not self.is_cold(now_s) or self.warmup.allows_request(now_s))
         )
 
     def recent_failures(self, now_s: float) -> float:
--- a/src/gentianfold/placement/working_set.py
+++ b/src/gentianfold/placement/working_set.py
@@ -95,7 +95,7 @@
     healthy.sort(
         key=lambda tracker: (
             tracker.is_slow,
-            tracker.rate_limiter.is_limited,
+            tracker.rate_limiter.is_limited or tracker.is_cold(now_s),
             tracker.recent_failures(now_s) >= 1,
             -tracker.last_accepted_s,
         )
@@ -105,7 +105,5 @@
     slots = 0.0
     for tracker in healthy:
         tracker.in_working_set = slots < needed
-        slots += tracker.rate_limiter.capacity_slots(
-            tracker.upstream.slots, slot_time_s
-        )
+        slots += tracker.capacity_slots(slot_time_s, now_s)
     return slots
--- a/src/gentianfold/platform/headers.py
+++ b/src/gentianfold/platform/headers.py
@@ -14,6 +14,7 @@
     not_run=b"not-executed",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    warmup=b"warmup-remaining",
     key_scheme=b"token",
 )
 """Header names that callers and upstreams on the platform use."""
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -1,7 +1,7 @@
 """Wire format of the platform's store: keys, query parameters and JSON documents.
 
-Decoders convert the documents to the types of ``model`` and ``fleet``. The encoders
-serve the stand-ins; they are here so that no other module names a wire field.
+Decoders convert the documents to the types of ``model`` and ``fleet``; the encoders of
+the stand-ins are in ``wire_encoding``. No other module names a wire field.
 """
 
 from __future__ import annotations
@@ -24,8 +24,7 @@
     PathKind,
     RateLimit,
     Route,
-    Upstream,
-    UpstreamState,
+    Warmup,
     WeightedService,
 )
 
@@ -97,18 +96,18 @@
     status: _UpstreamStatus
 
 
-class _WeightedService(msgspec.Struct):
+class WeightedServiceDocument(msgspec.Struct):
     service: str
     weight: float
 
 
-class _Route(msgspec.Struct):
+class RouteDocument(msgspec.Struct):
     name: str
     host: str
     path_prefix: str
     kind: str
     service: str | None = None
-    traffic_split: list[_WeightedService] | None = None
+    traffic_split: list[WeightedServiceDocument] | None = None
     timeout_ms: float | None = None
     target_latency_ms: float | None = None
     priority: int = 0
@@ -117,13 +116,16 @@
     auth_exempt: bool = False
 
 
-class _Service(msgspec.Struct):
+class ServiceDocument(msgspec.Struct):
     name: str
     health_path: str = "/health"
     max_connections: int = 0
+    # 0 or absent: no bound for cold upstreams.
+    warmup_s: float = 0
+    warmup_per_s: float = 0
 
 
-class _Tenant(msgspec.Struct):
+class TenantDocument(msgspec.Struct):
     name: str
     api_keys: list[str] = []
     priority: int | None = None
@@ -132,19 +134,19 @@
     burst_size: float = 0
 
 
-class _Limits(msgspec.Struct):
+class LimitsDocument(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 << 20
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
 
-class _Configuration(msgspec.Struct):
+class ConfigurationDocument(msgspec.Struct):
     version: str
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
+    tenants: list[TenantDocument] = []
 
 
 class Item(msgspec.Struct):
@@ -194,7 +196,7 @@
 
 
 _upstream_decoder = msgspec.json.Decoder(_UpstreamDocument)
-_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_configuration_decoder = msgspec.json.Decoder(ConfigurationDocument)
 _item_decoder = msgspec.json.Decoder(Item)
 _items_decoder = msgspec.json.Decoder(_RawItemPage)
 _events_decoder = msgspec.json.Decoder(_RawEventPage)
@@ -371,13 +373,18 @@
             limits.idle_timeout_ms / 1000,
         ),
         health_paths={service.name: service.health_path for service in wire.services},
+        warmups={
+            service.name: Warmup(service.warmup_per_s, service.warmup_s)
+            for service in wire.services
+            if service.warmup_per_s > 0
+        },
         max_connections={
             service.name: service.max_connections for service in wire.services
         },
     )
 
 
-def _decode_route(route: _Route) -> Route:
+def _decode_route(route: RouteDocument) -> Route:
     parts = route.traffic_split or []
     timeout_ms = route.timeout_ms
     target_ms = route.target_latency_ms
@@ -397,94 +404,3 @@
         priority=route.priority,
         target_latency_s=target_ms / 1000 if target_ms else 1.0,
     )
-
-
-# Encoders for the stand-ins of the store and of upstreams.
-
-
-def encode_item(key: str, value: bytes, revision: int) -> Item:
-    """Return an item with its value encoded in base64."""
-    return Item(key, revision, base64.b64encode(value).decode())
-
-
-def encode_page(page: Item | ItemPage | EventPage) -> bytes:
-    """Encode an item, a page of items or a page of changes."""
-    return msgspec.json.encode(page)
-
-
-def encode_upstream(upstream: Upstream, sequence: int = 1) -> bytes:
-    """Encode the entry of an upstream.
-
-    Args:
-        upstream: The upstream that registers.
-        sequence: Number of times that the upstream has written its entry.
-    """
-    is_draining = upstream.state is UpstreamState.DRAINING
-    status = {
-        "state": "draining" if is_draining else "ready",
-        "warmup_left_ms": upstream.warmup_remaining_s * 1000,
-        "sequence": sequence,
-    }
-    info = {
-        "service": upstream.service,
-        "zone": upstream.zone,
-        "slots": upstream.slots,
-        "version": "v1",
-    }
-    return msgspec.json.encode(
-        {
-            "address": f"{upstream.host}:{upstream.port}",
-            "born": upstream.start_time_ms,
-            "info": info,
-            "status": status,
-        }
-    )
-
-
-def encode_configuration(configuration: Configuration) -> bytes:
-    """Encode a configuration."""
-    limits = configuration.caller_limits
-    keys_by_customer: dict[str, list[str]] = {}
-    for key, customer in configuration.customer_by_key.items():
-        keys_by_customer.setdefault(customer, []).append(key)
-    wire = _Configuration(
-        version=f"r{configuration.version}",
-        routes=[_encode_route(route) for route in configuration.routes],
-        services=[_Service(name) for name in sorted(configuration.service_names)],
-        limits=_Limits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_s * 1000,
-            limits.idle_timeout_s * 1000,
-        ),
-        tenants=[
-            _Tenant(
-                customer.name,
-                keys_by_customer.get(customer.name, []),
-                customer.priority,
-                customer.limit.rate_per_s if customer.limit else 0,
-                customer.limit.burst if customer.limit else 0,
-            )
-            for customer in configuration.customers.values()
-        ],
-    )
-    return msgspec.json.encode(wire)
-
-
-def _encode_route(route: Route) -> _Route:
-    return _Route(
-        name=route.name,
-        host=route.host,
-        path_prefix=route.path,
-        kind="idempotent" if route.idempotent else "non_idempotent",
-        service=route.service or None,
-        traffic_split=[
-            _WeightedService(part.service, part.weight) for part in route.split
-        ]
-        or None,
-        timeout_ms=route.timeout_s * 1000,
-        target_latency_ms=route.target_latency_s * 1000,
-        priority=route.priority,
-        max_attempts=route.retries + 1,
-        auth_exempt=route.open_to_all,
-    )
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -88,6 +88,20 @@
     """Length of the sliding window in which requests are counted (seconds)."""
 
 
+@attrs.frozen(kw_only=True)
+class WarmupSettings:
+    """Bound of the requests to cold upstreams, beside the rate of their service."""
+
+    overshoot: float = attrs.field(
+        default=1.0, metadata=type_metadata(value_types.NumberType(1, 100))
+    )
+    """Multiple of the stated rate up to which no harm is done."""
+    slack: float = attrs.field(
+        default=0.0, metadata=type_metadata(value_types.NumberType(0, 1e6))
+    )
+    """Requests in one second in addition (count)."""
+
+
 @attrs.frozen(kw_only=True)
 class ResourceSettings:
     """Resources available to the VM."""
@@ -189,6 +203,11 @@
         metadata=type_metadata(value_types.ObjectType(RateLimitSettings)),
     )
     """Measurement of the request rates of customers."""
+    warmup: WarmupSettings = attrs.field(
+        factory=WarmupSettings,
+        metadata=type_metadata(value_types.ObjectType(WarmupSettings)),
+    )
+    """Bound of the requests to cold upstreams."""
     machine: ResourceSettings = attrs.field(
         factory=ResourceSettings,
         metadata=type_metadata(value_types.ObjectType(ResourceSettings)),
--- a/src/gentianfold/standins/store.py
+++ b/src/gentianfold/standins/store.py
@@ -9,7 +9,7 @@
 import anyio
 import attrs
 
-from gentianfold.platform import wire
+from gentianfold.platform import wire, wire_encoding
 from gentianfold.standins.http_server import (
     HttpServer,
     ReceivedRequest,
@@ -62,7 +62,7 @@
     def put(self, key: str, value: bytes) -> None:
         """Create or replace an item."""
         self.revision += 1
-        item = wire.encode_item(key, value, self.revision)
+        item = wire_encoding.encode_item(key, value, self.revision)
         self._items[key] = item
         self._history.append(item)
 
@@ -78,14 +78,14 @@
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Create or replace the item of the configuration."""
-        document = wire.encode_configuration(configuration)
+        document = wire_encoding.encode_configuration(configuration)
         self.put(wire.CONFIGURATION_KEY, document)
 
     def put_upstream(self, upstream: Upstream, sequence: int = 1) -> None:
         """Create or replace the entry of an upstream."""
         self.put(
             wire.UPSTREAM_KEY_PREFIX + upstream.name,
-            wire.encode_upstream(upstream, sequence),
+            wire_encoding.encode_upstream(upstream, sequence),
         )
 
     def put_evacuation(self, zone: str) -> None:
@@ -147,7 +147,7 @@
         if url.path == wire.ITEM_PATH:
             item = self._items.get(query.get(wire.KEY_PARAMETER, ""))
             if item is not None:
-                return self._format(200, wire.encode_page(item))
+                return self._format(200, wire_encoding.encode_page(item))
         if url.path == wire.LIST_PATH:
             return self._format(200, self._list_items(query))
         if url.path == wire.CHANGES_PATH:
@@ -166,7 +166,7 @@
             if key.startswith(prefix) and key > after
         ]
         page = wire.ItemPage(items[:PAGE_SIZE], self.revision, len(items) > PAGE_SIZE)
-        return wire.encode_page(page)
+        return wire_encoding.encode_page(page)
 
     def _list_changes(self, query: dict[str, str]) -> bytes:
         after = int(query[wire.AFTER_PARAMETER])
@@ -179,4 +179,4 @@
             if item.rev > after and item.key.startswith(prefix)
         ]
         page = wire.EventPage(events, self.revision)
-        return self._format(200, wire.encode_page(page))
+        return self._format(200, wire_encoding.encode_page(page))
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -72,6 +72,8 @@
     """Requests per second stated in each response; empty to state no limit."""
     is_leaving: bool = False
     """Whether each response says that the server is about to end."""
+    warmup_ms: bytes = b""
+    """Milliseconds stated in each response for which it remains cold; empty for none."""
     pause: bytes = b""
     """Value of ``Retry-After`` in responses that shed a request; empty for none."""
     stale_response: bytes = b""
@@ -128,6 +130,8 @@
             headers.append((HEADERS.rate_limit, self.rate_limit))
         if self.is_leaving:
             headers.append((HEADERS.leaving, b"1"))
+        if self.warmup_ms:
+            headers.append((HEADERS.warmup, self.warmup_ms))
         if request.headers.get(HEADERS.upstream, b"") != self.name.encode():
             return format_response(421, headers, b"")
         behaviour = self.behaviour
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -37,6 +37,7 @@
             ),
             "pause_s": round(tracker.pause_s(node.vm, now_s), 3),
             "slowness": round(tracker.slowness(now_s), 2),
+            "warmup_left_s": round(max(tracker.warmup.until_s - now_s, 0.0), 3),
             "rate_limit_per_s": (
                 tracker.rate_limiter.rate_per_s
                 if tracker.rate_limiter.is_limited
@@ -117,6 +118,7 @@
         "upstreams_rate_limited": sum(
             tracker.rate_limiter.is_limited for tracker in trackers
         ),
+        "upstreams_cold": sum(tracker.is_cold(now_s) for tracker in trackers),
         "is_cut_off": node.paths.is_cut_off,
         "tunnels_opened": handler.forwarder.paths.tunnel_count,
         "store_era": node.view.upstreams.revision.era,
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -31,6 +31,7 @@
 from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
 from gentianfold.placement.slot_scheduler import SlotScheduler
+from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupPolicy
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
@@ -177,6 +178,7 @@
             quota=QuotaTable(settings.limits.window_s),
             budget=RetryBudget(_retry_policy(settings)),
             chooser=Chooser(_choice_policy(settings)),
+            warmups=WarmupBudget(_warmup_policy(settings)),
         )
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
@@ -352,6 +354,7 @@
             scheduler.budget.policy = _retry_policy(settings)
             scheduler.quota.window_s = settings.limits.window_s
             scheduler.chooser.policy = _choice_policy(settings)
+            scheduler.warmups.policy = _warmup_policy(settings)
         self.settings = attrs.evolve(
             self.settings, stop=settings.stop, fleet=settings.fleet
         )
@@ -408,6 +411,10 @@
     return RetryBudgetPolicy(budget.ratio, budget.slack, budget.window_s)
 
 
+def _warmup_policy(settings: Settings) -> WarmupPolicy:
+    return WarmupPolicy(settings.warmup.overshoot, settings.warmup.slack)
+
+
 def _choice_policy(settings: Settings) -> ChoicePolicy:
     return ChoicePolicy(zone_price_per_kb=settings.placement.zone_price_per_kb)
 
--- a/tests/fleet/test_upstream_list.py
+++ b/tests/fleet/test_upstream_list.py
@@ -81,6 +81,19 @@
     assert upstreams.last_change_revision == at(5)
 
 
+def test_an_upstream_that_becomes_cold_again_is_a_change():
+    # Only the end of a warm-up was.
+    upstreams = UpstreamList()
+    upstreams.put(entry("u", 5, warmup_remaining_ms=3000))
+    assert not upstreams.put(entry("u", 6, warmup_remaining_ms=1500))
+    assert upstreams.put(entry("u", 7, warmup_remaining_ms=2900))
+    assert upstreams.put(entry("u", 8))
+    assert upstreams.put(entry("u", 9, warmup_remaining_ms=3000))
+    (upstream,) = upstreams.upstreams()
+    assert upstream.warmup_remaining_s == 3.0
+    assert upstream.entry_revision == (at(9).era, 9, 0)
+
+
 def test_a_replica_that_lacks_changes_does_not_advance_its_revision():
     upstreams = UpstreamList(revision=at(3))
     assert not upstreams.advance_revision(at(4), at(9))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -17,9 +17,8 @@
     decode_events,
     decode_items,
     decode_upstream,
-    encode_item,
-    encode_upstream,
 )
+from gentianfold.platform.wire_encoding import encode_item, encode_upstream
 
 DEEP = b"[" * 5000 + b"]" * 5000
 
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -14,7 +14,12 @@
 from gentianfold.forwarding.connection_pool import ConnectionPool
 from gentianfold.forwarding.document_request import TransferTimeouts
 from gentianfold.model import Upstream, UpstreamState
-from gentianfold.platform import store_client, store_synchronizer, wire
+from gentianfold.platform import (
+    store_client,
+    store_synchronizer,
+    wire,
+    wire_encoding,
+)
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
 from gentianfold.standins.http_server import format_response
@@ -116,11 +121,19 @@
         b"[]",
         b'{"address":"1.2.3.4:5"}',
         b'{"address":5,"born":1,"info":{},"status":{}}',
-        wire.encode_upstream(make_upstream("u")).replace(b'"ready"', b'"asleep"'),
-        wire.encode_upstream(make_upstream("u")).replace(b'"slots":6', b'"slots":"6"'),
-        wire.encode_upstream(make_upstream("u")).replace(b'"slots":6', b'"slots":0'),
-        wire.encode_upstream(make_upstream("u")).replace(b'"born":1', b'"born":"x"'),
-        wire.encode_upstream(make_upstream("u")).replace(b":80", b""),
+        wire_encoding.encode_upstream(make_upstream("u")).replace(
+            b'"ready"', b'"asleep"'
+        ),
+        wire_encoding.encode_upstream(make_upstream("u")).replace(
+            b'"slots":6', b'"slots":"6"'
+        ),
+        wire_encoding.encode_upstream(make_upstream("u")).replace(
+            b'"slots":6', b'"slots":0'
+        ),
+        wire_encoding.encode_upstream(make_upstream("u")).replace(
+            b'"born":1', b'"born":"x"'
+        ),
+        wire_encoding.encode_upstream(make_upstream("u")).replace(b":80", b""),
     ],
 )
 async def test_a_malformed_entry_deletes_the_upstream(store_setup, value):
--- a/tests/vm/test_restored_store.py
+++ b/tests/vm/test_restored_store.py
@@ -8,7 +8,7 @@
 from conftest import open_site, request_bytes, send_request, wait_until
 
 from gentianfold.model import UpstreamState
-from gentianfold.platform.wire import encode_configuration
+from gentianfold.platform.wire_encoding import encode_configuration
 from gentianfold.standins.site import make_configuration
 from gentianfold.vm.store_poller import StateSink
 
