Keep requests within the homes of their route and customer

Operators that state homes for a route or customer saw its requests run in any region: the field was not read.

Change: the VM turns the homes and the region of each zone, a new setting, into the zones in which a request may run. The slot request names them, the broker chooses among their upstreams, and the VM checks each grant itself, so a broker of an older build can't send it elsewhere. Without a common home, or an upstream there, the request is refused at once. Such requests take no tunnel, as their bytes would pass through a VM of unknown region.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -111,6 +111,7 @@
             target_left_s=message.target_left_ms / 1000,
             zone=message.zone,
             fingerprint=message.fingerprint,
+            zones=message.zones,
         )
         decision = self.scheduler.request_slot(request, now_s)
         if isinstance(decision, Granted | Refused):
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -35,6 +35,7 @@
     target_left_ms: int
     zone: str
     fingerprint: bytes = b""
+    zones: tuple[str, ...] | None = None
 
 
 class SlotGranted(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -315,4 +316,5 @@
         int(request.target_left_s * 1000),
         request.zone,
         request.fingerprint,
+        request.zones,
     )
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -40,10 +40,7 @@
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.rate_limit_report import report_rate_limits
-from gentianfold.placement.slot_request import (
-    Refused,
-    SlotRequest,
-)
+from gentianfold.placement.slot_request import Refused, SlotRequest
 from gentianfold.placement.warmup_limiter import MAX_SEND_DELAY_S
 
 if TYPE_CHECKING:
@@ -215,9 +212,11 @@
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
         is_cold = tracker is not None and tracker.is_cold(now_s)
-        if is_cold and now_s - placement.granted_at_s > MAX_SEND_DELAY_S:
-            return True
-        return not self._takes_requests(name, placement.start_time_ms)
+        return (
+            (is_cold and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
+            or not self.view.is_within(name, placement.zones)
+            or not self._takes_requests(name, placement.start_time_ms)
+        )
 
     def _takes_requests(self, name: str, start_time_ms: int) -> bool:
         return self.view.is_usable(
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -57,6 +57,10 @@
             and self.upstreams.is_usable(name)
         )
 
+    def is_within(self, name: str, zones: tuple[str, ...] | None) -> bool:
+        """Tell whether an upstream is in some zones; ``None`` for any zone."""
+        return zones is None or self.upstreams.zone(name) in zones
+
     def list_upstreams(self) -> list[Upstream]:
         """Return all upstreams; those that are leaving count as draining."""
         return [
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -77,6 +77,7 @@
         granted_by,
         upstream.start_time_ms,
         now_s,
+        request.zones,
     )
 
 
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -207,6 +207,9 @@
         """
         if isinstance(decision, Refused):
             return decision
+        if request.zones is not None:
+            # A broker of an older build doesn't know of them.
+            decision = attrs.evolve(decision, zones=request.zones)
         if self.is_withdrawn(decision):
             logger.info(
                 "fleet: broker {} granted a slot of {}, which takes no requests",
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -81,6 +81,8 @@
     """Digest of the request's content."""
     strips_authorization: bool = True
     """Whether ``Authorization`` holds a key of this product and is not forwarded."""
+    zones: tuple[str, ...] | None = None
+    """Availability zones in which the request may run; ``None`` for any."""
 
 
 @attrs.frozen(eq=False)
@@ -205,6 +207,7 @@
             target_left_s=target_at_s - now_s,
             zone=forwarder.zone,
             fingerprint=fingerprint,
+            zones=plan.zones,
         )
         return await forwarder.placer.place(request)
 
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -37,6 +37,8 @@
     """Unix time of the upstream's start (milliseconds)."""
     granted_at_s: float = math.inf
     """When this VM got the slot (event loop time, seconds); infinite if unknown."""
+    zones: tuple[str, ...] | None = None
+    """Availability zones in which the request may run; ``None`` for any."""
 
 
 class Placer(Protocol):
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -33,10 +33,13 @@
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
+from gentianfold.placement.homes import allowed_zones
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import FINAL_RETRY_S, RefusalReason, Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.forwarding.connection_pool import ConnectionPool
     from gentianfold.forwarding.header_names import HeaderNames
     from gentianfold.forwarding.messages import CallerRequest, Response
@@ -55,6 +58,9 @@
 of the expected duration."""
 HEDGE_SLACK_S = 0.1
 """Constant part of the delay before the second attempt (seconds)."""
+HOMES_RETRY_AFTER_S = 5.0
+"""``Retry-After`` of a response if no zone is in the homes of route and customer
+(seconds): only another configuration changes that."""
 NOT_READY_RETRY_AFTER_S = 0.5
 """``Retry-After`` of a response from a VM without a configuration (seconds)."""
 
@@ -88,6 +94,8 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    """Region of each availability zone."""
     paths: UpstreamPaths = attrs.field(init=False)
     """Connects to upstreams."""
     notice_reader: NoticeReader = attrs.field(init=False)
@@ -148,6 +156,10 @@
         if isinstance(deadline_s, Failure):
             return deadline_s
         customer_record = configuration.customers.get(customer)
+        customer_homes = customer_record.homes if customer_record is not None else ()
+        zones = allowed_zones(route.homes, customer_homes, self.regions)
+        if zones is not None and not zones:
+            return Failure(NO_UPSTREAM, "no zone is in all homes", HOMES_RETRY_AFTER_S)
         priority = route.priority
         if customer_record is not None and customer_record.priority is not None:
             priority = customer_record.priority
@@ -161,6 +173,7 @@
             deadline_s,
             RequestFingerprint(request, customer),
             bool(configuration.customers),
+            zones,
         )
 
     def _identify_customer(
--- a/src/gentianfold/forwarding/upstream_paths.py
+++ b/src/gentianfold/forwarding/upstream_paths.py
@@ -101,6 +101,9 @@
     async def _connect_by_tunnel(
         self, placement: Placement
     ) -> UpstreamConnection | None:
+        if placement.zones is not None:
+            # The request must not pass through a VM in another region.
+            return None
         for _ in range(MAX_TUNNEL_TRIES):
             result = await self.tunnels.open(placement)
             if isinstance(result, UpstreamConnection):
--- a/src/gentianfold/model/customer.py
+++ b/src/gentianfold/model/customer.py
@@ -30,6 +30,8 @@
     priority: int | None = None
     """Priority that replaces the route's, 0 being the most urgent; ``None`` to use the
     route's."""
+    homes: frozenset[str] = frozenset()
+    """Regions in which requests may run; empty for any. Those of the route also bind."""
     line: int = 0
     """Line number in the rules file, from 1; 0 if not read from a file."""
     comment: str = ""
--- a/src/gentianfold/model/route.py
+++ b/src/gentianfold/model/route.py
@@ -72,6 +72,8 @@
     """Services among which requests are divided by weight; empty to use ``service``."""
     priority: int = 0
     """Priority when requests compete for upstream slots; 0 is the most urgent."""
+    homes: frozenset[str] = frozenset()
+    """Regions in which requests may run; empty for any."""
     target_latency_s: float = 1.0
     """Response time up to which a response has its full value (seconds)."""
     line: int = 0
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -90,6 +90,8 @@
     """Availability zone of the VM."""
     fingerprint: bytes = b""
     """Digest of the request's content if upstreams crashed under it, else empty."""
+    zones: tuple[str, ...] | None = None
+    """Availability zones in which it may run; ``None`` for any."""
 
 
 @attrs.frozen
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -37,7 +37,7 @@
     Refused,
     SlotRequest,
 )
-from gentianfold.placement.tracker_table import TrackerTable, has_free_slot
+from gentianfold.placement.tracker_table import TrackerTable, has_free_slot, within
 from gentianfold.placement.transfer_table import TransferTable
 from gentianfold.placement.wait_estimate import estimate_wait_s, shortest_pause_s
 from gentianfold.placement.wait_table import WaitTable
@@ -331,7 +331,7 @@
         queue: dict[SlotRequestKey, QueueEntry],
         now_s: float,
     ) -> Decision:
-        trackers = self._trackers.live(request.service)
+        trackers = within(self._trackers.live(request.service), request.zones)
         if not trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if request.attempt > 1 and not self.budget.try_acquire(request.service, now_s):
@@ -378,7 +378,7 @@
         late = [
             (key, entry)
             for key, entry in queue.items()
-            if not trackers
+            if not within(trackers, entry.request.zones)
             or now_s > entry.latest_start_s(self._expected_s(entry.request))
         ]
         for key, entry in late:
@@ -395,6 +395,7 @@
         """Decide on a request that has waited as long as it may."""
         request = entry.request
         demand = self._state(request.service).demand
+        trackers = within(trackers, request.zones)
         if not trackers:
             demand.count_unserved(now_s)
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
@@ -421,6 +422,7 @@
             self._expected_s(request), self.transfers.expected_kilobytes(request.route)
         )
         state = self._state(request.service)
+        trackers = within(trackers, request.zones)
         choice = self.chooser.choose(
             trackers, request, now_s, may_explore, estimate, state
         )
@@ -433,6 +435,7 @@
     ) -> Granted | None:
         """Grant a slot of a partly failing upstream instead of refusing the request."""
         expected_s = self._expected_s(request)
+        trackers = within(trackers, request.zones)
         choice = self.chooser.choose_degraded(trackers, request, now_s, expected_s)
         return self._grant_choice(request, choice, now_s) if choice else None
 
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -87,6 +87,15 @@
         tracker.warmup.start_unseen(now_s)
 
 
+def within(
+    trackers: list[UpstreamTracker], zones: tuple[str, ...] | None
+) -> list[UpstreamTracker]:
+    """Return the trackers of upstreams in some zones; ``None`` for any zone."""
+    if zones is None:
+        return trackers
+    return [tracker for tracker in trackers if tracker.upstream.zone in zones]
+
+
 def has_free_slot(trackers: Iterable[UpstreamTracker], now_s: float) -> bool:
     """Tell whether any of the upstreams would start a request at once."""
     return any(tracker.has_free_slot(now_s) for tracker in trackers)
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -114,6 +114,8 @@
     # Includes the first attempt; ``Route.retries`` does not.
     max_attempts: int = 1
     auth_exempt: bool = False
+    # Regions; empty or absent for any.
+    allowed_regions: list[str] | None = None
 
 
 class ServiceDocument(msgspec.Struct):
@@ -132,6 +134,7 @@
     # 0 or absent: no rate limit.
     rate_per_s: float = 0
     burst_size: float = 0
+    allowed_regions: list[str] | None = None
 
 
 class LimitsDocument(msgspec.Struct):
@@ -355,6 +358,7 @@
                 else None
             ),
             priority=tenant.priority,
+            homes=frozenset(tenant.allowed_regions or ()),
         )
         for tenant in wire.tenants
     }
@@ -402,5 +406,6 @@
         host=route.host.lower(),
         split=tuple(WeightedService(part.service, part.weight) for part in parts),
         priority=route.priority,
+        homes=frozenset(route.allowed_regions or ()),
         target_latency_s=target_ms / 1000 if target_ms else 1.0,
     )
--- a/src/gentianfold/platform/wire_encoding.py
+++ b/src/gentianfold/platform/wire_encoding.py
@@ -93,6 +93,7 @@
                 customer.priority,
                 customer.limit.rate_per_s if customer.limit else 0,
                 customer.limit.burst if customer.limit else 0,
+                sorted(customer.homes),
             )
             for customer in configuration.customers.values()
         ],
@@ -116,4 +117,5 @@
         priority=route.priority,
         max_attempts=route.retries + 1,
         auth_exempt=route.open_to_all,
+        allowed_regions=sorted(route.homes),
     )
--- a/src/gentianfold/settings/_value_types.py
+++ b/src/gentianfold/settings/_value_types.py
@@ -190,6 +190,36 @@
         return INVALID if INVALID in items else items
 
 
+@attrs.frozen
+class MappingType:
+    """An object whose names and values all have the same types."""
+
+    key_type: ValueType
+    """Type of each name."""
+    item_type: ValueType
+    """Type of each value."""
+    max_length: int = 256
+    """Largest number of names."""
+
+    @property
+    def expected(self) -> str:
+        """Description of a valid value, for error messages."""
+        return (
+            f"an object of up to {self.max_length} values, each "
+            f"{self.item_type.expected}, by {self.key_type.expected}"
+        )
+
+    def parse(self, value: Any) -> Any:
+        """Return the converted values by name."""
+        if not isinstance(value, dict) or len(value) > self.max_length:
+            return INVALID
+        items = {
+            self.key_type.parse(key): self.item_type.parse(item)
+            for key, item in value.items()
+        }
+        return INVALID if INVALID in items or INVALID in items.values() else items
+
+
 NAME = StringType(
     "a name of up to 64 letters, digits, dots, dashes and underscores",
     re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII),
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -165,6 +165,14 @@
         default="default", metadata=type_metadata(value_types.NAME)
     )
     """Region of the VM."""
+    zones: dict[str, str] = attrs.field(
+        factory=dict,
+        metadata=type_metadata(
+            value_types.MappingType(value_types.NAME, value_types.NAME)
+        ),
+    )
+    """Region of each availability zone, by which homes of routes and customers are
+    kept."""
     callers: Endpoint = attrs.field(metadata=type_metadata(value_types.ENDPOINT))
     """Endpoint for requests of callers."""
     caller_tls: CallerTlsSettings | None = attrs.field(
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -209,6 +209,7 @@
             node.scheduler.crashes,
             self.settings.address,
             self.settings.zone,
+            self.settings.zones,
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
         node.on_tunnel_token = tunnels.record_token
