Judge cold upstreams as before where no rate bounds them

Without a stated rate a cold upstream takes as much load as others, and its slowness is all that keeps requests with little time away from it.

--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -73,8 +73,9 @@
         elapsed: Usual elapsed times.
     """
     tracker, request = grant.tracker, grant.request
-    # The warm-up makes requests slow, which says nothing of the time after it.
-    was_cold = tracker.is_cold(grant.granted_at_s)
+    # The warm-up makes requests slow, which says nothing of the time after it. Without
+    # a bound, its slowness is all that keeps short requests away.
+    was_cold = tracker.warmup.is_bounded(grant.granted_at_s)
     is_final = not request.idempotent or request.attempt > 1
     if outcome is Outcome.CANCELLED or (outcome.is_failure and is_final):
         demand.count_unserved(now_s)
@@ -106,7 +107,7 @@
 def add_running(grant: Grant, expected_s: float, now_s: float) -> None:
     """Count a request that runs longer than expected towards its upstream's slowness."""
     running_s = now_s - grant.granted_at_s
-    if running_s > expected_s and not grant.tracker.is_cold(now_s):
+    if running_s > expected_s and not grant.tracker.warmup.is_bounded(now_s):
         limit_s = MAX_RUNNING_FACTOR * expected_s
         grant.tracker.running_s += min(running_s, limit_s)
 
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -164,7 +164,7 @@
                 not self.rate_limiter.is_limited
                 or self.rate_limiter.allows_request(now_s)
             )
-            and (not self.is_cold(now_s) or self.warmup.allows_request(now_s))
+            and (now_s >= self.warmup.until_s or self.warmup.allows_request(now_s))
         )
 
     def recent_failures(self, now_s: float) -> float:
--- a/src/gentianfold/placement/warmup_limiter.py
+++ b/src/gentianfold/placement/warmup_limiter.py
@@ -135,6 +135,10 @@
         """Tell whether the upstream is cold."""
         return now_s < self.until_s
 
+    def is_bounded(self, now_s: float) -> bool:
+        """Tell whether the upstream is cold and its service states a rate for that."""
+        return self.is_cold(now_s) and self.service in self.budget.warmups
+
     def start(self, until_s: float, now_s: float) -> bool:
         """Record that the upstream is cold until a time; tell whether it was not.
 
@@ -161,7 +165,7 @@
 
     def allows_request(self, now_s: float) -> bool:
         """Tell whether a request may be sent now."""
-        if not self.is_cold(now_s) or self.service not in self.budget.warmups:
+        if not self.is_bounded(now_s):
             return True
         self.refill(now_s)
         return self._tokens >= 1 and self.budget.is_valid(now_s)
--- a/src/gentianfold/placement/working_set.py
+++ b/src/gentianfold/placement/working_set.py
@@ -95,7 +95,7 @@
     healthy.sort(
         key=lambda tracker: (
             tracker.is_slow,
-            tracker.rate_limiter.is_limited or tracker.is_cold(now_s),
+            tracker.rate_limiter.is_limited or tracker.warmup.is_bounded(now_s),
             tracker.recent_failures(now_s) >= 1,
             -tracker.last_accepted_s,
         )
--- a/tests/placement/test_warmup_limiter.py
+++ b/tests/placement/test_warmup_limiter.py
@@ -129,6 +129,15 @@
     assert scheduler.elapsed.slot_time_s("desk") < 1.0
 
 
+def test_a_cold_upstream_without_a_bound_is_judged_slow():
+    scheduler = make_cold_scheduler(("u1",))
+    scheduler.warmups.warmups = {}
+    request = make_request(1, excluded=("u0",), time_left_s=9.0)
+    assert isinstance(scheduler.request_slot(request, 0.4), Granted)
+    scheduler.release(("vm", 1), Outcome.TIMED_OUT, 4.0, 0.8)
+    assert scheduler.tracker("u1").slowness(0.8) > 3.0
+
+
 def test_a_failing_upstream_is_judged_though_it_is_cold():
     scheduler = make_cold_scheduler(("u1",))
     request = make_request(1, excluded=("u0",))
