--- a/tests/settings/test_settings_loader.py
+++ b/tests/settings/test_settings_loader.py
@@ -55,6 +55,12 @@
     assert loaded.caller_tls is None
 
 
+def test_regions_of_zones_are_loaded():
+    loaded = parse_settings(TEMPLATE % '"zones": {"z1": "north", "z-2": "south"}', "vm")
+    assert isinstance(loaded, Settings)
+    assert loaded.zones == {"z1": "north", "z-2": "south"}
+
+
 def test_json_without_and_with_comments_give_equal_settings():
     text = TEMPLATE % '"region": "r"'
     loaded = parse_settings(text, "vm")
@@ -84,6 +90,10 @@
         ("metrics: '10.0.0.7:8080'", codes.SETTINGS_CONFLICT, 2, "same as callers"),
         ("stop: {settle_s: 9}", codes.SETTINGS_CONFLICT, 2, "longer than"),
         ("logging: {level: 'loud'}", codes.SETTING_INVALID, 2, "debug"),
+        ("zones: {z1: 3}", codes.SETTING_INVALID, 2, "zones: needs an object"),
+        ("zones: {'z 1': 'r'}", codes.SETTING_INVALID, 2, "zones: needs an object"),
+        ("zones: ['r']", codes.SETTING_INVALID, 2, "zones: needs an object"),
+        ("warmup: {overshoot: 0.5}", codes.SETTING_INVALID, 2, "from 1 to 100"),
         ("region: null", codes.SETTING_INVALID, 2, "name"),
         ("a: 1, a: 2", codes.SETTINGS_SYNTAX, 1, "twice"),
         ("region: }", codes.SETTINGS_SYNTAX, 2, "Unexpected"),
