Count no refusal for want of upstreams at home as overload

What callers saw: while the homes of some requests have no upstreams, other requests of the service that must not run twice go to upstreams that were not used lately, and fail more. Cause: each such refusal counted as a request that the service could not serve, for which all its upstreams are due in short intervals. Change: a refusal for want of upstreams counts only for requests without homes. Test: test_homes_without_upstreams_do_not_make_the_service_explore, run on the old condition, fails there (underserved after 40 refusals).

--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -180,9 +180,16 @@
             self.budget.count_request(request.service, now_s)
         decision = self._place_new(request, queue, now_s)
         if isinstance(decision, Refused):
-            demand.count_unserved(now_s)
+            self._count_refused(request, decision, now_s)
         return decision
 
+    def _count_refused(
+        self, request: SlotRequest, refused: Refused, now_s: float
+    ) -> None:
+        """Count a refusal; one for want of upstreams at home says nothing of others."""
+        if request.zones is None or refused.reason is not RefusalReason.NO_UPSTREAM:
+            self._state(request.service).demand.count_unserved(now_s)
+
     def is_known(self, key: SlotRequestKey) -> bool:
         """Tell whether a slot request holds a slot or waits for one."""
         return key in self._grants or key in self._waiting
@@ -401,8 +408,9 @@
         pool = pool.within(request.zones)
         demand = self._state(request.service).demand
         if not pool.trackers:
-            demand.count_unserved(now_s)
-            return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+            refused = Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+            self._count_refused(request, refused, now_s)
+            return refused
         if not self._has_token(request, now_s):
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
--- a/tests/placement/test_homes_queue.py
+++ b/tests/placement/test_homes_queue.py
@@ -76,6 +76,16 @@
     assert isinstance(new, Refused)
 
 
+def test_homes_without_upstreams_do_not_make_the_service_explore():
+    # Their refusals counted as those of an overloaded service, whose requests that must
+    # not run twice go to upstreams that were not used lately.
+    scheduler = make_zoned_scheduler()
+    for number in range(40):
+        request = patient(number, zones=("z9",))
+        assert isinstance(scheduler.request_slot(request, 10.0), Refused)
+    assert not scheduler._state("desk").demand.is_underserved(10.0)
+
+
 def test_a_choice_looks_at_no_upstream_outside_of_the_homes(monkeypatch):
     scheduler = make_zoned_scheduler(per_zone=100)
     looks = []
