Bound what another VM states of a cold upstream

A VM that states a remaining warm-up of any length (a wrong clock, another build) kept an upstream at its cold rate until its next start; 60 s is the most, as for answers. And grants of cold upstreams that are used late are returned only if the service states a rate: without one there is no sum that they could exceed, and each return costs the request a try. Tests: both extended cases of test_cold_upstreams.py fail on the code before.

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -208,14 +208,14 @@
     def is_withdrawn(self, placement: Placement) -> bool:
         """Tell whether the grant may no longer be used.
 
-        The upstream may have refused further requests since, or be cold: grants that
-        are used late add up with those of the broker.
+        The upstream may have refused further requests since, or be cold under a bound:
+        grants that are used late add up with those of the broker.
         """
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
-        is_cold = tracker is not None and tracker.is_cold(now_s)
+        is_bounded = tracker is not None and tracker.warmup.is_bounded(now_s)
         return (
-            (is_cold and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
+            (is_bounded and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
             or not self.view.is_within(name, placement.zones)
             or not self._takes_requests(name, placement.start_time_ms)
         )
--- a/src/gentianfold/fleet/node_notices.py
+++ b/src/gentianfold/fleet/node_notices.py
@@ -11,6 +11,7 @@
 from gentianfold.fleet.membership import Role
 from gentianfold.fleet.messages import UpstreamCold
 from gentianfold.fleet.pause_table import PauseTable
+from gentianfold.forwarding.upstream_notice import MAX_WARMUP_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -84,6 +85,7 @@
             left_s: Time for which it remains cold (seconds).
             now_s: Event loop time (seconds).
         """
+        left_s = min(left_s, MAX_WARMUP_S)
         until_s = now_s + left_s
         if not self.scheduler.record_cold(name, start_time_ms, until_s, now_s):
             return
--- a/tests/vm/test_cold_upstreams.py
+++ b/tests/vm/test_cold_upstreams.py
@@ -76,6 +76,18 @@
         put_cold(site, "u1")
         await wait_until(lambda: is_cold(site.vms[0]))
         assert node.is_withdrawn(old)
+        # Without a bound there is nothing that late grants could exceed.
+        node.scheduler.warmups.warmups = {}
+        assert is_cold(site.vms[0]) and not node.is_withdrawn(old)
+
+
+async def test_another_vm_can_state_no_longer_warm_up_than_an_upstream():
+    async with open_site(upstreams=1, configuration=configuration()) as site:
+        node = site.vms[0]._node
+        tracker = node.scheduler.tracker("u1")
+        start_time_ms = tracker.upstream.start_time_ms
+        node.receive("127.0.0.9", UpstreamCold("u1", start_time_ms, 10**12))
+        assert 0 < tracker.warmup.until_s - node._now_s() <= MAX_WARMUP_S
 
 
 async def test_an_answer_that_says_so_makes_an_upstream_cold_for_the_fleet():
