--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from gentianfold.placement.elapsed_table import ElapsedTable
-    from gentianfold.placement.quota_table import QuotaTable
     from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.upstream_tracker import UpstreamTracker
@@ -100,16 +99,6 @@
         tracker.record_connect_failure(request.vm, now_s)
 
 
-def refund_unsent(grant: Grant, quota: QuotaTable) -> None:
-    """Return what was counted for a request that did not reach its upstream.
-
-    A cold upstream's token is not returned: it may be down, and cold when it is back.
-    """
-    grant.tracker.rate_limiter.refund_request()
-    if grant.has_token:
-        quota.refund(grant.request.customer, grant.granted_at_s)
-
-
 def record_accepted(grant: Grant, now_s: float) -> bool:
     """Count a request as accepted once it has run without failing quickly.
 
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -8,7 +8,7 @@
 import attrs
 
 from gentianfold.placement.elapsed_table import ElapsedTable
-from gentianfold.placement.grant import apply_outcome, refund_unsent
+from gentianfold.placement.grant import apply_outcome
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.stated_limits import StatedLimits
 from gentianfold.placement.transfer_table import TransferTable
@@ -73,7 +73,9 @@
         if pause_s is not None:
             tracker.paused_until_s[request.vm] = now_s + pause_s
         if outcome is Outcome.CONNECT_FAILED:
-            refund_unsent(grant, self.quota)
+            tracker.rate_limiter.refund_request()
+            if grant.has_token:
+                self.quota.refund(request.customer, grant.granted_at_s)
         self.stated_limits.record_answer(
             tracker, rate_limit_per_s, grant.granted_at_s, now_s
         )
--- a/src/gentianfold/placement/warmup_limiter.py
+++ b/src/gentianfold/placement/warmup_limiter.py
@@ -188,7 +188,11 @@
         return self.budget.is_valid(now_s)
 
     def count_request(self, now_s: float) -> None:
-        """Count a sent request."""
+        """Count a granted request.
+
+        It is not taken back if the upstream was not reached: that may be down, and cold
+        when it is back.
+        """
         if self.is_cold(now_s):
             self.refill(now_s)
             self._tokens = max(self._tokens - 1, MIN_TOKENS)
