--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -225,6 +225,9 @@
         """
         if isinstance(decision, Refused):
             return decision
+        if request.zones is not None:
+            # A broker of an older build doesn't know of them.
+            decision = attrs.evolve(decision, zones=request.zones)
         if self.is_withdrawn(decision):
             logger.info(
                 "fleet: broker {} granted a slot of {}, which takes no requests",
@@ -246,7 +249,8 @@
         if isinstance(decision, Refused):
             return decision
         if isinstance(decision, Granted):
-            return to_placement(request, decision, self.membership.role.value)
+            granted_by = self.membership.role.value
+            return to_placement(request, decision, granted_by, self._now_s())
         pending = self._add_pending(request)
         try:
             with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
@@ -296,7 +300,7 @@
             return
         pending.acknowledged = True
         if not isinstance(message, SlotQueued):
-            pending.decided.set_result(to_decision(message, vm))
+            pending.decided.set_result(to_decision(message, vm, self._now_s()))
 
     def resolve(self, slot_request_id: int, decision: Granted | Refused) -> None:
         """Pass a decision of this VM's own scheduler to the request that awaits it."""
@@ -305,7 +309,7 @@
             self._cancel_locally(slot_request_id)
         elif isinstance(decision, Granted):
             placement = to_placement(
-                pending.request, decision, self.membership.role.value
+                pending.request, decision, self.membership.role.value, self._now_s()
             )
             pending.decided.set_result(placement)
         else:
--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -68,18 +68,22 @@
         elapsed: Usual elapsed times.
     """
     tracker, request = grant.tracker, grant.request
+    # The warm-up makes requests slow, which says nothing of the time after it. Without
+    # a bound, its slowness is all that keeps short requests away.
+    was_cold = tracker.warmup.is_bounded(grant.granted_at_s)
     is_final = not request.idempotent or request.attempt > 1
     if outcome is Outcome.CANCELLED or (outcome.is_failure and is_final):
         demand.count_unserved(now_s)
     if outcome is Outcome.SUCCEEDED:
         tracker.record_success(grant.granted_at_s, is_uncounted=not grant.is_accepted)
-        tracker.record_elapsed(elapsed_s, expected_s, now_s)
-        elapsed.record(request.service, request.route, elapsed_s)
+        if not was_cold:
+            tracker.record_elapsed(elapsed_s, expected_s, now_s)
+            elapsed.record(request.service, request.route, elapsed_s)
     elif outcome is Outcome.FAILED:
         tracker.record_failure(now_s, elapsed_s < QUICK_FAILURE_S)
-    elif outcome is Outcome.CANCELLED:
+    elif outcome is Outcome.CANCELLED and not was_cold:
         tracker.record_elapsed(elapsed_s, 0.0, now_s)
-    elif outcome is Outcome.TIMED_OUT:
+    elif outcome is Outcome.TIMED_OUT and not was_cold:
         tracker.record_elapsed(elapsed_s, 0.0, now_s)
         usual_s = elapsed.slot_time_s(request.service)
         is_long = elapsed_s > OVERDUE_FACTOR * usual_s + OVERDUE_SLACK_S
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -9,6 +9,7 @@
 from gentianfold.model import Upstream, UpstreamState
 from gentianfold.placement.upstream_pool import UpstreamPool
 from gentianfold.placement.upstream_tracker import UpstreamTracker
+from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupLimiter
 
 if TYPE_CHECKING:
     from collections.abc import Callable, ItemsView, Iterable
@@ -22,6 +23,8 @@
 class TrackerTable:
     """One tracker for each start of a listed upstream."""
 
+    warmups: WarmupBudget = attrs.field(factory=WarmupBudget)
+    """Bound of the requests to cold upstreams."""
     _trackers: dict[str, UpstreamTracker] = attrs.field(factory=dict)
     _pools: dict[str, UpstreamPool] = attrs.field(factory=dict)
     _active: dict[str, UpstreamTracker] = attrs.field(factory=dict)
@@ -44,11 +47,11 @@
                 tracker is None
                 or tracker.upstream.start_time_ms != upstream.start_time_ms
             ):
-                tracker = UpstreamTracker(
-                    upstream,
-                    now_s + upstream.warmup_remaining_s,
-                    listed_at_s=now_s,
-                )
+                limiter = WarmupLimiter(upstream.service, self.warmups)
+                tracker = UpstreamTracker(upstream, limiter, listed_at_s=now_s)
+                _start_warmup(tracker, now_s)
+            elif tracker.upstream is not upstream:
+                _update_warmup(tracker, upstream, now_s)
             tracker.upstream = upstream
             trackers[upstream.name] = tracker
         self._active = {
@@ -134,3 +137,32 @@
         tracker = self._trackers.get(name)
         if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
             tracker.paused_until_s[vm] = until_s
+
+    def record_cold(
+        self, name: str, start_time_ms: int, until_s: float, now_s: float
+    ) -> bool:
+        """Record until when a start of an upstream is cold; tell whether it was not."""
+        tracker = self._trackers.get(name)
+        if tracker is None or tracker.upstream.start_time_ms != start_time_ms:
+            return False
+        if not tracker.warmup.start(until_s, now_s):
+            return False
+        self.file(tracker)
+        return True
+
+
+def _start_warmup(tracker: UpstreamTracker, now_s: float) -> None:
+    tracker.warmup.start(now_s + tracker.upstream.warmup_remaining_s, now_s)
+
+
+def _update_warmup(tracker: UpstreamTracker, upstream: Upstream, now_s: float) -> None:
+    """Apply a warm-up that is stated anew, or unseen while its zone was evacuated.
+
+    An upstream may have become cold shortly before its zone is taken back, and say so
+    with its next write to the store only.
+    """
+    old = tracker.upstream
+    if upstream.entry_revision != old.entry_revision and upstream.warmup_remaining_s:
+        tracker.warmup.start(now_s + upstream.warmup_remaining_s, now_s)
+    if old.state is UpstreamState.EVACUATED and upstream.state is UpstreamState.LIVE:
+        tracker.warmup.start_unseen(now_s)
--- a/src/gentianfold/placement/upstream_pool.py
+++ b/src/gentianfold/placement/upstream_pool.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -25,6 +26,13 @@
 MAX_PREFERRED = 64
 """Members looked at in the order of their last accepted requests (count): under a usual
 load half of them have unused slots."""
+MAX_HOMES = 64
+"""Sets of zones for which a service's upstreams are kept apart (count): more than the
+homes of its routes and customers differ."""
+
+LIMITED_REFRESH_S = 0.05
+"""Time for which the slots of upstreams that are held to a rate are not added up again
+(seconds): one tick."""
 
 
 @attrs.define(eq=False)
@@ -74,6 +82,9 @@
     _limited: Group = attrs.field(factory=dict)
     _filings: dict[str, _Filing] = attrs.field(factory=dict)
     _healthy_in_use: int = 0
+    _limited_slots: float = 0.0
+    _limited_until_s: float = -math.inf
+    _homes: dict[tuple[str, ...], UpstreamPool] = attrs.field(factory=dict)
 
     def add_all(
         self, trackers: Iterable[UpstreamTracker], draw: Callable[[], float]
@@ -92,6 +103,33 @@
             self._filings[tracker.upstream.name] = _Filing(self._full)
             self.file(tracker, to_end=True)
 
+    def within(self, zones: tuple[str, ...] | None) -> UpstreamPool:
+        """Return the pool of the upstreams in some zones; ``None`` for any zone.
+
+        It shares the groups of its zones with this one and is filed along with it.
+        """
+        if zones is None:
+            return self
+        pool = self._homes.get(zones)
+        if pool is None:
+            if len(self._homes) >= MAX_HOMES:
+                self._homes.clear()
+            pool = self._homes[zones] = self._make_part(zones)
+        return pool
+
+    def _make_part(self, zones: tuple[str, ...]) -> UpstreamPool:
+        part = UpstreamPool(
+            [tracker for tracker in self.trackers if tracker.upstream.zone in zones],
+            {zone: self.zones[zone] for zone in zones if zone in self.zones},
+        )
+        part._filings = {
+            tracker.upstream.name: _Filing(part._full) for tracker in part.trackers
+        }
+        # Those that failed longest ago stay at the front.
+        for tracker in (*self.suspects.values(), *part.trackers):
+            part.file(tracker)
+        return part
+
     def file(self, tracker: UpstreamTracker, to_end: bool = False) -> None:
         """File an upstream whose state may have changed; ignore one not in the pool.
 
@@ -104,7 +142,7 @@
         if filing is None:
             return
         is_suspect = tracker.suspect_since_s is not None
-        is_limited = tracker.rate_limiter.is_limited
+        is_limited = tracker.rate_limiter.is_limited or tracker.warmup.is_started
         counted = 0 if is_suspect or is_limited else tracker.in_use
         self._healthy_in_use += counted - filing.counted
         filing.counted = counted
@@ -112,15 +150,17 @@
             self._suspect_names.add(name)
         else:
             self._suspect_names.discard(name)
-        if is_limited:
-            self._limited[name] = tracker
-        else:
-            self._limited.pop(name, None)
+        if (is_limited and not is_suspect) != (name in self._limited):
+            self._limited_until_s = -math.inf
+            if self._limited.pop(name, None) is None:
+                self._limited[name] = tracker
         group = self._group_of(tracker, is_suspect)
         if to_end or group is not filing.group:
             filing.group.pop(name, None)
             group[name] = tracker
             filing.group = group
+        for part in self._homes.values():
+            part.file(tracker, to_end)
 
     def file_all(self) -> None:
         """File all upstreams, whose states may have changed, and sort the groups."""
@@ -134,17 +174,20 @@
         """Whether any upstream is healthy."""
         return len(self._suspect_names) < len(self.trackers)
 
-    def held_slots(self, slot_time_s: float) -> float:
+    def held_slots(self, slot_time_s: float, now_s: float) -> float:
         """Return the slots of healthy upstreams that are held under load (count).
 
         Args:
             slot_time_s: Usual time for which a request holds a slot (seconds).
+            now_s: Current time (seconds).
         """
-        return self._healthy_in_use + sum(
-            tracker.rate_limiter.capacity_slots(tracker.upstream.slots, slot_time_s)
-            for tracker in self._limited.values()
-            if tracker.suspect_since_s is None
-        )
+        if now_s >= self._limited_until_s:
+            self._limited_until_s = now_s + LIMITED_REFRESH_S
+            self._limited_slots = sum(
+                tracker.held_slots(slot_time_s, now_s)
+                for tracker in self._limited.values()
+            )
+        return self._healthy_in_use + self._limited_slots
 
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether any healthy upstream would start a request at once."""
