Lend slots of upstreams and tokens of customers to VMs ahead of their requests

Cause: every request took a round trip to one process. Cheaper decisions move that ceiling; they don't remove it.

Change: a grant may have a term, for which the VM keeps the slot for further requests; the broker lends tokens of customers' limits in lots by the wishes in heartbeats. The term is one rule (placement/lending.py): it grows with the load that all placements would put on the broker, and shrinks to nothing as a service's slots fill up; customers with less than a token for each VM that asks stay with the broker. A queue and an upstream that fails recall idle slots. Lent tokens count in the broker's window until they are reported or end. Slots in use are booked by placement/slot_ledger.py, the reconciliation with heartbeats is a module of its own.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -7,8 +7,11 @@
 import attrs
 from loguru import logger
 
+from gentianfold.fleet.broker_loans import BrokerLoans
 from gentianfold.fleet.decision_loop import DecisionLoop
+from gentianfold.fleet.held_slots import reconcile_slots
 from gentianfold.fleet.lease_table import LeaseTable
+from gentianfold.fleet.lender import Lender
 from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
 from gentianfold.fleet.messages import (
     AcquireSlot,
@@ -21,6 +24,7 @@
     SlotGranted,
     SlotQueued,
     SlotRefused,
+    SlotUses,
 )
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.fleet.tunnel_plan import TunnelPlan
@@ -33,9 +37,6 @@
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import Decision, SlotScheduler
 
-GRANT_IN_FLIGHT_S = 0.3
-"""Age below which a grant may be missing from a heartbeat (seconds): the VM may have
-sent the heartbeat before it received the grant."""
 ANNOUNCE_INTERVAL_S = 1.0
 """Time between two announcements to possible other brokers (seconds)."""
 STALE_STORE_READ_S = 1.2
@@ -66,6 +67,8 @@
     """Sends messages to the other VMs."""
     view: NodeView
     """Published configuration and upstreams as this VM knows them."""
+    cpu_share: float = 1.0
+    """CPU share of this VM (cores)."""
     member_table: MemberTable = attrs.field(factory=MemberTable)
     """Members of the fleet besides this VM."""
     is_first_start: bool = False
@@ -76,6 +79,8 @@
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
     """Source from which each member fetches a new configuration."""
+    loans: BrokerLoans = attrs.field(init=False)
+    """Slots and tokens that are lent to the members."""
     decisions: DecisionLoop = attrs.field(init=False)
     """Decides on the slot requests of the members."""
     _tunnel_plan: TunnelPlan = attrs.field(factory=TunnelPlan)
@@ -84,6 +89,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
+        lender = Lender(self.scheduler.quota, self.cpu_share)
+        self.loans = BrokerLoans(self.scheduler, self.transport, lender)
         self.decisions = DecisionLoop(self.scheduler, self.send_decision)
 
     def start(
@@ -109,6 +116,7 @@
             is_size_stated=self.stated_size > 0,
         )
         self.relay_plan = RelayPlan(self.vm)
+        self.loans.lender.clear()
         self.decisions.queue.clear()
         self._announced_s = -1e9
 
@@ -138,6 +146,7 @@
             fingerprint=message.fingerprint,
             zones=message.zones,
         )
+        self.loans.count_placement(now_s)
         self.decisions.request_slot(request, now_s)
 
     def send_decision(
@@ -169,6 +178,7 @@
                 expected_ms,
                 decision.reason,
                 upstream.start_time_ms,
+                self.loans.term_ms(vm, slot_request_id, decision),
             ),
         )
 
@@ -223,13 +233,14 @@
             # Slots granted to an earlier process of the VM are no longer held.
             self.scheduler.remove_vm(vm)
             self.leases.join(vm, heartbeat.fleet_size, heartbeat.is_first_start)
+            self.loans.lender.remove(vm)
             logger.info(
                 "fleet: VM {} joined, {} members", vm, len(self.member_table.members)
             )
         self.leases.record(
             vm, heartbeat.lease_stamp_ms, lease_now_s, heartbeat.fleet_size
         )
-        self._reconcile(vm, heartbeat, now_s)
+        reconcile_slots(self.scheduler, vm, heartbeat, now_s)
         for name, rate_per_s, age_ms in heartbeat.rate_limits:
             stated_s = now_s - age_ms / 1000
             self.scheduler.record_rate_limit(name, rate_per_s, stated_s, now_s)
@@ -239,7 +250,9 @@
         if self.scheduler.crashes.merge(heartbeat.crash_records, now_s):
             self.send_crash_records(now_s)
         self._update_relay_plan()
-        self._send_heartbeat_reply(vm, now_s, lease_now_s)
+        ask = heartbeat.token_ask
+        tokens = self.loans.lender.answer(vm, ask, now_s)
+        self._send_heartbeat_reply(vm, now_s, lease_now_s, ask.number, tokens)
         self._send_changes_after(vm, heartbeat.upstreams_revision)
         has_version = heartbeat.configuration_version == self.relay_plan.version
         had_version = (
@@ -337,6 +350,7 @@
         """
         for vm in self.member_table.expire(now_s):
             self.scheduler.remove_vm(vm)
+            self.loans.lender.remove(vm)
             logger.info("fleet: VM {} timed out, {} members", vm, self.member_count)
         self._behind_ms = int(self.decisions.queue.behind_s(now_s) * 1000)
         self.decisions.log(now_s)
@@ -345,6 +359,7 @@
             candidates = {*self.seeds, *self.member_table.timed_out()}
             for vm in candidates - {self.vm, *self.member_table.members}:
                 self.transport.send(vm, BrokerAnnouncement(self.member_count))
+        self.loans.advance(now_s)
         return self._find_store_reader(now_s)
 
     @property
@@ -364,7 +379,19 @@
         self.leases.seeds = self.seeds
         return self.leases.shares(own, lease_now_s)
 
-    def _send_heartbeat_reply(self, vm: str, now_s: float, lease_now_s: float) -> None:
+    def handle_uses(self, vm: str, message: SlotUses, now_s: float) -> None:
+        """Record uses of slots that were lent to a member."""
+        self.loans.handle_uses(vm, message, now_s)
+        self.decisions.free_slot(now_s)
+
+    def _send_heartbeat_reply(
+        self,
+        vm: str,
+        now_s: float,
+        lease_now_s: float,
+        token_ask_number: int = 0,
+        tokens: tuple[tuple[str, int], ...] = (),
+    ) -> None:
         view = self.view
         reply = HeartbeatReply(
             self.incarnation,
@@ -384,6 +411,8 @@
             view.evacuations.report(),
             self._behind_ms,
             int(min(lease_now_s - self.leases.seed_seen_s, MAX_SEED_AGE_S) * 1000),
+            token_ask_number,
+            tokens,
         )
         self.transport.send(vm, reply)
 
@@ -396,25 +425,6 @@
             self.transport.send(vm, changes)
             revision = changes.through_revision
 
-    def _reconcile(self, vm: str, heartbeat: Heartbeat, now_s: float) -> None:
-        """Register the slots that a VM holds and free those it no longer holds."""
-        slot_request_ids = frozenset(
-            slot_request_id for slot_request_id, *_ in heartbeat.held_slots
-        )
-        self.scheduler.release_unlisted(vm, slot_request_ids, now_s - GRANT_IN_FLIGHT_S)
-        for slot_request_id, upstream_name, route, customer in heartbeat.held_slots:
-            tracker = self.scheduler.tracker(upstream_name)
-            if tracker is not None:
-                request = held_request(
-                    vm,
-                    slot_request_id,
-                    tracker.upstream.service,
-                    route,
-                    customer,
-                    heartbeat.zone,
-                )
-                self.scheduler.register_grant(request, upstream_name, now_s)
-
     def find_stronger(self, own_capacity: float) -> str | None:
         """Return a much stronger member when the forming of a new fleet ends, once."""
         if not self.leases.ends_forming():
@@ -436,27 +446,3 @@
             if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
         ]
         return min(readers)[1] if readers else None
-
-
-def held_request(
-    vm: str, slot_request_id: int, service: str, route: str, customer: str, zone: str
-) -> SlotRequest:
-    """Return a request that represents a slot already held by a VM.
-
-    Only the fields that identify the slot have meaning.
-    """
-    return SlotRequest(
-        vm=vm,
-        slot_request_id=slot_request_id,
-        service=service,
-        route=route,
-        customer=customer,
-        priority=0,
-        route_priority=0,
-        idempotent=False,
-        attempt=1,
-        excluded=(),
-        time_left_s=0.0,
-        target_left_s=0.0,
-        zone=zone,
-    )
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
+from gentianfold.fleet.token_ask import TokenAsk
 from gentianfold.placement.crash_record import CrashRecord
 
 if TYPE_CHECKING:
@@ -54,6 +55,9 @@
     """Number of a ``GrantReason``."""
     start_time_ms: int = 0
     """Unix time of the upstream's start (milliseconds)."""
+    term_ms: int = 0
+    """Time for which the VM may use the slot for further requests (milliseconds); 0 if
+    it returns the slot after this one."""
 
 
 class SlotQueued(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -143,6 +147,8 @@
     """Evacuated zones; ``None`` from builds that don't know of evacuations."""
     is_first_start: bool = False
     """Whether the system never ran before the VM's process."""
+    token_ask: TokenAsk = TokenAsk()
+    """Use of the tokens that the broker has lent, and the wish for further ones."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -183,6 +189,10 @@
     seed_age_ms: int = 0
     """Time since the broker was in touch with a seed that knows the fleet
     (milliseconds)."""
+    token_ask_number: int = 0
+    """Number of the ask for tokens that the reply answers; 0 for none."""
+    tokens: tuple[tuple[str, int], ...] = ()
+    """Customer and tokens that the broker lends to the receiver."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -239,6 +249,46 @@
     """Members of its fleet besides the broker."""
 
 
+class SlotUse(msgspec.Struct, array_like=True, frozen=True):
+    """Use of a lent slot for one request."""
+
+    lease_id: int
+    """Slot request that was granted the slot."""
+    is_placed_by_vm: bool
+    """Whether the VM placed the request itself; false for the first one of a slot."""
+    is_returned: bool
+    """Whether the VM gives the slot back."""
+    route: str
+    customer: str
+    idempotent: bool
+    outcome: int
+    """Number of an ``Outcome``."""
+    elapsed_ms: int
+    transferred_bytes: int = 0
+    """Size of the request and its response; 0 if it is not known."""
+    rate_limit_per_s: float | None = None
+    """As in ``ReleaseSlot``."""
+    pause_ms: int | None = None
+    """As in ``ReleaseSlot``."""
+
+
+class SlotUses(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """Reports finished uses of lent slots."""
+
+    uses: tuple[SlotUse, ...]
+    returned: tuple[int, ...] = ()
+    """Idle lent slots that the VM gives back, by lease."""
+
+
+class RecallSlots(msgspec.Struct, array_like=True, tag=16, frozen=True):
+    """Asks for idle lent slots; those in use come back after their request."""
+
+    services: tuple[str, ...] = ()
+    """Services that have requests waiting."""
+    upstreams: tuple[str, ...] = ()
+    """Upstreams that should get no further requests."""
+
+
 class TunnelRequest(msgspec.Struct, array_like=True, tag=12, frozen=True):
     """Asks for the token that opens tunnels through the receiver."""
 
@@ -292,6 +342,8 @@
     | TunnelRequest
     | TunnelToken
     | TunnelNotice
+    | SlotUses
+    | RecallSlots
     | UpstreamCold
 )
 """Any message between VMs."""
@@ -337,3 +389,22 @@
         int(age_s * 1000),
         request.zones,
     )
+
+
+def to_release_slot(
+    slot_request_id: int,
+    outcome: int,
+    elapsed_s: float,
+    transferred_bytes: int = 0,
+    rate_limit_per_s: float | None = None,
+    pause_s: float | None = None,
+) -> ReleaseSlot:
+    """Return the message that frees a slot; times in seconds."""
+    return ReleaseSlot(
+        slot_request_id,
+        outcome,
+        int(elapsed_s * 1000),
+        transferred_bytes,
+        rate_limit_per_s,
+        int(pause_s * 1000) if pause_s is not None else None,
+    )
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -19,18 +19,23 @@
     Heartbeat,
     HeartbeatReply,
     Message,
+    RecallSlots,
     Redirect,
     ReleaseSlot,
     SlotGranted,
     SlotQueued,
     SlotRefused,
+    SlotUses,
     TunnelNotice,
     TunnelRequest,
     TunnelToken,
     UpstreamChanges,
     UpstreamCold,
+    to_release_slot,
 )
 from gentianfold.fleet.node_evacuations import NodeEvacuations
+from gentianfold.fleet.node_heartbeat import make_heartbeat
+from gentianfold.fleet.node_loans import NodeLoans
 from gentianfold.fleet.node_notices import NodeNotices
 from gentianfold.fleet.node_shares import NodeShares
 from gentianfold.fleet.placement_log import PlacementLog
@@ -39,7 +44,6 @@
 from gentianfold.forwarding.path_state import PathState
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
-from gentianfold.placement.rate_limit_report import report_rate_limits
 from gentianfold.placement.slot_request import Refused, SlotRequest
 from gentianfold.placement.warmup_limiter import MAX_SEND_DELAY_S
 
@@ -103,6 +107,8 @@
     """Obtains the slots of this VM's requests."""
     shares: NodeShares = attrs.field(init=False)
     """Parts of fleet-wide limits that this VM may use."""
+    loans: NodeLoans = attrs.field(init=False)
+    """Slots and tokens that the broker has lent to this VM."""
     notices: NodeNotices = attrs.field(init=False)
     """What upstreams state about themselves."""
     evacuations: NodeEvacuations = attrs.field(init=False)
@@ -112,9 +118,22 @@
         self.shares = NodeShares(
             self.membership, self.broker, self.scheduler, self.lease_clock, self._now_s
         )
+        self.loans = NodeLoans(
+            self.scheduler,
+            self.membership,
+            self.transport,
+            self.lease_clock,
+            self.is_withdrawn,
+            self._now_s,
+        )
         self.shares.start(self.broker.is_first_start)
         self.slots = SlotClient(
-            self.vm, self.scheduler, self.membership, self.transport, self.is_withdrawn
+            self.vm,
+            self.scheduler,
+            self.membership,
+            self.transport,
+            self.is_withdrawn,
+            self.loans,
         )
         self.notices = NodeNotices(
             self.vm,
@@ -156,14 +175,10 @@
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self.scheduler.release(key, outcome, elapsed_s, now_s, *stated)
         broker = self.slots.end_grant(slot_request_id)
-        message = ReleaseSlot(
-            slot_request_id,
-            outcome,
-            int(elapsed_s * 1000),
-            transferred_bytes,
-            rate_limit_per_s,
-            int(pause_s * 1000) if pause_s is not None else None,
-        )
+        if self.loans.release(placement, outcome, elapsed_s, *stated):
+            self._deliver_decisions(now_s)
+            return
+        message = to_release_slot(slot_request_id, outcome, elapsed_s, *stated)
         if self.membership.role is Role.MEMBER and self.membership.broker:
             # A broker that does not know the slot ignores the message.
             self.transport.send(self.membership.broker, message)
@@ -248,6 +263,11 @@
             case ReleaseSlot():
                 if is_broker:
                     self.broker.handle_release(vm, message, now_s)
+            case SlotUses():
+                if is_broker:
+                    self.broker.handle_uses(vm, message, now_s)
+            case RecallSlots():
+                self.loans.recall(vm, message)
             case SlotGranted() | SlotRefused() | SlotQueued():
                 self.membership.record_answer(vm, now_s)
                 self.slots.handle_reply(vm, message, now_s)
@@ -318,6 +338,7 @@
             logger.info("fleet: joined broker {}", vm)
         self.fleet_size = reply.member_count + 1
         self.tunnels.candidates = reply.tunnel_vms
+        self.loans.tokens.receive(vm, reply.token_ask_number, reply.tokens)
         self.slots.pace.record_behind(reply.behind_ms / 1000, now_s)
         if self.shares.lend(vm, reply):
             # The lease begins when the broker gets its stamp back.
@@ -389,6 +410,7 @@
         elif previous_role is Role.MEMBER and self.membership.role is Role.ALONE:
             logger.warning("fleet: lost the broker, assigning slots locally")
         self.shares.update()
+        self.loans.advance()
         if target is not None:
             self.transport.send(target, self._make_heartbeat(now_s))
         if self.view.accept_withheld(now_s):
@@ -475,26 +497,7 @@
             self.slots.resolve(slot_request_id, decision)
 
     def _make_heartbeat(self, now_s: float) -> Heartbeat:
-        scheduler, view = self.scheduler, self.view
-        return Heartbeat(
-            self.incarnation,
-            self.zone,
-            self.cpu_share,
-            self.link_mbps,
-            view.configuration_version,
-            view.store_age_ms(now_s),
-            view.upstreams.revision,
-            tuple(scheduler.held_slots(self.vm)),
-            tuple(report_rate_limits(scheduler.trackers(), now_s)),
-            tuple(scheduler.crashes.report(now_s)),
-            tuple(view.leaving.report(now_s)),
-            tuple(self.notices.pauses.report(now_s)),
-            self.shares.own.stamp_ms(self.membership.broker or ""),
-            self.shares.own.fleet_size,
-            self.paths.is_cut_off,
-            view.evacuations.report(),
-            self.broker.is_first_start,
-        )
+        return make_heartbeat(self, now_s)
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -94,4 +94,5 @@
         broker,
         message.start_time_ms,
         now_s,
+        term_s=message.term_ms / 1000,
     )
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -38,6 +38,7 @@
 )
 
 if TYPE_CHECKING:
+    from gentianfold.fleet.node_loans import NodeLoans
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
@@ -70,6 +71,8 @@
     """Sends messages to the broker."""
     is_withdrawn: Callable[[Placement], bool]
     """Tells whether the upstream of a grant takes no requests of this VM."""
+    loans: NodeLoans | None = None
+    """Places requests on slots that the broker has lent; ``None`` for no loans."""
     pace: ResendPace = attrs.field(factory=ResendPace)
     """Decides when unanswered requests are sent again."""
     _slot_request_ids: itertools.count[int] = attrs.field(
@@ -90,6 +93,10 @@
             return await self._place(request)
         if self._refuses_new:
             return STOPPING
+        if self.loans is not None:
+            lent = self.loans.place(request)
+            if lent is not None:
+                return lent
         with anyio.CancelScope() as scope:
             self._new_requests.add(scope)
             try:
@@ -240,6 +247,8 @@
             return (decision.upstream,)
         self.scheduler.register_grant(request, decision.upstream, self._now_s())
         self._granted_by[request.slot_request_id] = broker
+        if self.loans is not None:
+            self.loans.borrow(request, decision)
         return decision
 
     async def _place_locally(self, request: SlotRequest) -> Placement | Refused:
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -32,13 +32,15 @@
     """Why this upstream was chosen."""
     granted_by: str
     """Address of the broker that granted the slot; this VM's role in the fleet, such
-    as ``alone``, if its own scheduler did."""
+    as ``alone``, if its own scheduler did; ``lent`` for a slot lent before."""
     start_time_ms: int = 0
     """Unix time of the upstream's start (milliseconds)."""
     granted_at_s: float = math.inf
     """When this VM got the slot (event loop time, seconds); infinite if unknown."""
     zones: tuple[str, ...] | None = None
     """Availability zones in which the request may run; ``None`` for any."""
+    term_s: float = 0.0
+    """Time for which the VM may use the slot for further requests (seconds)."""
 
 
 class Placer(Protocol):
--- a/src/gentianfold/placement/customer_usage.py
+++ b/src/gentianfold/placement/customer_usage.py
@@ -33,6 +33,11 @@
     _lot_count: int = 0
     _unsettled: int = 0
 
+    @property
+    def unsettled(self) -> int:
+        """Tokens that other VMs may use, or may have used (count)."""
+        return self._unsettled
+
     def count(self, after_s: float) -> int:
         """Return the requests later than a time; unsettled ones count at their end."""
         while self.taken_s and self.taken_s[0] <= after_s:
--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -45,6 +45,8 @@
     """Whether a token of the customer's limit was taken for it here."""
     is_accepted: bool = False
     """Whether the request has run for ``QUICK_FAILURE_S`` without failing."""
+    is_idle: bool = False
+    """Whether the slot is lent and no request runs on it."""
 
 
 def apply_outcome(
--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -9,6 +9,7 @@
 import attrs
 
 from gentianfold.placement.customer_usage import CustomerUsage, TokenLot
+from gentianfold.placement.lending import TokenRoom
 from gentianfold.placement.slot_request import (
     LIMIT_ELSEWHERE_RETRY_S,
     RefusalReason,
@@ -188,6 +189,23 @@
         usage.add_lot(lot)
         return lot
 
+    def token_room(self, name: str, asking_vms: int, now_s: float) -> TokenRoom:
+        """Return how many tokens of a customer could be lent.
+
+        Args:
+            name: The customer.
+            asking_vms: VMs that had requests of the customer lately (count).
+            now_s: Current time (seconds).
+        """
+        limit = self._limit(name)
+        if limit is None:
+            return TokenRoom(math.inf, 0, math.inf, asking_vms)
+        self._has_tokens(name, 1, now_s)
+        usage = self._usage[name]
+        free = min(usage.tokens, self._room(usage, now_s)) - self.waiting[name]
+        window_requests = self._share_of(limit.rate_per_s * self.window_s + limit.burst)
+        return TokenRoom(free, usage.unsettled, window_requests, asking_vms)
+
     def settle(self, lot: TokenLot, used: int, returned: int, now_s: float) -> None:
         """Record what the holder of a lot tells before its end.
 
--- a/src/gentianfold/placement/running_requests.py
+++ b/src/gentianfold/placement/running_requests.py
@@ -42,6 +42,8 @@
     for tracker in trackers.limited():
         tracker.rate_limiter.share = share
     for grant in grants.values():
+        if grant.is_idle:
+            continue
         if record_accepted(grant, now_s):
             state_changes.record(grant.tracker, "well", "taken", now_s)
             trackers.file(grant.tracker)
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -95,6 +95,11 @@
     zones: tuple[str, ...] | None = None
     """Availability zones in which it may run; ``None`` for any."""
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Address of the VM and identifier, unique in the fleet."""
+        return self.vm, self.slot_request_id
+
     @property
     def may_explore(self) -> bool:
         """Whether a failed attempt may be retried, and so may test an upstream."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -11,7 +11,8 @@
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.grant import Grant
-from gentianfold.placement.grant_table import GrantTable
+from gentianfold.placement.lending import ServiceRoom
+from gentianfold.placement.lent_slots import LentSlots
 from gentianfold.placement.log_entries import (
     ServiceLoad,
     StateChangeQueue,
@@ -25,6 +26,7 @@
 from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.running_requests import observe_grants
+from gentianfold.placement.slot_ledger import SlotLedger
 from gentianfold.placement.slot_request import (
     Granted,
     GrantReason,
@@ -79,17 +81,19 @@
     _trackers: TrackerTable = attrs.field(
         default=attrs.Factory(lambda self: TrackerTable(self.warmups), True)
     )
-    _grants: GrantTable = attrs.field(factory=GrantTable)
     _waiting: WaitingRequests = attrs.field(
         default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
     )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
-    _changed: set[str] = attrs.field(factory=set)
+    lent: LentSlots = attrs.field(init=False)
+    """Slots that VMs keep for further requests."""
+    _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._ledger = SlotLedger(self._trackers, self._order)
         self._outcomes = OutcomeRecorder(
             self._trackers,
             self.quota,
@@ -97,6 +101,9 @@
             lambda service: self._state(service).demand,
             self.elapsed,
         )
+        self.lent = LentSlots(
+            self._ledger, self._outcomes.record, self.count_first_attempt
+        )
 
     def set_share(
         self, share: float, mature_share: float, now_s: float, valid_s: float = math.inf
@@ -153,7 +160,7 @@
         A repeated request keeps its slot or its place and is not counted again.
         """
         key = (request.vm, request.slot_request_id)
-        granted = self._grants.get(key)
+        granted = self._ledger.grants.get(key)
         if granted is not None:
             upstream = granted.tracker.upstream
             return Granted(
@@ -183,6 +190,11 @@
             self._count_refused(request, decision, now_s)
         return decision
 
+    def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
+        """Count a request that another VM placed on a slot lent to it."""
+        self._state(request.service).demand.count_request(request.idempotent, now_s)
+        self.budget.count_request(request.service, now_s)
+
     def _count_refused(
         self, request: SlotRequest, refused: Refused, now_s: float
     ) -> None:
@@ -192,7 +204,7 @@
 
     def is_known(self, key: SlotRequestKey) -> bool:
         """Tell whether a slot request holds a slot or waits for one."""
-        return key in self._grants or key in self._waiting
+        return key in self._ledger.grants or key in self._waiting
 
     def _can_wait_for_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows the request before it is late."""
@@ -225,14 +237,23 @@
             pause_s: Time for which the upstream wants no requests of the VM (seconds);
                 ``None`` if the answer states none.
         """
-        grant = self._grants.find_and_pop(key)
+        grant = self._ledger.free(key)
         if grant is None:
             self._waiting.remove(key)
             return
-        self._free_slot(grant)
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self._outcomes.record(grant, outcome, elapsed_s, now_s, *stated)
 
+    def free_slot(self, key: SlotRequestKey) -> None:
+        """Free a slot on which no request runs; an unknown one is ignored."""
+        self._ledger.free(key)
+
+    def room(self, service: str) -> ServiceRoom:
+        """Return the slots of a service in use, and how many there are."""
+        pool = self._trackers.pool(service)
+        waiting = len(self._waiting.queue(service))
+        return ServiceRoom(pool.healthy_slots, pool.healthy_in_use, waiting)
+
     def record_rate_limit(
         self, name: str, rate_per_s: float, stated_s: float, now_s: float
     ) -> None:
@@ -243,41 +264,28 @@
         self, request: SlotRequest, upstream_name: str, now_s: float
     ) -> None:
         """Register a slot granted by another scheduler, if its upstream is listed."""
-        key = (request.vm, request.slot_request_id)
-        tracker = self._trackers.get(upstream_name)
-        if tracker is None or key in self._grants:
-            return
-        self._hold_slot(key, Grant(request, tracker, now_s, is_trial=False))
+        self._ledger.register(request, upstream_name, now_s)
 
     def release_unlisted(
         self, vm: str, slot_request_ids: frozenset[int], granted_before_s: float
     ) -> None:
-        """Free the slots that a VM no longer lists as held.
-
-        Args:
-            vm: Address of the VM.
-            slot_request_ids: Slot requests whose slots are held, as listed by the VM.
-            granted_before_s: Only grants before this time are freed; the list may have
-                been sent before later ones arrived.
-        """
-        for key in self._grants.unlisted(vm, slot_request_ids, granted_before_s):
-            self._free_slot(self._grants.pop(key))
+        """Free the slots granted before a time that a VM no longer lists as held."""
+        self._ledger.free_unlisted(vm, slot_request_ids, granted_before_s)
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
         """Return identifier, upstream, route and customer of each slot of a VM."""
-        return self._grants.held_slots(vm)
+        return self._ledger.grants.held_slots(vm)
 
     def remove_vm(self, vm: str) -> None:
         """Free the slots of a VM and remove its queued requests."""
-        for key, _ in list(self._grants.of_vm(vm)):
-            self._free_slot(self._grants.pop(key))
+        self._ledger.free_vm(vm)
         self._waiting.remove_vm(vm)
 
     def advance(
         self, now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         """Grant free slots to queued requests; refuse those past their latest start."""
-        changed, self._changed = self._changed, set()
+        changed, self._ledger.changed = self._ledger.changed, set()
         for service, queue in self._waiting.services():
             index = self._state(service).queue_index
             if queue and (service in changed or index.is_due(len(queue), now_s)):
@@ -289,7 +297,7 @@
         share, changes = self.quota.share, self.state_changes
         observe_grants(
             self._trackers,
-            self._grants,
+            self._ledger.grants,
             self._outcomes.expected_s,
             share,
             changes,
@@ -316,6 +324,10 @@
                 trackers = self._trackers.pool(service).trackers
                 yield measure_load(service, len(queue), trackers, now_s)
 
+    def waiting_services(self) -> list[str]:
+        """Return the services that have requests in their queues."""
+        return [service for service, queue in self._waiting.services() if queue]
+
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait for a slot."""
@@ -324,7 +336,7 @@
     @property
     def granted_count(self) -> int:
         """Number of slots in use."""
-        return len(self._grants)
+        return len(self._ledger.grants)
 
     # Decisions
 
@@ -458,10 +470,8 @@
         has_token = request.attempt == 1 and self.quota.try_acquire(
             request.customer, now_s
         )
-        self._hold_slot(
-            (request.vm, request.slot_request_id),
-            Grant(request, tracker, now_s, is_trial, has_token),
-        )
+        grant = Grant(request, tracker, now_s, is_trial, has_token)
+        self._ledger.hold(request.key, grant)
         return Granted(
             tracker.upstream,
             reason,
@@ -469,24 +479,6 @@
             candidate_count,
         )
 
-    def _hold_slot(self, key: SlotRequestKey, grant: Grant) -> None:
-        self._grants.add(key, grant)
-        grant.tracker.in_use += 1
-        grant.tracker.count_request(grant.granted_at_s)
-        grant.tracker.last_used_s = grant.granted_at_s
-        grant.tracker.trials_in_use += grant.is_trial
-        self._trackers.file(grant.tracker, to_end=True)
-        self._order.count_slot(grant.request, 1)
-
-    def _free_slot(self, grant: Grant) -> None:
-        grant.tracker.in_use -= 1
-        if not grant.tracker.in_use:
-            grant.tracker.running_s = 0.0
-        grant.tracker.trials_in_use -= grant.is_trial
-        self._trackers.file(grant.tracker)
-        self._changed.add(grant.request.service)
-        self._order.count_slot(grant.request, -1)
-
     def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
         waited_s = now_s - entry.queued_at_s
         self._wait_table.record(
--- a/src/gentianfold/placement/upstream_pool.py
+++ b/src/gentianfold/placement/upstream_pool.py
@@ -65,6 +65,8 @@
     group: Group
     counted: int = 0
     """Its slots in use that count as those of healthy upstreams (count)."""
+    slots: int = 0
+    """Its slots that count as those of healthy upstreams (count)."""
 
 
 @attrs.define(eq=False)
@@ -81,7 +83,10 @@
     _full: Group = attrs.field(factory=dict)
     _limited: Group = attrs.field(factory=dict)
     _filings: dict[str, _Filing] = attrs.field(factory=dict)
-    _healthy_in_use: int = 0
+    healthy_in_use: int = 0
+    """Slots in use of the healthy upstreams that state no limit (count)."""
+    healthy_slots: int = 0
+    """Slots of these upstreams (count)."""
     _limited_slots: float = 0.0
     _limited_until_s: float = -math.inf
     _homes: dict[tuple[str, ...], UpstreamPool] = attrs.field(factory=dict)
@@ -144,8 +149,11 @@
         is_suspect = tracker.suspect_since_s is not None
         is_limited = tracker.rate_limiter.is_limited or tracker.warmup.is_started
         counted = 0 if is_suspect or is_limited else tracker.in_use
-        self._healthy_in_use += counted - filing.counted
+        self.healthy_in_use += counted - filing.counted
         filing.counted = counted
+        slots = 0 if is_suspect or is_limited else tracker.upstream.slots
+        self.healthy_slots += slots - filing.slots
+        filing.slots = slots
         if is_suspect:
             self._suspect_names.add(name)
         else:
@@ -187,7 +195,7 @@
                 tracker.held_slots(slot_time_s, now_s)
                 for tracker in self._limited.values()
             )
-        return self._healthy_in_use + self._limited_slots
+        return self.healthy_in_use + self._limited_slots
 
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether any healthy upstream would start a request at once."""
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -69,6 +69,7 @@
         "requests_under_way": handler.under_way_count,
         "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
+        "slots_borrowed_idle": sum(1 for _ in node.loans.slots.idle()),
         "blocked_requests": [
             {
                 "fingerprint": fingerprint.hex(),
@@ -105,6 +106,11 @@
         "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
         "slots_in_use": node.scheduler.granted_count,
+        "slots_lent_idle": node.scheduler.lent.idle_count,
+        "slots_recalled": node.broker.loans.recall_count,
+        "tokens_lent": node.broker.loans.lender.lent_count,
+        "broker_load": node.broker.loans.lender.load(now_s),
+        "requests_placed_on_loans": node.loans.placed_count,
         "members": node.fleet_size,
         "upstreams": len(trackers),
         "upstreams_suspect": sum(
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -216,6 +216,7 @@
             scheduler,
             transport,
             self.view,
+            settings.machine.cpu_share,
             is_first_start=is_first_start(settings.platform),
             stated_size=settings.fleet.largest_size,
         )
--- a/tests/fleet/test_broker_admission.py
+++ b/tests/fleet/test_broker_admission.py
@@ -64,7 +64,7 @@
 
     def request_slot(self, request, now_s):
         key = (request.vm, request.slot_request_id)
-        is_new = key not in self._grants and key not in self._waiting.queue("desk")
+        is_new = not self.is_known(key)
         if is_new:
             self.replay.now_s += DECISION_S
             asked = self.replay.asked[request.slot_request_id]
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -412,11 +412,14 @@
         formed=st.booleans(),
     )
     def start(self, size, seed, formed):
-        self.fleet = make_fleet(size, seed)
+        self.fleet = self.make_fleet(size, seed)
         self.group_ids = itertools.count(1)
         if formed:
             self.fleet.run(11, per_s=40)
 
+    def make_fleet(self, size, seed):
+        return make_fleet(size, seed)
+
     def pick(self, share):
         names = sorted(self.fleet.nodes)
         brokers = self.fleet.brokers()
