Hand the broker's role over to strong readers of the store only

Cause: the successor was chosen by the age of its read alone.

Change: the strongest member with a fresh read takes over; one with half of the broker's capacity or less only if the broker can't read the store for 4 s. Until then VMs whose state is old read the store themselves, as before.

Measured: test_a_busy_broker_does_not_hand_over_to_a_weak_reader_of_the_store fails without the change (the weak reader takes over after 1.5 s).

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -43,6 +43,9 @@
 """Age of the broker's last read of the store after which the broker role passes to a
 member that reads the store (seconds); a change published meanwhile can still take
 effect within the required 2 s."""
+LONG_STALE_STORE_READ_S = 4.0
+"""Age of the last read from which it passes to a weaker member, too (seconds); until
+then VMs whose state is old read the store themselves."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
 MAX_SEED_AGE_S = 1e6
@@ -341,9 +344,13 @@
             else:
                 busy_zones.add(members[vm].zone)
 
-    def advance(self, now_s: float) -> str | None:
+    def advance(self, now_s: float, own_capacity: float = 0.0) -> str | None:
         """Remove silent members and announce this broker to possible other brokers.
 
+        Args:
+            now_s: Event loop time (seconds).
+            own_capacity: Capacity of this VM as a broker, in units of the reference VM.
+
         Returns:
             Member that should take over because it can read the store and this VM
             can't; ``None`` if this VM remains the broker.
@@ -360,7 +367,7 @@
             for vm in candidates - {self.vm, *self.member_table.members}:
                 self.transport.send(vm, BrokerAnnouncement(self.member_count))
         self.loans.advance(now_s)
-        return self._find_store_reader(now_s)
+        return self._find_store_reader(now_s, own_capacity)
 
     @property
     def member_count(self) -> int:
@@ -435,14 +442,22 @@
                 return vm
         return None
 
-    def _find_store_reader(self, now_s: float) -> str | None:
-        """Return the member with the newest store read if this VM's read is stale."""
+    def _find_store_reader(self, now_s: float, own_capacity: float) -> str | None:
+        """Return the strongest member that reads the store if this VM's read is stale.
+
+        A broker that is busy reads late. A much weaker one would decide late on all
+        requests, so it takes over only if this VM can't read the store for long.
+        """
         age_ms = self.view.store_age_ms(now_s)
         if 0 <= age_ms < STALE_STORE_READ_S * 1000:
             return None
         readers = [
-            (member.store_age_ms, vm)
+            (member.capacity, -member.store_age_ms, vm)
             for vm, member in self.member_table.members.items()
             if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
         ]
-        return min(readers)[1] if readers else None
+        if not readers:
+            return None
+        capacity, _, vm = max(readers)
+        is_long = age_ms < 0 or age_ms >= LONG_STALE_STORE_READ_S * 1000
+        return vm if is_long or STRONGER_FACTOR * capacity > own_capacity else None
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -403,7 +403,7 @@
             if previous_role is not Role.BROKER:
                 self._start_as_broker()
             capacity = capacity_of(self.cpu_share, self.link_mbps)
-            successor = self.broker.advance(now_s)
+            successor = self.broker.advance(now_s, capacity)
             successor = successor or self.broker.find_stronger(capacity)
             if successor is not None:
                 self._hand_over(successor)
--- a/tests/fleet/test_broker_load.py
+++ b/tests/fleet/test_broker_load.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from gentianfold.fleet.broker import Broker
+from gentianfold.fleet.membership import capacity_of
 from gentianfold.fleet.messages import Heartbeat, HeartbeatReply
 from gentianfold.fleet.node_view import NodeView
 from gentianfold.fleet.store_revision import NO_REVISION
@@ -56,3 +57,22 @@
             number = int(vm.removeprefix("vm"))
             broker.handle_heartbeat(vm, heartbeat(number, 7), now_s, now_s)
     assert transport.counts[HeartbeatReply] <= 3 * size
+
+
+@pytest.mark.parametrize(
+    ("link_mbps", "stale_s", "successor"),
+    ((200.0, 1.5, "vm1"), (5.0, 1.5, None), (5.0, 4.5, "vm1")),
+)
+def test_a_busy_broker_does_not_hand_over_to_a_weak_reader_of_the_store(
+    link_mbps, stale_s, successor
+):
+    # It read the store late under its load; the weakest VM took over, and fell silent.
+    logger.disable("gentianfold")
+    view = NodeView()
+    broker = Broker("broker", 1, (), SlotScheduler(), CountingTransport(), view)
+    broker.start(0, 100.0)
+    view.store_read_s = 100.0
+    now_s = 100.0 + stale_s
+    reader = Heartbeat(1, "z1", 2.0, link_mbps, 1, 100, NO_REVISION, ())
+    broker.handle_heartbeat("vm1", reader, now_s, now_s)
+    assert broker.advance(now_s, capacity_of(2.0, 200.0)) == successor
