Read what operators write in one call after a gap

A VM that reads the store after more than two seconds made three calls, the third for the evacuated zones: each is priced, and a VM that has lost its broker waits for all of them.

Change: the configuration and the zones have one prefix, and are listed together. The call of the configuration alone stays for VMs that fetch an announced version.

Test: a poll after a gap makes two calls and finds both; three on the code before.

--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -14,6 +14,7 @@
 from gentianfold.platform.wire import (
     CONFIGURATION_KEY,
     EVACUATION_KEY_PREFIX,
+    OPERATOR_KEY_PREFIX,
     UPSTREAM_KEY_PREFIX,
     Item,
     decode_configuration,
@@ -32,8 +33,8 @@
 ALL_KEYS = ""
 """Prefix of both the configuration and the upstreams: one request reads both."""
 MAX_CHANGES_AGE_S = 2.0
-"""Age of the last read above which the configuration is read by its key (seconds): the
-changes since then may hold several versions of it, each in full."""
+"""Age of the last read above which the items of operators are listed (seconds): the
+changes since then may hold several versions of the configuration, each in full."""
 OUTAGE_THRESHOLD_S = 2.5
 """Age of the published state from which a store outage is assumed (seconds): within
 this time any VM that can reach the store reads the state and shares it."""
@@ -185,8 +186,7 @@
             return EARLIER_ERA
         if not is_recent:
             # Read after the changes, so that it is no older than their revision.
-            failure = await self.read_configuration()
-            failure = failure or await self._list_evacuations(page.era)
+            failure = await self._read_operator_items(page.era)
             if failure is not None:
                 return failure
         self._check_outage()
@@ -202,21 +202,10 @@
 
         Later pages may be newer than the first; the next poll reads the changes since.
         """
-        items: list[Item] = []
-        first_revision = NO_REVISION
-        after = ""
-        while True:
-            page = await self.client.list_items(ALL_KEYS, after)
-            if isinstance(page, Failure):
-                return page
-            if first_revision == NO_REVISION:
-                first_revision = StoreRevision(page.era, page.store_revision)
-            if page.era != first_revision.era:
-                return RESTORED_MEANWHILE
-            items += page.items
-            if not page.has_more or not page.items:
-                break
-            after = page.items[-1].key
+        listed = await self._list(ALL_KEYS)
+        if isinstance(listed, Failure):
+            return listed
+        items, first_revision = listed
         if first_revision.era < self.sink.known_era():
             return EARLIER_ERA
         self._check_outage()
@@ -238,15 +227,34 @@
             self._relist_after_s = float("inf")
         return None
 
-    async def _list_evacuations(self, era: int) -> Failure | None:
-        """List the evacuated zones alone and pass them to the sink."""
-        page = await self.client.list_items(EVACUATION_KEY_PREFIX)
-        if isinstance(page, Failure):
-            return page
-        if page.era != era:
+    async def _list(self, prefix: str) -> tuple[list[Item], StoreRevision] | Failure:
+        """List the items under a key prefix, with the revision of the first page."""
+        items: list[Item] = []
+        first_revision = NO_REVISION
+        after = ""
+        while True:
+            page = await self.client.list_items(prefix, after)
+            if isinstance(page, Failure):
+                return page
+            if first_revision == NO_REVISION:
+                first_revision = StoreRevision(page.era, page.store_revision)
+            if page.era != first_revision.era:
+                return RESTORED_MEANWHILE
+            items += page.items
+            if not page.has_more or not page.items:
+                return items, first_revision
+            after = page.items[-1].key
+
+    async def _read_operator_items(self, era: int) -> Failure | None:
+        """List what operators have written, and pass it to the sink."""
+        listed = await self._list(OPERATOR_KEY_PREFIX)
+        if isinstance(listed, Failure):
+            return listed
+        items, revision = listed
+        if revision.era != era:
             return RESTORED_MEANWHILE
-        revision = StoreRevision(page.era, page.store_revision)
-        self._replace_evacuations(page.items, revision)
+        self._process_items(items, era)
+        self._replace_evacuations(items, revision)
         return None
 
     def _replace_evacuations(self, items: list[Item], revision: StoreRevision) -> None:
--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -30,6 +30,8 @@
 
 UPSTREAM_KEY_PREFIX = "servers/"
 """Prefix of the keys under which upstreams register."""
+OPERATOR_KEY_PREFIX = "op/"
+"""Prefix of all keys that operators write."""
 CONFIGURATION_KEY = "op/config"
 """Key of the published configuration."""
 EVACUATION_KEY_PREFIX = "op/evacuate/"
--- a/tests/platform/test_store_synchronizer.py
+++ b/tests/platform/test_store_synchronizer.py
@@ -309,8 +309,11 @@
     # A poll after a gap reads the changes of upstreams alone.
     synchronizer._read_s = -100.0
     store.put_evacuation("z1")
+    store.put_configuration(make_configuration(9))
+    calls = store.request_counts.total()
     assert await synchronizer.poll()
-    assert evacuated(sink) == {"z1"}
+    assert evacuated(sink) == {"z1"} and sink.versions[-1] == 9
+    assert store.request_counts.total() == calls + 2
     store.take_back("z1")
     store.compact_history()
     assert await synchronizer.poll()
