Count what is held for callers against the memory of the process

Cause: limits bound one request, nothing bounded them together, and machine.memory_mb was read and used nowhere. A body was kept in pieces, joined, and copied behind the head. Of the same class: a connection and its parser refer to each other, so closed connections kept the last answer until the garbage collector ran, and so did cancelled requests their body; the timeout of a head began anew with each byte; the parser kept trailers without bound.

Change: bytes are claimed before they are kept, at the cost of their objects, and given back when the object that holds them is dropped. Bodies have 0.8 of the budget, answers 0.9, small requests the rest. A body without room is refused at once with 503 and code 7036, one in chunks waits up to a second, a request is not sent without room for its answer, reading of long answers pauses. While room is short, clients that have stalled for a second are ended, the oldest first. Bodies stay in the pieces in which they came. Ruled out: measuring resident memory, which does not fall with the objects; a cap on fields, which a client inside the published limits could meet.

--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -141,3 +141,12 @@
     400,
     RunState.NOT_RUN,
 )
+MEMORY_FULL = define_code(
+    7036,
+    "memory-full",
+    "This VM has no memory left for the request.",
+    "Send the request again; operators look for `resources:` lines in the log.",
+    503,
+    RunState.NOT_RUN,
+    Retry.LATER,
+)
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -10,6 +10,8 @@
 from loguru import logger
 
 from gentianfold.forwarding.connection_pool import MAX_IDLE_S, NON_IDEMPOTENT_MAX_IDLE_S
+from gentianfold.forwarding.incoming_request import MEMORY_RETRY_AFTER_S
+from gentianfold.forwarding.memory_budget import Claim, claim_answer
 from gentianfold.forwarding.messages import (
     CallerRequest,
     Headers,
@@ -278,6 +280,10 @@
         if self._was_blocked_meanwhile():
             self.forwarder.pool.release(address, placement.upstream, connection)
             return AttemptResult(Outcome.CANCELLED, refused=BLOCKED_MEANWHILE)
+        claim = self._claim_answer()
+        if claim is None:
+            self.forwarder.pool.release(address, placement.upstream, connection)
+            return AttemptResult(Outcome.CANCELLED, refused=NO_MEMORY)
         if not self.plan.route.idempotent:
             self.plan.request.is_committed = True
         sent_s = self.forwarder.now_s()
@@ -290,9 +296,12 @@
                     self._encode(placement, time_left_s),
                     self._is_for_request,
                     self.plan.request.method == b"HEAD",
+                    claim=claim,
                 )
         finally:
             self._exchanged_bytes = connection.exchanged_bytes
+            if not isinstance(exchange, Response):
+                claim.release()
         if exchange is None:
             return AttemptResult(Outcome.TIMED_OUT, detail="no answer in time")
         if isinstance(exchange, ExchangeFailure):
@@ -318,6 +327,12 @@
             limit = None
         return attrs.evolve(result, rate_limit_per_s=limit)
 
+    def _claim_answer(self) -> Claim | None:
+        """Return the claim of the answer; ``None`` without room for it."""
+        forwarder, request = self.forwarder, self.plan.request
+        claim, request.answer_claim = request.answer_claim, None
+        return claim or claim_answer(forwarder.memory, forwarder.now_s())
+
     async def _record_crash(self, placement: Placement, sent_s: float) -> bool:
         """Record a crash if the upstream no longer accepts connections.
 
@@ -422,7 +437,9 @@
             return AttemptResult(Outcome.FAILED, response, detail=detail)
         return AttemptResult(Outcome.SUCCEEDED, response)
 
-    def _encode(self, placement: Placement, time_left_s: float) -> bytes:
+    def _encode(
+        self, placement: Placement, time_left_s: float
+    ) -> list[bytes | bytearray]:
         header_names, plan = self.forwarder.header_names, self.plan
         request = plan.request
         replaced = {
@@ -452,6 +469,8 @@
 """Refusal of an attempt whose upstreams all refused further requests after the grant."""
 NO_TIME_LEFT = Refused(RefusalReason.NO_ROOM, 0.2)
 """Refusal of an attempt that got slot and connection too late to send the request."""
+NO_MEMORY = Refused(RefusalReason.NO_ROOM, MEMORY_RETRY_AFTER_S)
+"""Refusal of a further attempt for whose answer there is no memory."""
 
 
 def _format_limit(result: AttemptResult) -> str:
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -11,22 +11,34 @@
 import httptools
 
 from gentianfold.codes.requests import (
-    BODY_TOO_LARGE,
     HEADERS_TOO_LARGE,
     REQUEST_MALFORMED,
     REQUEST_TIMEOUT,
 )
 from gentianfold.errors import Failure
-from gentianfold.forwarding.messages import CallerRequest, Headers, Response
+from gentianfold.forwarding.incoming_request import IncomingRequest, memory_failure
+from gentianfold.forwarding.memory_budget import (
+    CONNECTION_BYTES,
+    ROOM_RETRY_S,
+    ROOM_WAIT_S,
+    UNREAD_BYTES,
+    Claim,
+    MemoryBudget,
+    Use,
+)
+from gentianfold.forwarding.messages import CallerRequest, Response
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.hangup_watcher import HangupWatcher
+    from gentianfold.forwarding.memory_budget import ConnectionLimit
     from gentianfold.model import CallerLimits
 
 MAX_PIPELINED = 16
 """Requests of one connection whose answers have not left the process (count); at this
 number reading pauses, and further requests stay in the socket buffer."""
+PARSE_BYTES = 16 << 10
+"""Bytes that are parsed between two checks of what the parser holds (bytes)."""
 
 
 class RequestHandler(Protocol):
@@ -64,13 +76,18 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """Parses requests, writes responses in order, cancels on disconnection."""
+    """Parses requests, writes responses in order, cancels on disconnection.
+
+    Implements ``Holder``.
+    """
 
     def __init__(
         self,
         handler: RequestHandler,
         open_connections: set[CallerConnection],
         hangups: HangupWatcher | None = None,
+        memory: MemoryBudget | None = None,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         """Handle a connection that is about to be made.
 
@@ -79,6 +96,8 @@
             open_connections: Holds the connection while it is open.
             hangups: Notices the end of the caller while it is not read; without it, the
                 end is noticed when reading goes on.
+            memory: Memory of the process; ``None`` for no limit.
+            limit: Limit on the connections of callers; ``None`` for none.
         """
         self._handler = handler
         self._open_connections = open_connections
@@ -92,17 +111,16 @@
         self._cut_cause = "caller"
         self._is_paused = False
         self._timer: asyncio.TimerHandle | None = None
-        self._reset_request()
-        self._parser = httptools.HttpRequestParser(self)
-
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._incoming: IncomingRequest | None = None
         self._head_bytes = 0
-        self._is_reading = False
-        self._has_head = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._memory = memory or MemoryBudget.unlimited()
+        self._limit = limit
+        self._claim = Claim(self._memory, Use.REQUEST)
+        self._unread_claim = Claim(self._memory, Use.REQUEST)
+        self._room_timer: asyncio.TimerHandle | None = None
+        self._room_until_s = 0.0
+        self._idle_since_s = self._loop.time()
 
     # State of the connection
 
@@ -110,7 +128,7 @@
     def is_awaiting(self) -> bool:
         """Whether a request is being read or its response is not known."""
         waiting_count = self._writer.waiting_count if self._writer is not None else 0
-        return (self._is_reading and not self._is_closing) or waiting_count > 0
+        return self._incoming is not None or waiting_count > 0
 
     @property
     def unsent_count(self) -> int:
@@ -124,7 +142,8 @@
 
     def finish(self) -> None:
         """End the connection behind what was written; discard what is received."""
-        self._is_closing = True
+        self._stop_parsing()
+        self._idle_since_s = self._loop.time()
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_pending()
@@ -138,11 +157,48 @@
             self._cut_cause = cause
             self._transport.abort()
 
+    # Holder
+
+    def idle_since_s(self) -> float | None:
+        """Return since when nothing is read, answered or sent; ``None`` if it is."""
+        return None if self.is_awaiting or self.unsent_count else self._idle_since_s
+
+    def stalled_since_s(self, now_s: float) -> float | None:
+        """Return since when the caller reads or sends too slowly; ``None`` if not."""
+        if self._writer is None:
+            return None
+        if self.unsent_count:
+            return self._writer.stalled_since_s(now_s)
+        incoming = self._incoming
+        if incoming is None or incoming.is_held or self._writer.waiting_count:
+            return None
+        progress = incoming.progress
+        return progress.started_s if progress.has_stalled(now_s) else None
+
+    def end_for_room(self, at_once: bool) -> None:
+        """End a request that has stalled, or the connection of one who doesn't read."""
+        if at_once and self.idle_since_s() is not None and self._transport is not None:
+            self._stop_parsing()
+            self._transport.close()
+        elif at_once or self.unsent_count:
+            self.cut("room")
+            self._record_lost()
+        else:
+            self._reject(Failure(REQUEST_TIMEOUT, "it stalled while memory was short"))
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and start the idle timeout."""
+        """Register the connection and start the idle timeout; refuse one too many."""
         self._transport = cast("asyncio.Transport", transport)
+        now_s = self._loop.time()
+        if (
+            self._limit is not None and not self._limit.try_open(self, now_s)
+        ) or not self._claim.grow_to(CONNECTION_BYTES, now_s):
+            self._is_closing = True
+            self._transport.abort()
+            return
+        self._memory.add_holder(self)
         self._writer = ResponseWriter(self._transport, self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -159,14 +215,25 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the pending requests."""
         self._open_connections.discard(self)
+        self._memory.remove_holder(self)
+        if self._limit is not None:
+            self._limit.close(self)
         self._unwatch()
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._room_timer):
+            if timer is not None:
+                timer.cancel()
         self._cancel_pending()
-        if self._writer is not None:
-            cut_count = self._writer.handle_lost()
-            if cut_count:
-                self._handler.record_cut(cut_count, self._cut_cause)
+        self._stop_parsing()
+        self._record_lost()
+        self._unread_claim.release()
+        self._claim.release()
+        # The parser and this object refer to each other.
+        del self._parser
+
+    def _record_lost(self) -> None:
+        cut_count = self._writer.handle_lost() if self._writer is not None else 0
+        if cut_count:
+            self._handler.record_cut(cut_count, self._cut_cause)
 
     def resume_writing(self) -> None:
         """Go on, as all written answers have left."""
@@ -177,7 +244,30 @@
         """Parse received bytes."""
         if self._is_closing:
             return
-        if not self._has_head:
+        now_s = self._loop.time()
+        incoming = self._incoming
+        if incoming is not None:
+            incoming.progress.record(len(data), now_s)
+        if len(data) <= PARSE_BYTES or (
+            incoming is not None and incoming.missing_bytes >= len(data)
+        ):
+            self._parse(data, now_s)
+        else:
+            view = memoryview(data)
+            for start in range(0, len(data), PARSE_BYTES):
+                self._parse(view[start : start + PARSE_BYTES], now_s)
+        incoming = self._incoming
+        if incoming is not None and incoming.progress.is_too_slow(now_s):
+            self._reject(Failure(REQUEST_TIMEOUT, "the body comes too slowly"))
+        elif incoming is not None and incoming.is_held:
+            self._await_room(now_s)
+        self._restart_timer()
+
+    def _parse(self, data: bytes | memoryview, now_s: float) -> None:
+        """Parse bytes; check and claim what is held of an unfinished request."""
+        if self._is_closing:
+            return
+        if self._incoming is None or not self._incoming.has_head:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -186,74 +276,71 @@
             self._is_closing = True
         except httptools.HttpParserError:
             self._reject(Failure(REQUEST_MALFORMED))
-        if not self._has_head and not self._is_closing:
-            self._check_head_size()
-        self._restart_timer()
+        incoming, limits = self._incoming, self._handler.limits()
+        failure = None
+        if incoming is None:
+            if self._head_bytes > 2 * limits.max_header_bytes:
+                failure = Failure(HEADERS_TOO_LARGE)
+        elif not incoming.has_head:
+            failure = incoming.check_unfinished_head(self._head_bytes, limits, now_s)
+        elif incoming.is_chunked:
+            failure = incoming.check_chunked_body(len(data), limits, now_s)
+        self._reject_if(failure)
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state of the previous request."""
-        head_bytes = self._head_bytes
-        self._reset_request()
-        self._head_bytes = head_bytes
-        self._is_reading = True
+        """Begin a request."""
+        if self._is_closing:
+            return
+        now_s = self._loop.time()
+        self._incoming = IncomingRequest(self._memory, now_s)
+        self._reject_if(self._incoming.begin(now_s))
 
     def on_url(self, data: bytes) -> None:
         """Append a chunk of the request target."""
-        self._target += data
+        if self._incoming is not None:
+            self._incoming.add_target(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; trailers are dropped."""
-        if not self._has_head:
-            self._headers.append((name.lower(), value))
+        incoming = self._incoming
+        if incoming is not None and not incoming.has_head:
+            self._reject_if(incoming.add_header(name, value, self._handler.limits()))
 
     def on_headers_complete(self) -> None:
         """Validate the head before the body is read."""
-        self._has_head = True
-        size = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
         self._head_bytes = 0
-        if size > self._handler.limits().max_header_bytes:
-            self._reject(Failure(HEADERS_TOO_LARGE))
+        incoming = self._incoming
+        if incoming is None or self._writer is None:
             return
-        failure = _check_head(self._parser.get_http_version(), self._headers)
-        if failure is None and not self._target.startswith(b"/"):
-            failure = Failure(REQUEST_MALFORMED, "the target is not a path")
-        if failure is None:
-            failure = self._check_length()
+        version, limits = self._parser.get_http_version(), self._handler.limits()
+        failure = incoming.finish_head(version, limits, self._loop.time())
         if failure is not None:
             self._reject(failure)
-        elif (
-            _expects_continue(self._headers)
-            and self._writer is not None
-            and self._writer.can_write
-        ):
+        elif incoming.expects_continue() and self._writer.can_write:
             self._writer.write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
-        if self._is_closing:
-            return
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._handler.limits().max_body_bytes:
-            self._reject(Failure(BODY_TOO_LARGE))
+        if self._incoming is not None:
+            self._reject_if(self._incoming.add_body(data, self._handler.limits()))
 
     def on_message_complete(self) -> None:
         """Start to handle the complete request."""
-        if self._is_closing or self._writer is None:
+        incoming = self._incoming
+        if incoming is None or self._writer is None:
             return
+        self._incoming, self._head_bytes = None, 0
         request = CallerRequest(
             self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
+            incoming.target,
+            incoming.headers,
+            incoming.body,
             self._loop.time(),
             self._parser.should_keep_alive(),
+            claims=incoming.claims,
         )
-        self._reset_request()
         pending = PendingResponse(request.method == b"HEAD", request.keep_alive)
         self._writer.add(pending)
         if self._writer.under_way_count > MAX_PIPELINED:
@@ -297,13 +384,14 @@
             writer.under_way_count - len(self._backlog) < MAX_PIPELINED
         ):
             self._start(*self._backlog.popleft())
-        if self._is_paused and writer.under_way_count < MAX_PIPELINED:
+        if self._room_timer is None and writer.under_way_count < MAX_PIPELINED:
             self._resume_reading()
         self._restart_timer()
 
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._is_paused:
             self._is_paused = True
+            self._unread_claim.force_to(UNREAD_BYTES)
             self._transport.pause_reading()
             if self._hangups is not None and self._fd >= 0:
                 self._hangups.watch(self._fd, self._handle_hangup)
@@ -311,6 +399,7 @@
     def _resume_reading(self) -> None:
         if self._transport is not None and self._is_paused:
             self._is_paused = False
+            self._unread_claim.release()
             self._unwatch()
             self._transport.resume_reading()
 
@@ -329,24 +418,44 @@
             self._writer.cancel_waiting()
         self._backlog.clear()
 
-    def _check_head_size(self) -> None:
-        if self._head_bytes > 2 * self._handler.limits().max_header_bytes:
-            self._reject(Failure(HEADERS_TOO_LARGE))
+    def _await_room(self, now_s: float) -> None:
+        """Stop to read a body without a stated length until there is memory for it."""
+        if self._room_timer is None:
+            self._room_until_s = now_s + ROOM_WAIT_S
+            self._pause_reading()
+            self._room_timer = self._loop.call_later(ROOM_RETRY_S, self._retry_room)
+
+    def _retry_room(self) -> None:
+        self._room_timer = None
+        incoming, now_s = self._incoming, self._loop.time()
+        if incoming is None or incoming.claim_more(now_s):
+            self._continue()
+        elif now_s >= self._room_until_s:
+            self._reject(memory_failure())
+            self._continue()
+        else:
+            # Not the caller's pause.
+            incoming.progress.last_s = now_s
+            self._room_timer = self._loop.call_later(ROOM_RETRY_S, self._retry_room)
 
-    def _check_length(self) -> Failure | None:
-        for name, value in self._headers:
-            if name == b"content-length":
-                if not value.isdigit():
-                    return Failure(REQUEST_MALFORMED, "the length is not a number")
-                if int(value) > self._handler.limits().max_body_bytes:
-                    return Failure(BODY_TOO_LARGE)
-        return None
+    def _stop_parsing(self) -> None:
+        """Discard what is being read and all that follows."""
+        self._is_closing = True
+        if self._incoming is not None:
+            self._incoming.drop()
+            self._incoming = None
+            # The parser may hold a part of it.
+            self._parser = httptools.HttpRequestParser(self)
+
+    def _reject_if(self, failure: Failure | None) -> None:
+        if failure is not None:
+            self._reject(failure)
 
     def _reject(self, failure: Failure) -> None:
         """Queue an error response behind the pending ones and stop reading requests."""
         if self._is_closing or self._writer is None:
             return
-        self._is_closing = True
+        self._stop_parsing()
         self._writer.add(PendingResponse(False, False, self._handler.reject(failure)))
         self._write_responses()
 
@@ -374,37 +483,18 @@
             self._timer = None
         if self._writer is None or self._writer.under_way_count or self._is_closing:
             return
-        limits = self._handler.limits()
-        in_head = self._is_reading and not self._has_head
-        delay_s = limits.header_timeout_s if in_head else limits.idle_timeout_s
-        self._timer = self._loop.call_later(delay_s, self._handle_timeout)
+        limits, now_s = self._handler.limits(), self._loop.time()
+        due_s = now_s + limits.idle_timeout_s
+        if self._incoming is None:
+            self._idle_since_s = now_s
+        elif not self._incoming.has_head:
+            due_s = self._incoming.progress.started_s + limits.header_timeout_s
+        self._timer = self._loop.call_at(due_s, self._handle_timeout)
 
     def _handle_timeout(self) -> None:
         if self._writer is None or self._writer.under_way_count:
             return
-        if self._is_reading:
+        if self._incoming is not None:
             self._reject(Failure(REQUEST_TIMEOUT))
         else:
             self.finish()
-
-
-def _check_head(version: str, headers: Headers) -> Failure | None:
-    """Return a failure if the message framing or host is ambiguous, else ``None``."""
-    names = [name for name, _ in headers]
-    if names.count(b"host") != 1 and (version != "1.0" or b"host" in names):
-        return Failure(REQUEST_MALFORMED, "a request has one host header")
-    if names.count(b"content-length") > 1:
-        return Failure(REQUEST_MALFORMED, "the length is given twice")
-    codings = [value for name, value in headers if name == b"transfer-encoding"]
-    if codings and (len(codings) > 1 or codings[0].strip().lower() != b"chunked"):
-        return Failure(REQUEST_MALFORMED, "the transfer coding is not chunked")
-    if codings and b"content-length" in names:
-        return Failure(REQUEST_MALFORMED, "both a length and a transfer coding")
-    return None
-
-
-def _expects_continue(headers: Headers) -> bool:
-    return any(
-        name == b"expect" and value.lower() == b"100-continue"
-        for name, value in headers
-    )
--- a/src/gentianfold/forwarding/document_request.py
+++ b/src/gentianfold/forwarding/document_request.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from gentianfold.forwarding.body import Body
 from gentianfold.forwarding.messages import encode_request
 from gentianfold.forwarding.upstream_connection import (
     ExchangeResult,
@@ -47,7 +48,7 @@
         def extend_deadline() -> None:
             scope.deadline = min(anyio.current_time() + timeouts.progress_s, end_s)
 
-        request = encode_request(b"GET", target, [(b"host", host)], b"")
+        request = encode_request(b"GET", target, [(b"host", host)], Body())
         return await connection.exchange(
             request, lambda _: True, on_progress=extend_deadline
         )
--- a/src/gentianfold/forwarding/memory_budget.py
+++ b/src/gentianfold/forwarding/memory_budget.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 from collections import Counter
 from collections.abc import Iterable
 from typing import Protocol
@@ -43,6 +44,9 @@
 """Cost of a header field beside its text: a tuple and two objects (bytes)."""
 UNREAD_BYTES = 64 << 10
 """Cost of a connection that is not read from: bytes wait in its socket (bytes)."""
+ANSWER_BYTES = 64 << 10
+"""Room that each request has for its answer while it waits (bytes): what one read brings
+at most."""
 TUNNEL_BYTES = 128 << 10
 """Cost of a tunnel: bytes that wait in both directions (bytes)."""
 CLAIM_STEP_BYTES = 64 << 10
@@ -61,6 +65,10 @@
 longer than any deadline."""
 END_BYTES_PER_S = 8 << 10
 """That rate (bytes per second)."""
+ROOM_RETRY_S = 0.02
+"""Time between two checks whether there is memory to read on (seconds)."""
+ROOM_WAIT_S = 1.0
+"""Time for which a body without a stated length waits for memory (seconds)."""
 SCAN_INTERVAL_S = 0.05
 """Time between two searches for stalled holders (seconds)."""
 
@@ -68,9 +76,9 @@
 class Use(enum.Enum):
     """What bytes are held for; the value is the ceiling as a part of the budget."""
 
-    BODY = 0.65
+    BODY = 0.8
     """Bodies of requests."""
-    ANSWER = 0.85
+    ANSWER = 0.9
     """Answers of upstreams, and bytes that pass through tunnels."""
     REQUEST = 1.0
     """Heads of requests, requests under way and connections."""
@@ -169,6 +177,11 @@
     _holders: dict[Holder, None] = attrs.field(factory=dict)
     _next_scan_s: float = float("-inf")
 
+    @classmethod
+    def unlimited(cls) -> MemoryBudget:
+        """Return a budget that refuses nothing."""
+        return cls(sys.maxsize)
+
     def add_holder(self, holder: Holder) -> None:
         """Add a holder that may be ended when it has stalled."""
         self._holders[holder] = None
@@ -236,6 +249,13 @@
         self.size_bytes = size_bytes
         return True
 
+    def has_room(self, size_bytes: int, now_s: float) -> bool:
+        """Return whether further bytes could be claimed, after making room."""
+        if not self.budget.try_claim(size_bytes, self.use, now_s):
+            return False
+        self.budget.release(size_bytes)
+        return True
+
     def force_to(self, size_bytes: int) -> None:
         """Claim exactly a size, whether or not there is room."""
         self.budget.add(size_bytes - self.size_bytes)
@@ -250,6 +270,15 @@
         self.release()
 
 
+def claim_answer(budget: MemoryBudget, now_s: float) -> Claim | None:
+    """Return the claim of an answer that may come in one read; ``None`` without room.
+
+    Such an answer can't be held back any more, so its request is not sent without room.
+    """
+    claim = Claim(budget, Use.ANSWER)
+    return claim if claim.grow_to(ANSWER_BYTES, now_s) else None
+
+
 @attrs.define(eq=False)
 class ConnectionLimit:
     """Connections that a listener has open at a time.
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import http
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 
+from gentianfold.forwarding.body import Body
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Sequence
+
+    from gentianfold.forwarding.memory_budget import Claim
+
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 """Pairs of lower-case name and value, in the order received."""
+JOINED_BYTES = 16 << 10
+"""Length up to which a body is sent in one piece with its head (bytes)."""
 
 
 @attrs.define(eq=False)
@@ -21,7 +31,7 @@
     """Path and query as received."""
     headers: Headers
     """All headers as received, names in lower case."""
-    body: bytes
+    body: Body
     """Complete body; empty if the request has none."""
     received_at_s: float
     """When the request had been read completely (loop time)."""
@@ -32,12 +42,30 @@
     the upstream says that it did not run it."""
     is_abandoned: bool = False
     """Whether the caller has disconnected; the request is sent to no further upstream."""
+    claims: tuple[Claim, ...] = ()
+    """Memory that the request holds, given back when it is dropped."""
+    answer_claim: Claim | None = None
+    """Memory for the answer; the first exchange takes it."""
+
+    def release(self) -> None:
+        """Drop the body and give back all memory, as the request is done.
+
+        A cancelled request stays referenced by its exception for a while.
+        """
+        self.body = Body()
+        for claim in self.claims:
+            claim.release()
+        self.answer_claim = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
         return next((value for key, value in self.headers if key == name), None)
 
 
+def _as_body(data: Body | bytes) -> Body:
+    return data if isinstance(data, Body) else Body(data)
+
+
 @attrs.define(eq=False)
 class Response:
     """A complete response."""
@@ -46,11 +74,18 @@
     """HTTP status code."""
     headers: Headers
     """All headers as received, names in lower case."""
-    body: bytes
+    content: Body = attrs.field(converter=_as_body, alias="body")
     """Complete body; empty if the response has none."""
     ends_connection: bool = False
     """Whether this VM ends the caller's connection behind it. What an upstream wants of
     its own connection has no influence."""
+    claim: Claim | None = None
+    """Memory that the response holds, given back when it is dropped."""
+
+    @property
+    def body(self) -> bytes:
+        """The complete body in one piece."""
+        return self.content.joined()
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
@@ -61,13 +96,18 @@
 _BODYLESS = frozenset({204, 304})
 
 
-def encode_response(response: Response, is_head: bool, close: bool) -> bytes:
+def encode_response(
+    response: Response, is_head: bool, close: bool
+) -> list[bytes | bytearray]:
     """Encode a response.
 
     Args:
         response: The response, without headers of another connection.
         is_head: Whether the request's method was HEAD.
         close: Whether the connection is closed afterwards.
+
+    Returns:
+        Pieces of the message; a long body is not copied.
     """
     lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
     is_bodyless = is_head or response.status in _BODYLESS
@@ -77,19 +117,40 @@
         if is_bodyless or name != b"content-length"
     ]
     if not is_bodyless:
-        lines.append(b"content-length: %d" % len(response.body))
+        lines.append(b"content-length: %d" % response.content.size_bytes)
     if close:
         lines.append(b"connection: close")
-    body = b"" if is_bodyless else response.body
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return [head] if is_bodyless else _join_small(head, response.content)
 
 
 def encode_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes
-) -> bytes:
-    """Encode a request; ``headers`` must not contain ``Content-Length``."""
+    method: bytes, target: bytes, headers: Headers, body: Body
+) -> list[bytes | bytearray]:
+    """Encode a request; ``headers`` must not contain ``Content-Length``.
+
+    Returns:
+        Pieces of the message; a long body is not copied.
+    """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in headers]
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"content-length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body.size_bytes or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d" % body.size_bytes)
+    return _join_small(b"\r\n".join(lines) + b"\r\n\r\n", body)
+
+
+def write_pieces(
+    transport: asyncio.Transport, pieces: Sequence[bytes | bytearray]
+) -> int:
+    """Write the pieces of a message; return their length (bytes)."""
+    if len(pieces) == 1:
+        transport.write(pieces[0])
+    else:
+        transport.writelines(pieces)
+    return sum(map(len, pieces))
+
+
+def _join_small(head: bytes, body: Body) -> list[bytes | bytearray]:
+    if body.size_bytes <= JOINED_BYTES:
+        return [head + body.joined()]
+    return [head, *body.pieces]
--- a/src/gentianfold/forwarding/request_fingerprint.py
+++ b/src/gentianfold/forwarding/request_fingerprint.py
@@ -34,9 +34,11 @@
                 (request.header(b"host") or b"").lower(),
                 request.target,
                 self.customer.encode(),
-                request.body,
             ):
                 hasher.update(b"%d:" % len(field))
                 hasher.update(field)
+            hasher.update(b"%d:" % request.body.size_bytes)
+            for piece in request.body.pieces:
+                hasher.update(piece)
             self._digest = hasher.digest()
         return self._digest
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -32,6 +32,7 @@
 from gentianfold.forwarding.attempt import Attempt, AttemptResult, ForwardPlan
 from gentianfold.forwarding.error_response import error_response
 from gentianfold.forwarding.hop_by_hop import HopFilter
+from gentianfold.forwarding.memory_budget import MemoryBudget
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
@@ -97,6 +98,8 @@
     """Connects to upstreams."""
     notice_reader: NoticeReader = attrs.field(init=False)
     """Reads what upstreams state about themselves."""
+    memory: MemoryBudget = attrs.field(factory=MemoryBudget.unlimited)
+    """Memory that answers are counted against."""
     exchanged_bytes: Counter[str] = attrs.field(factory=Counter)
     """Bytes of requests and responses, by whether the upstream is in the ``own`` or in
     an ``other`` availability zone."""
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -18,7 +18,8 @@
 
 import attrs
 
-from gentianfold.forwarding.messages import Response, encode_response
+from gentianfold.forwarding.memory_budget import Claim, Progress
+from gentianfold.forwarding.messages import Response, encode_response, write_pieces
 
 LINGER_S = 1.0
 """Time for which an ended connection is still read, so that bytes of the caller which
@@ -64,11 +65,14 @@
         self._owner = owner
         self._loop = asyncio.get_running_loop()
         self._waiting: deque[PendingResponse] = deque()
-        self._unsent_ends: deque[int] = deque()
+        # Ends of the unsent responses in all that was written, and their memory.
+        self._unsent: deque[tuple[int, Claim | None]] = deque()
+        self._reading: Progress | None = None
         self._written_bytes = 0
         self._is_finishing = False
         self._timer: asyncio.TimerHandle | None = None
         self._progress_bytes = 0
+        self._reading_bytes = 0
         # The protocol is told when the buffer is empty again.
         transport.set_write_buffer_limits(high=1)
 
@@ -83,9 +87,9 @@
     def unsent_count(self) -> int:
         """Number of responses that were written and have not left the process."""
         sent_bytes = self._sent_bytes()
-        while self._unsent_ends and self._unsent_ends[0] <= sent_bytes:
-            self._unsent_ends.popleft()
-        return len(self._unsent_ends)
+        while self._unsent and self._unsent[0][0] <= sent_bytes:
+            self._unsent.popleft()
+        return len(self._unsent)
 
     @property
     def under_way_count(self) -> int:
@@ -112,8 +116,9 @@
     def write(self, pending: PendingResponse, close: bool) -> None:
         """Write a response; ``close`` tells whether the connection ends behind it."""
         response = cast("Response", pending.response)
-        self.write_bytes(encode_response(response, pending.is_head, close))
-        self._unsent_ends.append(self._written_bytes)
+        pieces = encode_response(response, pending.is_head, close)
+        self._written_bytes += write_pieces(self._transport, pieces)
+        self._unsent.append((self._written_bytes, response.claim))
         self._watch_progress()
 
     def write_bytes(self, data: bytes) -> None:
@@ -145,13 +150,26 @@
     def handle_lost(self) -> int:
         """Forget all responses; return how many had not left the process."""
         # The transport may have dropped its bytes, so they don't tell any more.
-        cut_count = len(self._unsent_ends)
-        self._unsent_ends.clear()
+        cut_count = len(self._unsent)
+        self._unsent.clear()
         self._stop_timer()
         return cut_count
 
     # Progress
 
+    def stalled_since_s(self, now_s: float) -> float | None:
+        """Return since when a caller reads that has stalled; ``None`` if none has."""
+        if not self.unsent_count:
+            self._reading = None
+            return None
+        sent_bytes = self._sent_bytes()
+        if self._reading is None:
+            self._reading, self._reading_bytes = Progress.begin(now_s), sent_bytes
+        elif sent_bytes > self._reading_bytes:
+            self._reading.record(sent_bytes - self._reading_bytes, now_s)
+            self._reading_bytes = sent_bytes
+        return self._reading.started_s if self._reading.has_stalled(now_s) else None
+
     def _sent_bytes(self) -> int:
         return self._written_bytes - self._transport.get_write_buffer_size()
 
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -11,7 +11,14 @@
 import attrs
 import httptools
 
-from gentianfold.forwarding.messages import Headers, Response
+from gentianfold.forwarding.body import Body
+from gentianfold.forwarding.memory_budget import (
+    CLAIM_STEP_BYTES,
+    FIELD_BYTES,
+    ROOM_RETRY_S,
+    Claim,
+)
+from gentianfold.forwarding.messages import Headers, Response, write_pieces
 
 MAX_RESPONSE_BYTES = 8 << 20
 """Most bytes that are received in one exchange (bytes): a twenty-fifth of the smallest
@@ -58,6 +65,7 @@
     is_head: bool
     result: asyncio.Future[ExchangeResult]
     on_progress: ProgressCallback | None = None
+    claim: Claim | None = None
     unmatched_count: int = 0
 
 
@@ -83,6 +91,8 @@
         self.vm = ""
         self._received_bytes = 0
         self._head_bytes = 0
+        self._loop = asyncio.get_running_loop()
+        self._room_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._pending: _PendingResponse | None = None
         self._reset_parser()
@@ -93,7 +103,7 @@
 
     def _reset_response(self) -> None:
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = Body()
         self._has_begun = False
         self._has_headers = False
         self._has_final_head = False
@@ -112,34 +122,38 @@
 
     async def exchange(
         self,
-        request: bytes,
+        request: bytes | list[bytes | bytearray],
         accept: ResponseFilter,
         is_head: bool = False,
         on_progress: ProgressCallback | None = None,
+        claim: Claim | None = None,
     ) -> ExchangeResult:
         """Send a request and wait for its response.
 
         A cancelled exchange closes the connection.
 
         Args:
-            request: The encoded request.
+            request: The encoded request, whole or in pieces.
             accept: Returns whether a response belongs to the request.
             is_head: Whether the method is HEAD, whose response has no body.
             on_progress: Called whenever bytes have arrived.
+            claim: Memory of the response, which gets it; reading pauses while there is
+                none. ``None`` for a response that is not counted.
         """
         if self._transport is None or self._transport.is_closing():
             return ExchangeFailure.CLOSED
         result: asyncio.Future[ExchangeResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._pending = _PendingResponse(accept, is_head, result, on_progress)
-        self.exchanged_bytes = len(request)
+        self._pending = _PendingResponse(accept, is_head, result, on_progress, claim)
         self._received_bytes = self._head_bytes = 0
-        self._transport.write(request)
+        pieces = request if isinstance(request, list) else [request]
+        self.exchanged_bytes = write_pieces(self._transport, pieces)
         try:
             return await result
         finally:
             self._pending = None
+            self._resume_reading()
             # Unsent bytes would reach the server in front of the next request.
             is_sent = self._transport.get_write_buffer_size() == 0
             if not result.done() or result.cancelled() or not is_sent:
@@ -183,6 +197,44 @@
             except httptools.HttpParserError:
                 self._fail(ExchangeFailure.INVALID)
                 return
+        self._claim_received()
+
+    def _claim_received(self) -> None:
+        """Claim the bytes of the response; stop to read while there is no room."""
+        pending = self._pending
+        if pending is None or pending.claim is None:
+            return
+        size_bytes = self._received_bytes + FIELD_BYTES * len(self._headers)
+        if pending.result.done():
+            # The bytes are here, and go to the caller.
+            pending.claim.force_to(size_bytes)
+        elif not pending.claim.grow_to(size_bytes, self._loop.time()):
+            pending.claim.force_to(size_bytes)
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and self._room_timer is None:
+            self._transport.pause_reading()
+            self._await_room()
+
+    def _await_room(self) -> None:
+        self._room_timer = self._loop.call_later(ROOM_RETRY_S, self._read_if_room)
+
+    def _read_if_room(self) -> None:
+        self._room_timer = None
+        claim = self._pending.claim if self._pending is not None else None
+        if claim is None or claim.has_room(CLAIM_STEP_BYTES, self._loop.time()):
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.resume_reading()
+        else:
+            self._await_room()
+
+    def _resume_reading(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.resume_reading()
 
     def _take_piece(self, data: bytes) -> tuple[bytes, bytes]:
         """Split off the bytes to parse next; none if the head is too large.
@@ -208,9 +260,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the current exchange."""
         self.is_reusable = False
+        if self._room_timer is not None:
+            self._room_timer.cancel()
         if self._pending is not None:
             failure = ExchangeFailure.CUT if self._has_begun else ExchangeFailure.CLOSED
             self._fail(failure)
+        self._reset_response()
+        # The parser and this object refer to each other.
+        del self._parser
 
     # httptools callbacks
 
@@ -268,7 +325,7 @@
             # An interim response; the final one follows.
             return
         keep_alive = self._parser.should_keep_alive() and not self._is_close_delimited
-        response = Response(status, self._headers, b"".join(self._body))
+        response = Response(status, self._headers, self._body, claim=pending.claim)
         if not pending.accept(response):
             self.is_reusable = False
             pending.unmatched_count += 1
@@ -278,6 +335,8 @@
             return
         self.is_reusable = self.is_reusable and keep_alive
         self.keep_alive_s = keep_alive_timeout_s(response)
+        # An idle connection holds no bytes of its last response.
+        self._headers, self._body = [], Body()
         pending.result.set_result(response)
 
     def _fail(self, failure: ExchangeFailure) -> None:
--- a/src/gentianfold/vm/internal_http.py
+++ b/src/gentianfold/vm/internal_http.py
@@ -13,7 +13,7 @@
 import httptools
 
 from gentianfold.forwarding.memory_budget import ConnectionLimit, Progress
-from gentianfold.forwarding.messages import Response, encode_response
+from gentianfold.forwarding.messages import Response, encode_response, write_pieces
 
 PathResponder: TypeAlias = Callable[[bytes], Response]
 """Returns the response for a request target."""
@@ -99,6 +99,8 @@
             self._limit.close(self)
         if self._timer is not None:
             self._timer.cancel()
+        # The parser and this object refer to each other.
+        del self._parser
 
     def pause_writing(self) -> None:
         """Await that the client reads before it sends another request."""
@@ -152,7 +154,7 @@
         response = self._respond(self._target)
         close = not self._parser.should_keep_alive()
         self._request_bytes = 0
-        self._transport.write(encode_response(response, False, close))
+        write_pieces(self._transport, encode_response(response, False, close))
         if close:
             self._transport.close()
         if not self._is_unread:
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -12,9 +12,11 @@
 from loguru import logger
 
 from gentianfold.codes.internal import INTERNAL_ERROR
-from gentianfold.codes.requests import OUTCOME_UNKNOWN, STOPPING
+from gentianfold.codes.requests import MEMORY_FULL, OUTCOME_UNKNOWN, STOPPING
 from gentianfold.errors import Failure
 from gentianfold.forwarding.error_response import error_response
+from gentianfold.forwarding.incoming_request import memory_failure
+from gentianfold.forwarding.memory_budget import claim_answer
 from gentianfold.forwarding.request_record import RequestRecord
 from gentianfold.model import CallerLimits
 
@@ -143,6 +145,7 @@
                     reply(response)
         finally:
             self.running_count -= 1
+            request.release()
             self._record_completion(request, record)
 
     async def _respond(self, request: CallerRequest, record: RequestRecord) -> Response:
@@ -152,6 +155,12 @@
             # Requests behind this one are refused too; the caller sends them elsewhere.
             response.ends_connection = True
             return response
+        request.answer_claim = claim_answer(
+            self.forwarder.memory, self.forwarder.now_s()
+        )
+        if request.answer_claim is None:
+            record.code = MEMORY_FULL.number
+            return error_response(memory_failure())
         try:
             return await self.forwarder.forward(request, record)
         except Exception:  # noqa: BLE001
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -66,6 +66,8 @@
 SEND_MARGIN_S = 0.2
 """Time before the forced termination at which answers that callers still receive are cut
 and the process exits (seconds)."""
+TLS_HANDSHAKE_TIMEOUT_S = 5.0
+"""Time in which a caller must complete the TLS handshake (seconds)."""
 LISTEN_BACKLOG = 512
 """Limit on connections waiting to be accepted (count); covers simultaneous connections
 from all callers of a VM."""
@@ -239,6 +241,7 @@
         node.on_tunnel_token = tunnels.record_token
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
+        forwarder.memory = self.resources.memory
         self._tunnels = tunnels
         return CallerRequestHandler(
             forwarder,
@@ -264,10 +267,17 @@
             files = self.settings.caller_tls
             tls.load_cert_chain(files.certificate_file, files.key_file)
         self._caller_server = await loop.create_server(
-            lambda: CallerConnection(handler, self.caller_connections, self.hangups),
+            lambda: CallerConnection(
+                handler,
+                self.caller_connections,
+                self.hangups,
+                self.resources.memory,
+                self.resources.callers,
+            ),
             *_socket_address(self.settings.callers),
             backlog=LISTEN_BACKLOG,
             ssl=tls,
+            ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if tls else None,
         )
 
         await self._listen_for_tunnels()
