--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -5,8 +5,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
@@ -27,52 +26,22 @@
     Use,
 )
 from gentianfold.forwarding.messages import CallerRequest, Response
+from gentianfold.forwarding.request_head import expects_continue
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
+    from gentianfold.forwarding.caller_handler import RequestHandler
     from gentianfold.forwarding.hangup_watcher import HangupWatcher
     from gentianfold.forwarding.memory_budget import ConnectionLimit
-    from gentianfold.model import CallerLimits
 
 MAX_PIPELINED = 16
 """Requests of one connection whose answers have not left the process (count); at this
 number reading pauses, and further requests stay in the socket buffer."""
 PARSE_BYTES = 16 << 10
 """Bytes that are parsed between two checks of what the parser holds (bytes)."""
-
-
-class RequestHandler(Protocol):
-    """Answers requests and malformed input; independent of the connections."""
-
-    def limits(self) -> CallerLimits:
-        """Return the limits in force."""
-        ...
-
-    def is_stopping(self) -> bool:
-        """Return whether connections are closed once their requests are answered."""
-        ...
-
-    def start(
-        self, request: CallerRequest, reply: Callable[[Response], None]
-    ) -> Callable[[], None]:
-        """Start to handle a request.
-
-        Args:
-            request: The complete request.
-            reply: Called at most once, with the response.
-
-        Returns:
-            A function to call when the caller disconnects before the response.
-        """
-        ...
-
-    def reject(self, failure: Failure) -> Response:
-        """Return the response to input that is not an acceptable request."""
-        ...
-
-    def record_cut(self, count: int, cause: str) -> None:
-        """Count and log answers that had not left when their connection ended."""
-        ...
+MIN_STALL_TIMEOUT_S = 15.0
+"""Shortest time without a byte received after which a caller is cut (seconds): a link may
+be cut for some seconds while the operators allow short idle times only."""
 
 
 class CallerConnection(asyncio.Protocol):
@@ -138,17 +107,21 @@
     def close_if_idle(self) -> None:
         """End the connection unless a request is being read or awaits its response."""
         if not self.is_awaiting:
-            self.finish()
+            self.finish(lingers=False)
 
-    def finish(self) -> None:
-        """End the connection behind what was written; discard what is received."""
+    def finish(self, lingers: bool = True) -> None:
+        """End the connection behind what was written; discard what is received.
+
+        Args:
+            lingers: Whether an answer has been written just now.
+        """
         self._stop_parsing()
         self._idle_since_s = self._loop.time()
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_pending()
         if self._writer is not None:
-            self._writer.finish()
+            self._writer.finish(lingers)
             self._resume_reading()
 
     def cut(self, cause: str) -> None:
@@ -318,7 +291,7 @@
         failure = incoming.finish_head(version, limits, self._loop.time())
         if failure is not None:
             self._reject(failure)
-        elif incoming.expects_continue() and self._writer.can_write:
+        elif expects_continue(incoming.headers) and self._writer.can_write:
             self._writer.write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -355,7 +328,7 @@
 
     def stall_timeout_s(self) -> float:
         """Return the time after which a caller that receives nothing has stalled."""
-        return self._handler.limits().idle_timeout_s
+        return max(self._handler.limits().idle_timeout_s, MIN_STALL_TIMEOUT_S)
 
     def handle_sent(self) -> None:
         """Start delayed requests, read on or begin the idle timeout."""
@@ -497,4 +470,4 @@
         if self._incoming is not None:
             self._reject(Failure(REQUEST_TIMEOUT))
         else:
-            self.finish()
+            self.finish(lingers=False)
--- a/src/gentianfold/forwarding/incoming_request.py
+++ b/src/gentianfold/forwarding/incoming_request.py
@@ -8,7 +8,6 @@
     BODY_TOO_LARGE,
     HEADERS_TOO_LARGE,
     MEMORY_FULL,
-    REQUEST_MALFORMED,
 )
 from gentianfold.errors import Failure
 from gentianfold.forwarding.body import Body
@@ -21,6 +20,7 @@
     Progress,
     Use,
 )
+from gentianfold.forwarding.request_head import find_head_failure
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.memory_budget import MemoryBudget
@@ -116,22 +116,11 @@
     ) -> Failure | None:
         """Check the complete head and claim the body if its length is stated."""
         self.has_head = True
-        if self._text_bytes > limits.max_header_bytes:
-            return Failure(HEADERS_TOO_LARGE)
-        failure = _check_framing(version, self.headers)
+        failure = find_head_failure(version, self.target, self.headers, limits)
         if failure is not None:
             return failure
-        if not self.target.startswith(b"/"):
-            return Failure(REQUEST_MALFORMED, "the target is not a path")
         failure = self._claim_fields(self._text_bytes, now_s)
-        return failure or self._claim_stated_body(limits, now_s)
-
-    def expects_continue(self) -> bool:
-        """Return whether the caller waits for a word before it sends the body."""
-        return any(
-            name == b"expect" and value.lower() == b"100-continue"
-            for name, value in self.headers
-        )
+        return failure or self._claim_stated_body(now_s)
 
     # Body
 
@@ -188,37 +177,17 @@
             return None
         return memory_failure()
 
-    def _claim_stated_body(self, limits: CallerLimits, now_s: float) -> Failure | None:
+    def _claim_stated_body(self, now_s: float) -> Failure | None:
         for name, value in self.headers:
             if name == b"transfer-encoding":
                 self.is_chunked = True
-            if name != b"content-length":
-                continue
-            if not value.isdigit():
-                return Failure(REQUEST_MALFORMED, "the length is not a number")
-            if len(value) > 19 or int(value) > limits.max_body_bytes:
-                return Failure(BODY_TOO_LARGE)
-            self._expected_bytes = int(value)
-            if not self._body_claim.grow_to(self._expected_bytes, now_s):
-                return memory_failure()
+            elif name == b"content-length":
+                self._expected_bytes = int(value)
+                if not self._body_claim.grow_to(self._expected_bytes, now_s):
+                    return memory_failure()
         return None
 
 
 def memory_failure() -> Failure:
     """Return the failure of a request for which there is no memory."""
     return Failure(MEMORY_FULL, "", MEMORY_RETRY_AFTER_S)
-
-
-def _check_framing(version: str, headers: Headers) -> Failure | None:
-    """Return a failure if the message framing or host is ambiguous, else ``None``."""
-    names = [name for name, _ in headers]
-    if names.count(b"host") != 1 and (version != "1.0" or b"host" in names):
-        return Failure(REQUEST_MALFORMED, "a request has one host header")
-    if names.count(b"content-length") > 1:
-        return Failure(REQUEST_MALFORMED, "the length is given twice")
-    codings = [value for name, value in headers if name == b"transfer-encoding"]
-    if codings and (len(codings) > 1 or codings[0].strip().lower() != b"chunked"):
-        return Failure(REQUEST_MALFORMED, "the transfer coding is not chunked")
-    if codings and b"content-length" in names:
-        return Failure(REQUEST_MALFORMED, "both a length and a transfer coding")
-    return None
