Take the descriptors that the platform states as the limit

The settings template passes all fields of the platform, so machine.max_fds need not be in it: the number in the platform's limits counts before the setting, a lower limit of the operating system before both. On VMs with 8,192 descriptors the listeners had a half of what they may have.

--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -118,8 +118,9 @@
         default=4100,
         metadata=type_metadata(value_types.NumberType(256, 1e6, is_integer=True)),
     )
-    """Descriptors that the process may have open (count); a lower limit of the operating
-    system takes precedence. The default is the limit of the smallest VM."""
+    """Descriptors that the process may have open (count), unless the platform states
+    them; a lower limit of the operating system takes precedence. The default is the limit
+    of the smallest VM."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/gentianfold/vm/resource_limits.py
+++ b/src/gentianfold/vm/resource_limits.py
@@ -16,9 +16,10 @@
     memory_capacity_bytes,
     socket_capacity,
 )
+from gentianfold.platform.deployment import stated_max_files
 
 if TYPE_CHECKING:
-    from gentianfold.settings.settings import ResourceSettings
+    from gentianfold.settings import Settings
 
 CALLER_FRACTION = 2 / 3
 """Part of the sockets that callers may hold (0 to 1); the rest is for upstreams."""
@@ -52,11 +53,13 @@
     _was_refusing: bool = False
 
     @classmethod
-    def from_settings(cls, machine: ResourceSettings) -> ResourceLimits:
+    def from_settings(cls, settings: Settings) -> ResourceLimits:
         """Return the budgets of a process that has just started."""
+        machine = settings.machine
+        max_files = stated_max_files(settings.platform) or machine.max_fds
         start_bytes = min(_resident_bytes(), MAX_START_BYTES)
         file_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        sockets = socket_capacity(machine.max_fds, file_limit)
+        sockets = socket_capacity(max_files, file_limit)
         internal = max(int(sockets * INTERNAL_FRACTION), MIN_CONNECTIONS)
         return cls(
             MemoryBudget(memory_capacity_bytes(machine.memory_mb, start_bytes)),
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -109,8 +109,7 @@
     """Open tunnels of other VMs through this one."""
     resources: ResourceLimits = attrs.field(
         default=attrs.Factory(
-            lambda self: ResourceLimits.from_settings(self.settings.machine),
-            takes_self=True,
+            lambda self: ResourceLimits.from_settings(self.settings), takes_self=True
         )
     )
     """Budgets of memory and connections."""
