--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -1,4 +1,4 @@
-"""Status document and gauges of one VM."""
+"""Internal responses of one VM: readiness, configuration, status document, gauges."""
 
 from __future__ import annotations
 
@@ -9,10 +9,12 @@
 
 from gentianfold.fleet.membership import Role
 from gentianfold.forwarding.messages import Response
+from gentianfold.vm.configuration_fetcher import compress_document
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node import Node
     from gentianfold.fleet.node_evacuations import EvacuationProgress
+    from gentianfold.fleet.node_view import NodeView
     from gentianfold.settings import Settings
     from gentianfold.vm.configuration_fetcher import ConfigurationFetcher
     from gentianfold.vm.metrics import Metrics
@@ -20,6 +22,28 @@
     from gentianfold.vm.resource_limits import ResourceLimits
 
 
+def build_readiness_response(view: NodeView, handler: CallerRequestHandler) -> Response:
+    """Return 200, or 503 if the VM is stopping or has no published state yet."""
+    is_ready = (
+        not handler.stopping
+        and view.routing.configuration is not None
+        and view.routing.upstreams_current_at_s is not None
+    )
+    return Response(200 if is_ready else 503, [], b"")
+
+
+def build_configuration_response(view: NodeView) -> Response:
+    """Return the configuration for another VM, or 404 if there is none.
+
+    Each version is compressed once.
+    """
+    if not view.configuration_document:
+        return Response(404, [], b"")
+    if not view.compressed_document:
+        view.compressed_document = compress_document(view.configuration_document)
+    return Response(200, [], view.compressed_document)
+
+
 def build_status_response(
     node: Node, handler: CallerRequestHandler, settings: Settings
 ) -> Response:
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -39,14 +39,18 @@
 from gentianfold.vm.configuration_fetcher import (
     CONFIGURATION_PATH,
     ConfigurationFetcher,
-    compress_document,
 )
 from gentianfold.vm.early_signals import SIGNALS, ignore_signals, take_held_signals
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
 from gentianfold.vm.request_handler import CallerRequestHandler
 from gentianfold.vm.resource_limits import ResourceLimits
-from gentianfold.vm.status import build_status_response, update_gauges
+from gentianfold.vm.status import (
+    build_configuration_response,
+    build_readiness_response,
+    build_status_response,
+    update_gauges,
+)
 from gentianfold.vm.store_poller import StateSink, StorePoller
 
 if TYPE_CHECKING:
@@ -68,6 +72,8 @@
 SEND_MARGIN_S = 0.2
 """Time before the forced termination at which answers that callers still receive are cut
 and the process exits (seconds)."""
+TLS_HANDSHAKE_TIMEOUT_S = 5.0
+"""Time in which a caller must complete the TLS handshake (seconds)."""
 LISTEN_BACKLOG = 512
 """Limit on connections waiting to be accepted (count); covers simultaneous connections
 from all callers of a VM."""
@@ -104,8 +110,7 @@
     """Open tunnels of other VMs through this one."""
     resources: ResourceLimits = attrs.field(
         default=attrs.Factory(
-            lambda self: ResourceLimits.from_settings(self.settings.machine),
-            takes_self=True,
+            lambda self: ResourceLimits.from_settings(self.settings), takes_self=True
         )
     )
     """Budgets of memory and connections."""
@@ -252,6 +257,7 @@
         node.on_tunnel_token = tunnels.record_token
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
+        forwarder.memory = self.resources.memory
         self._tunnels = tunnels
         return CallerRequestHandler(
             forwarder,
@@ -277,20 +283,27 @@
             files = self.settings.caller_tls
             tls.load_cert_chain(files.certificate_file, files.key_file)
         self._caller_server = await loop.create_server(
-            lambda: CallerConnection(handler, self.caller_connections, self.hangups),
+            lambda: CallerConnection(
+                handler,
+                self.caller_connections,
+                self.hangups,
+                self.resources.memory,
+                self.resources.callers,
+            ),
             *_socket_address(self.settings.callers),
             backlog=LISTEN_BACKLOG,
             ssl=tls,
+            ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if tls else None,
         )
 
         await self._listen_for_tunnels()
 
         def respond_readiness(_: bytes) -> Response:
-            return self._build_readiness_response(handler)
+            return build_readiness_response(self.view, handler)
 
         def respond_operator(path: bytes) -> Response:
             if path == CONFIGURATION_PATH:
-                return self._build_configuration_response()
+                return build_configuration_response(self.view)
             if path.endswith(b"/metrics"):
                 update_gauges(self.metrics, node, handler, fetcher, self.resources)
                 return Response(200, [], self.metrics.exposition().encode())
@@ -322,18 +335,6 @@
             )
             self._other_servers.append(server)
 
-    def _build_configuration_response(self) -> Response:
-        """Return the configuration for another VM, or 404 if there is none.
-
-        Each version is compressed once.
-        """
-        view = self.view
-        if not view.configuration_document:
-            return Response(404, [], b"")
-        if not view.compressed_document:
-            view.compressed_document = compress_document(view.configuration_document)
-        return Response(200, [], view.compressed_document)
-
     async def _listen_internal(
         self, endpoint: Endpoint, respond: PathResponder, limit: ConnectionLimit
     ) -> None:
@@ -343,15 +344,6 @@
         )
         self._other_servers.append(server)
 
-    def _build_readiness_response(self, handler: CallerRequestHandler) -> Response:
-        """Return 200, or 503 if the VM is stopping or has no published state yet."""
-        is_ready = (
-            not handler.stopping
-            and self.view.routing.configuration is not None
-            and self.view.routing.upstreams_current_at_s is not None
-        )
-        return Response(200 if is_ready else 503, [], b"")
-
     # Operation
 
     async def _run_periodic_work(self, node: Node) -> None:
--- a/tests/forwarding/test_invalid_answers.py
+++ b/tests/forwarding/test_invalid_answers.py
@@ -136,5 +136,6 @@
         (304, True, False),
         (200, True, True),
     ):
-        data = encode_response(Response(status, headers, b""), is_head, False)
+        pieces = encode_response(Response(status, headers, b""), is_head, False)
+        data = b"".join(pieces)
         assert (b"content-length: 4" in data) == has_length
