Hand the broker's role to a strong VM that reads the store

Of the members with fresh reads the strongest follows that is not cut off. One below 0.8 of the strongest member's capacity follows 0.3 s later, when the others have read the store as well; a change of the configuration still takes effect within 2 s then.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -42,6 +42,11 @@
 """Age of the broker's last read of the store after which the broker role passes to a
 member that reads the store (seconds); a change published meanwhile can still take
 effect within the required 2 s."""
+WEAK_SUCCESSOR_STORE_READ_S = 1.5
+"""The same for a member with less than ``MIN_SUCCESSOR_SHARE`` of the capacity of the
+strongest one (seconds): it may not carry the fleet's slot requests."""
+MIN_SUCCESSOR_SHARE = 0.8
+"""Share of the strongest member's capacity from which a member may take over, 0 to 1."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
 MAX_CHANGE_DATAGRAMS = 4
@@ -413,16 +418,28 @@
         return None
 
     def _find_store_reader(self, now_s: float) -> str | None:
-        """Return the member with the newest store read if this VM's read is stale."""
+        """Return the strongest member with a fresh store read if this VM's is stale.
+
+        A member that is cut off from the upstreams, or much weaker than others, is
+        named later, as others may read the store meanwhile.
+        """
         age_ms = self.view.store_age_ms(now_s)
         if 0 <= age_ms < STALE_STORE_READ_S * 1000:
             return None
+        members = self.member_table.members
         readers = [
-            (member.store_age_ms, vm)
-            for vm, member in self.member_table.members.items()
+            (member.is_cut_off, -member.capacity, member.store_age_ms, vm)
+            for vm, member in members.items()
             if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
         ]
-        return min(readers)[1] if readers else None
+        if not readers:
+            return None
+        is_cut_off, capacity, _, vm = min(readers)
+        most = max(member.capacity for member in members.values())
+        is_weak = is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most
+        if is_weak and 0 <= age_ms < WEAK_SUCCESSOR_STORE_READ_S * 1000:
+            return None
+        return vm
 
 
 def held_request(
