--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -43,9 +43,14 @@
 """Age of the broker's last read of the store after which the broker role passes to a
 member that reads the store (seconds); a change published meanwhile can still take
 effect within the required 2 s."""
+WEAK_SUCCESSOR_STORE_READ_S = 1.5
+"""The same for a member with less than ``MIN_SUCCESSOR_SHARE`` of the capacity of the
+strongest one (seconds): it may not carry the fleet's slot requests."""
+MIN_SUCCESSOR_SHARE = 0.8
+"""Share of the strongest member's capacity from which a member may take over, 0 to 1."""
 LONG_STALE_STORE_READ_S = 4.0
-"""Age of the last read from which it passes to a weaker member, too (seconds); until
-then VMs whose state is old read the store themselves."""
+"""The same for a member that is much weaker than this VM (seconds); until then VMs whose
+state is old read the store themselves."""
 FRESH_STORE_READ_S = 0.8
 """Age of a member's last read of the store below which it may take over (seconds)."""
 MAX_SEED_AGE_S = 1e6
@@ -443,21 +448,55 @@
         return None
 
     def _find_store_reader(self, now_s: float, own_capacity: float) -> str | None:
-        """Return the strongest member that reads the store if this VM's read is stale.
+        """Return the strongest member with a fresh store read if this VM's is stale.
 
-        A broker that is busy reads late. A much weaker one would decide late on all
-        requests, so it takes over only if this VM can't read the store for long.
+        A member that is cut off from the upstreams, or much weaker than others, is
+        named later, as others may read the store meanwhile. A broker that is busy reads
+        late; a much weaker one would decide late on all requests.
         """
         age_ms = self.view.store_age_ms(now_s)
         if 0 <= age_ms < STALE_STORE_READ_S * 1000:
             return None
+        members = self.member_table.members
         readers = [
-            (member.capacity, -member.store_age_ms, vm)
-            for vm, member in self.member_table.members.items()
+            (member.is_cut_off, -member.capacity, member.store_age_ms, vm)
+            for vm, member in members.items()
             if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
         ]
         if not readers:
             return None
-        capacity, _, vm = max(readers)
-        is_long = age_ms < 0 or age_ms >= LONG_STALE_STORE_READ_S * 1000
-        return vm if is_long or STRONGER_FACTOR * capacity > own_capacity else None
+        is_cut_off, capacity, _, vm = min(readers)
+        most = max(member.capacity for member in members.values())
+        is_weak = is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most
+        if is_weak and 0 <= age_ms < WEAK_SUCCESSOR_STORE_READ_S * 1000:
+            return None
+        return vm
+
+
+def held_request(
+    vm: str, slot_request_id: int, service: str, route: str, customer: str, zone: str
+) -> SlotRequest:
+    """Return a request that represents a slot already held by a VM.
+
+    Only the fields that identify the slot have meaning.
+    """
+    return SlotRequest(
+        vm=vm,
+        slot_request_id=slot_request_id,
+        service=service,
+        route=route,
+        customer=customer,
+        priority=0,
+        route_priority=0,
+        idempotent=False,
+        attempt=1,
+        excluded=(),
+        time_left_s=0.0,
+        target_left_s=0.0,
+        zone=zone,
+    )
+
+
+LONG_STALE_STORE_READ_S = 4.0
+"""The same for a member that is much weaker than this VM (seconds); until then VMs whose
+state is old read the store themselves."""
