--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -467,36 +467,9 @@
             return None
         is_cut_off, capacity, _, vm = min(readers)
         most = max(member.capacity for member in members.values())
-        is_weak = is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most
-        if is_weak and 0 <= age_ms < WEAK_SUCCESSOR_STORE_READ_S * 1000:
-            return None
-        return vm
-
-
-def held_request(
-    vm: str, slot_request_id: int, service: str, route: str, customer: str, zone: str
-) -> SlotRequest:
-    """Return a request that represents a slot already held by a VM.
-
-    Only the fields that identify the slot have meaning.
-    """
-    return SlotRequest(
-        vm=vm,
-        slot_request_id=slot_request_id,
-        service=service,
-        route=route,
-        customer=customer,
-        priority=0,
-        route_priority=0,
-        idempotent=False,
-        attempt=1,
-        excluded=(),
-        time_left_s=0.0,
-        target_left_s=0.0,
-        zone=zone,
-    )
-
-
-LONG_STALE_STORE_READ_S = 4.0
-"""The same for a member that is much weaker than this VM (seconds); until then VMs whose
-state is old read the store themselves."""
+        wait_s = 0.0
+        if is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most:
+            wait_s = WEAK_SUCCESSOR_STORE_READ_S
+        if STRONGER_FACTOR * -capacity <= own_capacity:
+            wait_s = LONG_STALE_STORE_READ_S
+        return None if 0 <= age_ms < wait_s * 1000 else vm
