Leave a restarted fleet three quarters of the limits instead of half

Cause: seeds that were restarted and know no fleet used half of the limits, since a part of the earlier fleet that lost them might go on, and used the other half.

Change: beside all seeds such a part holds none, and uses a quarter; beside a majority it may hold one, and uses 0.65. The restarted seeds use the rest.

--- a/src/gentianfold/fleet/lease_table.py
+++ b/src/gentianfold/fleet/lease_table.py
@@ -6,8 +6,8 @@
 
 A broker that does not know the fleet, as it started and met nobody who does, may be
 alone with a few VMs of a large one. It uses nothing without a majority of the seeds,
-which only one broker can have. Of seeds that never ran before it uses all; else half, as
-others may still know the fleet and hold no seed. The fleet counts as new, with the VMs
+which only one broker can have. Of seeds that never ran before it uses all; else a part, as
+others may still know the fleet and hold fewer seeds. The fleet counts as new, with the VMs
 that are there, if its seeds never ran before, or if all of them have been here for longer
 than others would use limits without a seed.
 """
@@ -22,6 +22,7 @@
     MATURITY_S,
     SEED_TERM_S,
     seed_part,
+    unknown_part,
 )
 
 GROWTH_S = 2.5
@@ -33,8 +34,6 @@
 """Time after which seeds that know no earlier fleet show that no part of one uses limits
 (seconds): the last lease of an earlier process of them, its replies, and the term of a
 part without seeds."""
-UNKNOWN_FLEET_PART = 0.5
-"""Part of the limits for a majority of the seeds that knows no earlier fleet."""
 MISSING_RETENTION_S = 7200.0
 """Time for which VMs that a broker misses keep their shares (seconds): longer than an
 outage between regions."""
@@ -215,7 +214,9 @@
         """Return the parts that a majority of the seeds may use without knowledge."""
         if not self._is_majority(len(held)):
             return 0.0, 0.0
-        share = 1.0 if self._is_first_majority(held) else UNKNOWN_FLEET_PART
+        share = unknown_part(len(held), len(self.seeds))
+        if self._is_first_majority(held):
+            share = 1.0
         mature = sum(
             own[1] > 0 if vm == self.vm else self._is_mature(vm, now_s) for vm in held
         )
--- a/src/gentianfold/fleet/share_lease.py
+++ b/src/gentianfold/fleet/share_lease.py
@@ -31,13 +31,19 @@
 (seconds): longer than seeds take to come back after a loss of power."""
 
 
+SOME_SEEDS_PART = 0.65
+"""Part of its shares that a part of a fleet uses that holds seeds, but no majority."""
+NO_SEED_PART = 0.25
+"""The same of a part that has lost all seeds."""
+
+
 def seed_part(held: int, seed_count: int, seedless_s: float) -> float:
     """Return the part of its shares that a part of a fleet may use, for its seeds.
 
     Seeds that have started again, and do not know the fleet, may serve it anew. What is
     left of the earlier fleet uses all of its shares while it holds a majority of the
-    seeds, and else half of them, as a majority without knowledge may use the other
-    half; and none when all seeds may have started anew long enough ago.
+    seeds; else what ``unknown_part`` leaves to it, and nothing when all seeds may have
+    started anew long enough ago.
 
     Args:
         held: Seeds that are in this part (count).
@@ -46,7 +52,24 @@
     """
     if not seed_count or 2 * held > seed_count:
         return 1.0
-    return 0.5 if held or seedless_s < SEED_TERM_S else 0.0
+    if held:
+        return SOME_SEEDS_PART
+    return NO_SEED_PART if seedless_s < SEED_TERM_S else 0.0
+
+
+def unknown_part(held: int, seed_count: int) -> float:
+    """Return the part of the limits for seeds that were restarted and know no fleet.
+
+    Beside all seeds, a part of an earlier fleet holds none; beside a majority, it may
+    hold one. The parts of both add up to 1.
+
+    Args:
+        held: Such seeds that one broker holds (count).
+        seed_count: Seeds in the settings (count).
+    """
+    if held == seed_count:
+        return 1.0 - NO_SEED_PART
+    return 1.0 - SOME_SEEDS_PART if 2 * held > seed_count else 0.0
 
 
 @attrs.define
