Count the wait for an earlier lease from the start of the process

Cause: a VM that starts leaves its share alone for a lease term, as the broker of the process before it may use it. The term was counted from the time at which the VM ran, not from the start of the process, which the earlier one had ended before.

Change: the entry point notes the start of the process. Restarted seeds without knowledge use seven eighths of the limits instead of three quarters, and what is left of an earlier fleet without any seed an eighth; the sum stays one.

Measured: the new test of the wait fails without the change (by its argument); tests of fleet pass.

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -88,6 +88,8 @@
     """Newest configuration version that brokers have announced."""
     fleet_size: int = 1
     """VMs of the fleet, this one included, by the broker's last heartbeat reply."""
+    process_started_s: float | None = None
+    """Start of the process (clock of the leases, seconds); ``None`` for now."""
     started_s: float = 0.0
     """Start of the VM (event loop time, seconds)."""
     is_stopping: bool = False
@@ -126,7 +128,7 @@
             self.is_withdrawn,
             self._now_s,
         )
-        self.shares.start(self.broker.is_first_start)
+        self.shares.start(self.broker.is_first_start, self.process_started_s)
         self.slots = SlotClient(
             self.vm,
             self.scheduler,
@@ -317,7 +319,7 @@
                     self.transport.send(vm, Redirect(redirect_target))
                 return
             membership.become_broker()
-            self._start_as_broker()
+            self.shares.start_as_broker()
         self.notices.merge_leaving(vm, heartbeat.leaving, now_s)
         self.evacuations.merge(vm, heartbeat.evacuations)
         lease_now_s = self.lease_clock.now_s()
@@ -374,7 +376,7 @@
         was_broker = self.membership.role is Role.BROKER
         is_broker = self.membership.handle_redirect(vm, redirect.broker, now_s)
         if is_broker and not was_broker:
-            self._start_as_broker()
+            self.shares.start_as_broker()
 
     def _handle_announcement(
         self, vm: str, announcement: BrokerAnnouncement, now_s: float
@@ -394,14 +396,14 @@
         """Send a due heartbeat, do the duties of a broker, and deliver new decisions."""
         now_s = self._now_s()
         previous_role = self.membership.role
-        target = (
-            None if self.is_stopping else self.membership.next_heartbeat_target(now_s)
-        )
+        target = None
+        if not self.is_stopping:
+            target = self.membership.next_heartbeat_target(now_s)
         is_broker = self.membership.role is Role.BROKER
         self.scheduler.crashes.grants_trials = is_broker
         if is_broker:
             if previous_role is not Role.BROKER:
-                self._start_as_broker()
+                self.shares.start_as_broker()
             capacity = capacity_of(self.cpu_share, self.link_mbps)
             successor = self.broker.advance(now_s, capacity)
             successor = successor or self.broker.find_stronger(capacity)
@@ -484,9 +486,6 @@
         self.shares.update()
         self.broker.hand_over(vm, self.lease_clock.now_s())
 
-    def _start_as_broker(self) -> None:
-        self.shares.start_as_broker()
-
     def _deliver_decisions(self, now_s: float) -> None:
         """Pass decisions on queued requests to other VMs and to local callers."""
         self.shares.refresh()
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -41,12 +41,23 @@
     """This VM's own share, and who holds it."""
     _updated_s: float = -1e9
 
-    def start(self, is_first_start: bool) -> None:
-        """Leave the own share alone while a lease of an earlier process may run."""
+    def start(
+        self, is_first_start: bool, process_started_s: float | None = None
+    ) -> None:
+        """Leave the own share alone while a lease of an earlier process may run.
+
+        Args:
+            is_first_start: Whether the system never ran before this process.
+            process_started_s: Start of the process, by when the earlier one had ended
+                (clock of the leases, seconds); ``None`` for now.
+        """
         self.own.fleet_size = self.broker.stated_size
         if not is_first_start:
             term_s = LEASE_TERM_S * (1 + 2 * MAX_CLOCK_RATE_ERROR)
-            self.own.unused_until_s = self.clock.now_s() + term_s
+            ended_s = self.clock.now_s()
+            if process_started_s is not None:
+                ended_s = min(ended_s, process_started_s)
+            self.own.unused_until_s = ended_s + term_s
 
     def refresh(self) -> None:
         """Compute the shares anew if they are outdated, as after a suspension."""
--- a/src/gentianfold/fleet/share_lease.py
+++ b/src/gentianfold/fleet/share_lease.py
@@ -33,7 +33,7 @@
 
 SOME_SEEDS_PART = 0.65
 """Part of its shares that a part of a fleet uses that holds seeds, but no majority."""
-NO_SEED_PART = 0.25
+NO_SEED_PART = 0.125
 """The same of a part that has lost all seeds."""
 
 
--- a/src/gentianfold/vm/main.py
+++ b/src/gentianfold/vm/main.py
@@ -20,12 +20,15 @@
 """Exit code for missing or invalid settings."""
 
 
-def main() -> None:
+def main(started_s: float | None = None) -> None:
     """Run one VM until a planned stop.
 
     The first command line argument or ``GENTIANFOLD_SETTINGS`` gives the path of the
     settings file. Exits with ``EXIT_INVALID_SETTINGS`` if the settings are invalid, and
     with 1 if the UDP port of the fleet can't be bound.
+
+    Args:
+        started_s: Start of the process (boot time, seconds); ``None`` for now.
     """
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
     settings_file = SettingsFile(path)
@@ -40,6 +43,7 @@
     # Imported modules are never freed; skipping them shortens each garbage collection.
     gc.freeze()
     virtual_machine = VirtualMachine(settings, writer, settings_file)
+    virtual_machine.process_started_s = started_s
     try:
         anyio.run(virtual_machine.run, backend_options={"use_uvloop": True})
     except OSError as error:
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -114,6 +114,8 @@
         )
     )
     """Budgets of memory and connections."""
+    process_started_s: float | None = None
+    """Start of the process (boot time, seconds); ``None`` for the start of ``run``."""
     _caller_server: asyncio.Server | None = None
     _other_servers: list[asyncio.Server] = attrs.field(factory=list)
     _node: Node | None = None
@@ -238,7 +240,8 @@
             broker,
             transport,
             self.view,
-            started_s=asyncio.get_running_loop().time(),
+            started_s=loop.time(),
+            process_started_s=self.process_started_s,
         )
 
     def _build_handler(self, node: Node, task_group: TaskGroup) -> CallerRequestHandler:
--- a/tests/fleet/test_share_lease.py
+++ b/tests/fleet/test_share_lease.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from gentianfold.clock import ManualClock
+from gentianfold.fleet.broker import Broker
+from gentianfold.fleet.membership import Membership
+from gentianfold.fleet.node_shares import NodeShares
+from gentianfold.fleet.node_view import NodeView
 from gentianfold.fleet.share_lease import (
     LEASE_TERM_S,
     MATURITY_S,
@@ -15,6 +20,7 @@
     seed_part,
     unknown_part,
 )
+from gentianfold.placement.slot_scheduler import SlotScheduler
 
 TERM_S = LEASE_TERM_S + SHARE_VALIDITY_S
 
@@ -75,3 +81,18 @@
             anew = unknown_part(restarted, seed_count)
             left = seed_part(held, seed_count, 0.0)
             assert anew + left <= 1.0
+
+
+def test_the_wait_for_an_earlier_lease_counts_from_the_start_of_the_process():
+    # Loading took a second of the wait again, in which customers were refused.
+    waits = []
+    for process_started_s in (None, 99.2):
+        scheduler = SlotScheduler()
+        broker = Broker("b", 1, (), scheduler, None, NodeView())
+        membership = Membership("b", ())
+        clock = ManualClock(100.0)
+        shares = NodeShares(membership, broker, scheduler, clock, clock.now_s)
+        shares.start(False, process_started_s)
+        waits.append(shares.own.unused_until_s - 100.0)
+    assert LEASE_TERM_S <= waits[0] <= 1.01 * LEASE_TERM_S
+    assert waits[1] == pytest.approx(waits[0] - 0.8)
