--- a/src/gentianfold/placement/warmup_limiter.py
+++ b/src/gentianfold/placement/warmup_limiter.py
@@ -26,11 +26,10 @@
 MAX_SEND_DELAY_S = 0.5
 """Age up to which a grant of a cold upstream is used (seconds): longer than a VM takes
 to connect, and short beside the second in which requests are counted."""
+MIN_RATE_PER_S = 0.01
+"""Rate below which the time to the next token is not told apart (requests per second)."""
 MIN_TOKENS = -2.0
 """Lower bound of the tokens; requests that another scheduler granted count up to it."""
-MAX_EMPTY_S = 0.05
-"""Time for which an empty bucket is not looked at again (seconds): one tick. Else each
-decision fills the buckets of all cold upstreams."""
 
 
 @attrs.frozen
@@ -138,6 +137,7 @@
     """Whether it has been cold and was not seen to be warm since."""
     _tokens: float = 0.0
     _refilled_share_s: float = 0.0
+    # Before this time there is no token, whatever the share.
     _empty_until_s: float = -math.inf
 
     def is_cold(self, now_s: float) -> bool:
@@ -158,6 +158,7 @@
         if was_cold or not self.is_cold(now_s):
             return False
         self._tokens, self._refilled_share_s = 0.0, self.budget.share_s(now_s)
+        self._empty_until_s = -math.inf
         if not self.is_started:
             self.is_started = True
             self.budget.register(self)
@@ -175,17 +176,23 @@
         return self.start(now_s + warmup.duration_s, now_s)
 
     def allows_request(self, now_s: float) -> bool:
-        """Tell whether a request may be sent now."""
+        """Tell whether a request may be sent now.
+
+        A broker asks for each cold upstream at each choice, so that one without a token
+        is not computed again before the whole share could have brought one.
+        """
         if now_s < self._empty_until_s:
             return False
-        if not self.is_bounded(now_s):
+        warmup = self.budget.warmups.get(self.service)
+        if warmup is None or not self.is_bounded(now_s):
             return True
         self.refill(now_s)
-        if self._tokens < 1:
-            fill_s = (1 - self._tokens) / max(self.rate_per_s(now_s), 0.1)
-            self._empty_until_s = min(now_s + min(fill_s, MAX_EMPTY_S), self.until_s)
-            return False
-        return self.budget.is_valid(now_s)
+        if self._tokens >= 1:
+            return self.budget.is_valid(now_s)
+        highest_per_s = self.budget.policy.rate_per_s(warmup.rate_per_s, 1.0)
+        missing_s = (1 - self._tokens) / max(highest_per_s, MIN_RATE_PER_S)
+        self._empty_until_s = min(now_s + missing_s, self.until_s)
+        return False
 
     def count_request(self, now_s: float) -> None:
         """Count a granted request.
