Lend a restarted VM's share as soon as no earlier lease of it runs

Cause: a VM ignored replies of the broker while an earlier lease might run, and got its next one with the heartbeat after; the broker had the share one round trip later still.

Change: the VM keeps the last stamp meanwhile, lends by it when the wait ends, and sends its heartbeat at once.

--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -67,6 +67,10 @@
     def update(self) -> None:
         """Apply the part of fleet-wide limits that this VM may use now."""
         now_s = self._updated_s = self.clock.now_s()
+        loop_s = self.loop_time_s()
+        if self.own.ends_wait(self.membership.broker, now_s):
+            # The broker gets the share with the next heartbeat.
+            self.membership.expedite_heartbeat(loop_s)
         is_broker = self.membership.role is Role.BROKER
         if is_broker:
             leases = self.broker.leases
@@ -75,7 +79,6 @@
             self.own.seed_seen_s = leases.seed_seen_s
         else:
             share, mature_share = self._alone_share(now_s)
-        loop_s = self.loop_time_s()
         self.scheduler.set_share(share, mature_share, loop_s, SHARE_VALIDITY_S)
         is_growing = is_broker and self.broker.leases.is_growing(now_s)
         self.scheduler.quota.is_growing = is_growing
--- a/src/gentianfold/fleet/share_lease.py
+++ b/src/gentianfold/fleet/share_lease.py
@@ -85,6 +85,7 @@
     broker: str = ""
     """Address of the last broker that held the share; empty if none did."""
     _stamp_ms: int = 0
+    _waiting_lease: tuple[str, int] = ("", 0)
     _lent_until_s: float = -1e9
     _own_since_s: float | None = None
 
@@ -94,7 +95,10 @@
         """Lend the share to the broker that replied, unless another one holds it."""
         if fleet_size:
             self.fleet_size = fleet_size
-        if not stamp_ms or now_s < self.unused_until_s:
+        if not stamp_ms:
+            return
+        if now_s < self.unused_until_s:
+            self._waiting_lease = (broker, stamp_ms)
             return
         if broker != self.broker and self.is_lent(now_s):
             return
@@ -104,6 +108,24 @@
         self._lent_until_s = now_s + term_s
         self._own_since_s = None
 
+    def ends_wait(self, broker: str | None, now_s: float) -> bool:
+        """Lend the share once no broker uses what an earlier process of the VM lent.
+
+        Args:
+            broker: Address of the broker that the VM follows.
+            now_s: Current time (seconds).
+
+        Returns:
+            Whether the wait has ended with this call.
+        """
+        if not 0.0 < self.unused_until_s <= now_s:
+            return False
+        self.unused_until_s = -1e9
+        waiting_broker, stamp_ms = self._waiting_lease
+        if broker == waiting_broker:
+            self.record_reply(waiting_broker, stamp_ms, 0, now_s)
+        return True
+
     def stamp_ms(self, broker: str) -> int:
         """Return the stamp for a heartbeat to a broker; 0 if it holds no lease."""
         return self._stamp_ms if broker == self.broker else 0
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -18,7 +18,7 @@
 from gentianfold.fleet.messages import SlotGranted, to_acquire_slot
 from gentianfold.fleet.node import Node
 from gentianfold.fleet.node_view import NodeView
-from gentianfold.fleet.share_lease import unknown_part
+from gentianfold.fleet.share_lease import LEASE_TERM_S, unknown_part
 from gentianfold.model import Customer, RateLimit
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.quota_table import QuotaTable
@@ -361,6 +361,19 @@
     assert count_unserved(fleet, 20) == 0.0
 
 
+@pytest.mark.parametrize("size", (3, 12))
+def test_a_fleet_that_restarts_as_a_whole_serves_once_earlier_leases_have_ended(size):
+    # Seeds lent their shares with their next heartbeat only, up to 0.4 s later.
+    fleet = make_fleet(size)
+    fleet.run(10, per_s=0)
+    for vm in fleet.nodes:
+        fleet.start(vm)
+    restarted_s = fleet.now_s
+    while not fleet.sent["greedy"]:
+        fleet.run(STEP_S, per_s=400)
+    assert fleet.now_s - restarted_s <= LEASE_TERM_S + 6 * STEP_S
+
+
 @pytest.mark.parametrize("size", (3, 12))
 @pytest.mark.parametrize("dead", (None, "vm1"))
 def test_a_fleet_that_restarts_as_a_whole_serves_a_modest_customer(size, dead):
