Treat downloads as requests that may run more than once

Callers of a route of the kind `download` got a 502 after one failed upstream, with two allowed, and no second attempt beside a late one: the adapter knew one kind that may be repeated, and took any other for one that runs once. It knows both now; a kind that it does not know still runs once.

The new test fails on the code before for `download` (idempotent False instead of True).

--- a/src/gentianfold/platform/wire.py
+++ b/src/gentianfold/platform/wire.py
@@ -52,6 +52,8 @@
 """Query parameter: longest time the store waits for a change (milliseconds)."""
 ERA_HEADER = b"store-era"
 """Response header: how often the store was restored from a copy."""
+_IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
+"""Kinds of routes whose requests may run more than once; any other kind may not."""
 MAX_ERA_DIGITS = 18
 """Longest era that is accepted (digits): it fits into 64 bits."""
 MAX_PORT = 65_535
@@ -402,7 +404,7 @@
         path_kind=PathKind.PREFIX,
         service=route.service or "",
         open_to_all=route.auth_exempt,
-        idempotent=route.kind == "idempotent",
+        idempotent=route.kind in _IDEMPOTENT_KINDS,
         timeout_s=timeout_s,
         retries=max(route.max_attempts - 1, 0),
         host=route.host.lower(),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -120,5 +120,22 @@
     assert isinstance(decode_configuration(document), Failure)
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("unheard_of", False),
+    ],
+)
+def test_a_kind_of_route_that_is_not_known_runs_once(kind, is_idempotent):
+    # Downloads counted as requests that run once: a failed one was not tried again.
+    route = {"name": "a", "host": "h", "path_prefix": "/a/", "kind": kind}
+    document = {"version": "r1", "routes": [route], "services": []}
+    configuration = decode_configuration(json.dumps(document).encode())
+    assert [row.idempotent for row in configuration.routes] == [is_idempotent]
+
+
 def test_a_datagram_that_is_too_deep_is_dropped():
     assert decode(b"\x91" * 100_000 + b"\x01") is None
