Pass on no status that promises more than the upstream states

Callers got 408, 429 and 503 of an upstream that did not state that it had not run the request, with its seal or without; to them these statuses promise that it has not run and never will, and they send again what may run only once. 421 with a seal and without the statement was placed on another upstream and could run twice.

Ruled out: passing them on with another status (a failure must not bear the seal with another status than its upstream gave); counting them as successes (the same upstream would be preferred). They are failures now: idempotent requests are retried, the caller gets our 502, which promises nothing. 421 without a seal stays another server's word that it is the wrong one. What an answer means is decided in forwarding/answer_check.py.

The stand-in now keeps its odd status line also without a seal.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -9,6 +9,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.forwarding.answer_check import check_answer
 from gentianfold.forwarding.connection_pool import MAX_IDLE_S, NON_IDEMPOTENT_MAX_IDLE_S
 from gentianfold.forwarding.incoming_request import MEMORY_RETRY_AFTER_S
 from gentianfold.forwarding.memory_budget import Claim, claim_answer
@@ -318,7 +319,7 @@
             return AttemptResult(Outcome.FAILED, detail=detail)
         self.forwarder.pool.release(address, placement.upstream, connection)
         exchange.headers = self.forwarder.hop_filter.response_headers(exchange.headers)
-        result = self._classify(exchange)
+        result = self._check(exchange)
         if result.outcome is not Outcome.MISDIRECTED:
             pause_s = self._record_notice(placement, exchange, connection.vm)
             result = attrs.evolve(result, pause_s=pause_s)
@@ -420,27 +421,11 @@
             == self.plan.request_id
         )
 
-    def _classify(self, response: Response) -> AttemptResult:
+    def _check(self, response: Response) -> AttemptResult:
         """Derive the result from a complete response."""
-        header_names = self.forwarder.header_names
-        if response.header(header_names.not_run) is not None:
-            if response.status == 421:
-                return AttemptResult(Outcome.MISDIRECTED, detail="another upstream")
-            return AttemptResult(Outcome.SHED, detail=f"status {response.status}")
-        if response.status == 421:
-            return AttemptResult(Outcome.MISDIRECTED, detail="another upstream")
-        if 200 <= response.status < 300 and (
-            response.header(header_names.seal) is None
-            or response.header(b"content-encoding") is not None
-        ):
-            return AttemptResult(Outcome.FAILED, detail="not the upstream's answer")
-        if response.status == 504:
-            # The upstream exceeded the time limit sent with the request.
-            return AttemptResult(Outcome.TIMED_OUT, response, detail="status 504")
-        if response.status >= 500:
-            detail = f"status {response.status}"
-            return AttemptResult(Outcome.FAILED, response, detail=detail)
-        return AttemptResult(Outcome.SUCCEEDED, response)
+        check = check_answer(response, self.forwarder.header_names)
+        passed_on = response if check.is_passed_on else None
+        return AttemptResult(check.outcome, passed_on, detail=check.detail)
 
     def _encode(
         self, placement: Placement, time_left_s: float
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -168,7 +168,8 @@
             return format_response(500, sealed_headers, b"failed")
         await anyio.sleep(self.processing_time_s)
         body = b"answer to " + headers[0][1] + self.answer_padding
-        response = format_response(200, sealed_headers, body)
+        has_seal = behaviour is not Behaviour.NO_SEAL
+        response = format_response(200, sealed_headers if has_seal else headers, body)
         if self.status_line:
             response = self.status_line + response[response.index(b"\r\n") :]
         match behaviour:
@@ -190,6 +191,4 @@
                 request.transport.close()
             case Behaviour.MALFORMED_RESPONSE:
                 return b"\x00\x01 not an answer\r\n\r\n"
-            case Behaviour.NO_SEAL:
-                return format_response(200, headers, body)
         return response
