Pass long answers on while they come, and hold back upstreams for slow callers

Callers of downloads waited for the last byte from the upstream before they got the first one, and a VM held each answer whole until its last byte had left: 540 KB an answer on machines whose memory is dear, both transfers added up on links of 5 to 100 Mbit/s.

Cause: answers were checked and written whole. Ruled out: passing on from the first byte (a truncated answer could not be tried again) and without a stated length (an early end looks like the end). Sealed successes of a stated length over 128 KiB are passed on now from their first 64 KiB, if they are next in their connection's order; the rest is held whole as before. From then on there is no other attempt; what breaks off ends the caller's connection short of the stated length (new code 7037). At 128 KiB that the caller hasn't taken reading from the upstream pauses, for 0.5 s in all at most; the attempt's time is told without the pauses. Whole answers over 128 KiB are sent 64 KiB at a time and their claim falls with it. A caller that has ended its side still gets the rest of a complete answer. Plan and result of an attempt, and pauses of reading, moved to modules of their own.

With a slow caller the claim stays at 160 KiB or less (forwarding/test_answer_stream.py).

--- a/src/gentianfold/codes/requests.py
+++ b/src/gentianfold/codes/requests.py
@@ -150,3 +150,12 @@
     RunState.NOT_RUN,
     Retry.LATER,
 )
+ANSWER_BROKEN_OFF = define_code(
+    7037,
+    "answer-broken-off",
+    "An upstream broke off a long answer of which the caller had received a part.",
+    "Send the request again if it may be repeated; the connection was closed.",
+    502,
+    RunState.UNKNOWN,
+    Retry.IF_IDEMPOTENT,
+)
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -10,11 +10,12 @@
 from loguru import logger
 
 from gentianfold.forwarding.answer_check import check_answer
+from gentianfold.forwarding.attempt_result import AttemptResult
 from gentianfold.forwarding.connection_pool import MAX_IDLE_S, NON_IDEMPOTENT_MAX_IDLE_S
 from gentianfold.forwarding.incoming_request import MEMORY_RETRY_AFTER_S
+from gentianfold.forwarding.long_answer import may_pass_on
 from gentianfold.forwarding.memory_budget import Claim, claim_answer
 from gentianfold.forwarding.messages import (
-    CallerRequest,
     Headers,
     Response,
     encode_request,
@@ -32,15 +33,15 @@
 from gentianfold.placement.slot_request import RefusalReason, Refused, SlotRequest
 
 if TYPE_CHECKING:
+    from gentianfold.forwarding.answer_stream import AnswerStream
+    from gentianfold.forwarding.forward_plan import ForwardPlan
     from gentianfold.forwarding.placer import Placement
-    from gentianfold.forwarding.request_fingerprint import RequestFingerprint
     from gentianfold.forwarding.request_forwarder import RequestForwarder
     from gentianfold.forwarding.request_record import RequestRecord
     from gentianfold.forwarding.upstream_connection import (
         ExchangeResult,
         UpstreamConnection,
     )
-    from gentianfold.model import Route
 
 MAX_PLACEMENTS = 4
 """Upstreams that one attempt tries in turn if the request is not run (count)."""
@@ -49,78 +50,6 @@
 upstream processes a request faster."""
 LOGGED_FINGERPRINT_DIGITS = 8
 """Hexadecimal digits of a fingerprint in the log (count)."""
-_SEVERITY = {
-    Outcome.SUCCEEDED: 0,
-    Outcome.FAILED: 2,
-    Outcome.TIMED_OUT: 3,
-    Outcome.SHED: 4,
-    Outcome.CONNECT_FAILED: 4,
-    Outcome.MISDIRECTED: 4,
-    Outcome.CANCELLED: 5,
-}
-
-
-@attrs.frozen(eq=False)
-class ForwardPlan:
-    """Facts about a request that are settled before its first attempt."""
-
-    request: CallerRequest
-    """The request as received."""
-    request_id: bytes
-    """Identifier that the caller sent."""
-    route: Route
-    """The route that matches the request."""
-    service: str
-    """Name of the service whose upstreams may run the request."""
-    customer: str
-    """Name of the customer; empty if there is none."""
-    priority: int
-    """Priority; 0 is the highest."""
-    deadline_s: float
-    """Time by which the caller must get a response (loop time)."""
-    fingerprint: RequestFingerprint
-    """Digest of the request's content."""
-    strips_authorization: bool = True
-    """Whether ``Authorization`` holds a key of this product and is not forwarded."""
-    zones: tuple[str, ...] | None = None
-    """Availability zones in which the request may run; ``None`` for any."""
-
-
-@attrs.frozen(eq=False)
-class AttemptResult:
-    """Result of an attempt."""
-
-    outcome: Outcome
-    """How the attempt ended."""
-    response: Response | None = None
-    """The upstream's complete response; ``None`` if it is not passed on."""
-    refused: Refused | None = None
-    """The refusal; ``None`` unless the attempt got no slot in time."""
-    detail: str = ""
-    """Cause of a failure, for the log and the error response; empty if there is none."""
-    rate_limit_per_s: float | None = None
-    """Rate limit that the upstream's answer states (requests per second); infinite if it
-    states none, ``None`` without an answer."""
-    pause_s: float | None = None
-    """Time for which the upstream wants no requests of this VM (seconds); ``None`` if it
-    states none."""
-    is_withdrawn: bool = False
-    """Whether nothing was sent, as the upstream had refused further requests."""
-
-    @property
-    def severity(self) -> int:
-        """Rank of the result: the lowest of several is returned to the caller."""
-        if self.refused is not None:
-            return 6
-        # An upstream's error response tells the caller more than a missing response.
-        return _SEVERITY[self.outcome] - (
-            self.response is not None and self.outcome != 0
-        )
-
-    @property
-    def is_retryable(self) -> bool:
-        """Whether another attempt may succeed."""
-        return self.outcome.is_failure
 
 
 @attrs.define(eq=False)
@@ -141,6 +70,9 @@
     """Names of the upstreams on which the attempt was placed."""
     on_sent: Callable[[float], None] | None = None
     """Called with the expected duration (seconds) just before the request is sent."""
+    on_passed_on: Callable[[], None] | None = None
+    """Called when the first bytes of a long answer are about to leave."""
+    _stream: AnswerStream | None = None
     _is_trial: bool = False
     _exchanged_bytes: int = 0
     _via: str = ""
@@ -244,6 +176,10 @@
             result = await self._exchange_before_deadline(placement)
         finally:
             elapsed_s = forwarder.now_s() - started_at_s
+            if self._stream is not None:
+                # What the caller held back is not the upstream's time.
+                elapsed_s -= self._stream.paused_s()
+                forwarder.passed_on.record(self._stream)
             forwarder.placer.release(
                 placement,
                 result.outcome,
@@ -301,11 +237,14 @@
                     self._is_for_request,
                     self.plan.request.method == b"HEAD",
                     claim=claim,
+                    offer=self._pass_on,
                 )
         finally:
             self._exchanged_bytes = connection.exchanged_bytes
             if not isinstance(exchange, Response):
                 claim.release()
+        if self._stream is not None and not isinstance(exchange, Response):
+            return self._broken_off(exchange, self._stream)
         if exchange is None:
             return AttemptResult(Outcome.TIMED_OUT, detail="no answer in time")
         if isinstance(exchange, ExchangeFailure):
@@ -333,6 +272,43 @@
             limit = None
         return attrs.evolve(result, rate_limit_per_s=limit)
 
+    def _pass_on(self, head: Response) -> bool:
+        """Pass on a long answer while it is received, if the caller takes it now."""
+        forwarder, request = self.forwarder, self.plan.request
+        if (
+            request.pass_on is None
+            or request.is_passed_on
+            or request.is_abandoned
+            or not may_pass_on(head, forwarder.header_names)
+        ):
+            return False
+        headers = forwarder.hop_filter.response_headers(head.headers)
+        if not request.pass_on(attrs.evolve(head, headers=headers)):
+            return False
+        request.is_passed_on, self._stream = True, head.stream
+        if self.on_passed_on is not None:
+            self.on_passed_on()
+        return True
+
+    @staticmethod
+    def _broken_off(
+        exchange: ExchangeFailure | None, stream: AnswerStream
+    ) -> AttemptResult:
+        """Return the result of an exchange that ended amid an answer passed on."""
+        detail = exchange.value if exchange is not None else "no whole answer in time"
+        is_slow = exchange is None and stream.paused_s() > 0
+        return AttemptResult(
+            # Time that the caller took says nothing of the upstream.
+            Outcome.CANCELLED
+            if is_slow
+            else Outcome.TIMED_OUT
+            if exchange is None
+            else Outcome.FAILED,
+            detail=f"{detail}, {stream.received_bytes} of {stream.size_bytes} bytes"
+            " passed on",
+            is_passed_on=True,
+        )
+
     def _claim_answer(self) -> Claim | None:
         """Return the claim of the answer; ``None`` without room for it."""
         forwarder, request = self.forwarder, self.plan.request
@@ -425,7 +401,12 @@
         """Derive the result from a complete response."""
         check = check_answer(response, self.forwarder.header_names)
         passed_on = response if check.is_passed_on else None
-        return AttemptResult(check.outcome, passed_on, detail=check.detail)
+        return AttemptResult(
+            check.outcome,
+            passed_on,
+            detail=check.detail,
+            is_passed_on=response.stream is not None,
+        )
 
     def _encode(
         self, placement: Placement, time_left_s: float
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -20,12 +20,12 @@
     CONNECTION_BYTES,
     ROOM_RETRY_S,
     ROOM_WAIT_S,
-    UNREAD_BYTES,
     Claim,
     MemoryBudget,
     Use,
 )
 from gentianfold.forwarding.messages import CallerRequest, Response
+from gentianfold.forwarding.pausable_reading import PausableReading
 from gentianfold.forwarding.request_head import expects_continue
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
@@ -71,14 +71,13 @@
         self._handler = handler
         self._open_connections = open_connections
         self._hangups = hangups
-        self._fd = -1
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._writer: ResponseWriter | None = None
         self._backlog: deque[tuple[CallerRequest, PendingResponse]] = deque()
         self._is_closing = False
         self._cut_cause = "caller"
-        self._is_paused = False
+        self._reading: PausableReading | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._incoming: IncomingRequest | None = None
         self._head_bytes = 0
@@ -104,6 +103,11 @@
         """Number of answers that were written and have not left the process."""
         return self._writer.unsent_count if self._writer is not None else 0
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes of an answer have left and others have not."""
+        return self._writer is not None and self._writer.is_sending
+
     def close_if_idle(self) -> None:
         """End the connection unless a request is being read or awaits its response."""
         if not self.is_awaiting:
@@ -140,7 +144,7 @@
         """Return since when the caller reads or sends too slowly; ``None`` if not."""
         if self._writer is None:
             return None
-        if self.unsent_count:
+        if self.is_sending:
             return self._writer.stalled_since_s(now_s)
         incoming = self._incoming
         if incoming is None or incoming.is_held or self._writer.waiting_count:
@@ -153,7 +157,7 @@
         if at_once and self.idle_since_s() is not None and self._transport is not None:
             self._stop_parsing()
             self._transport.close()
-        elif at_once or self.unsent_count:
+        elif at_once or self.is_sending:
             self.cut("room")
             self._record_lost()
         else:
@@ -173,17 +177,19 @@
             return
         self._memory.add_holder(self)
         self._writer = ResponseWriter(self._transport, self)
+        self._reading = PausableReading(
+            self._transport, self._unread_claim, self._hangups, self._handle_hangup
+        )
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            self._fd = sock.fileno()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open_connections.add(self)
         self._restart_timer()
 
     def eof_received(self) -> bool:
-        """Cancel the pending requests; answers that were written are still sent."""
+        """Cancel the pending requests; answers that are complete are still sent."""
         self._cancel_pending()
-        return False
+        return self._finish_sending()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the pending requests."""
@@ -191,14 +197,14 @@
         self._memory.remove_holder(self)
         if self._limit is not None:
             self._limit.close(self)
-        self._unwatch()
+        if self._reading is not None:
+            self._reading.end()
         for timer in (self._timer, self._room_timer):
             if timer is not None:
                 timer.cancel()
         self._cancel_pending()
         self._stop_parsing()
         self._record_lost()
-        self._unread_claim.release()
         self._claim.release()
         # The parser and this object refer to each other.
         del self._parser
@@ -334,6 +340,18 @@
         """Start delayed requests, read on or begin the idle timeout."""
         self._continue()
 
+    def handle_written(self, close: bool) -> None:
+        """Go on behind a long answer, or end the connection."""
+        if close:
+            self.finish()
+        else:
+            self._write_responses()
+
+    def handle_broken_off(self) -> None:
+        """End the connection: the length that was stated shows that bytes are missing."""
+        self._handler.record_broken_off()
+        self.finish()
+
     def handle_stalled(self) -> None:
         """Reset the connection of a caller that does not receive."""
         self.cut("stalled")
@@ -346,6 +364,14 @@
             pending.cancel = None
             self._write_responses()
 
+        def pass_on(response: Response) -> bool:
+            if self._writer is None or not self._writer.is_next(pending):
+                return False
+            pending.response = response
+            self._write_responses()
+            return True
+
+        request.pass_on = pass_on
         pending.cancel = self._handler.start(request, reply)
 
     def _continue(self) -> None:
@@ -362,30 +388,30 @@
         self._restart_timer()
 
     def _pause_reading(self) -> None:
-        if self._transport is not None and not self._is_paused:
-            self._is_paused = True
-            self._unread_claim.force_to(UNREAD_BYTES)
-            self._transport.pause_reading()
-            if self._hangups is not None and self._fd >= 0:
-                self._hangups.watch(self._fd, self._handle_hangup)
+        if self._reading is not None:
+            self._reading.pause()
 
     def _resume_reading(self) -> None:
-        if self._transport is not None and self._is_paused:
-            self._is_paused = False
-            self._unread_claim.release()
-            self._unwatch()
-            self._transport.resume_reading()
-
-    def _unwatch(self) -> None:
-        if self._hangups is not None:
-            self._hangups.unwatch(self._fd)
+        if self._reading is not None:
+            self._reading.resume()
 
     def _handle_hangup(self) -> None:
         """Do what the transport does at the end of a connection that is read."""
         self._cancel_pending()
-        if self._transport is not None:
+        if self._transport is not None and not self._finish_sending():
             self._transport.close()
 
+    def _finish_sending(self) -> bool:
+        """End the connection behind the rest of a complete answer; tell if there is one.
+
+        The transport holds a part of it only, so it must stay open until then.
+        """
+        writer = self._writer
+        if writer is None or not writer.has_rest:
+            return False
+        self.finish()
+        return True
+
     def _cancel_pending(self) -> None:
         if self._writer is not None:
             self._writer.cancel_waiting()
@@ -444,7 +470,8 @@
                 or (self._handler.is_stopping() and not writer.waiting_count)
                 or (self._is_closing and not writer.waiting_count)
             )
-            writer.write(pending, close)
+            if not writer.write(pending, close):
+                return
             if close:
                 self.finish()
                 return
--- a/src/gentianfold/forwarding/caller_handler.py
+++ b/src/gentianfold/forwarding/caller_handler.py
@@ -40,6 +40,10 @@
         """Return the response to input that is not an acceptable request."""
         ...
 
+    def record_broken_off(self) -> None:
+        """Count an answer whose rest is missing, as its upstream sends no more."""
+        ...
+
     def record_cut(self, count: int, cause: str) -> None:
         """Count and log answers that had not left when their connection ended."""
         ...
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http
+from collections.abc import Callable
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -13,6 +14,7 @@
     import asyncio
     from collections.abc import Sequence
 
+    from gentianfold.forwarding.answer_stream import AnswerStream
     from gentianfold.forwarding.memory_budget import Claim
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -46,6 +48,11 @@
     """Memory that the request holds, given back when it is dropped."""
     answer_claim: Claim | None = None
     """Memory for the answer; the first exchange takes it."""
+    pass_on: Callable[[Response], bool] | None = None
+    """Called with an answer that is still being received; returns whether the caller's
+    connection takes it now. ``None`` if answers are taken whole only."""
+    is_passed_on: bool = False
+    """Whether bytes of an answer have left; no other one may follow."""
 
     def release(self) -> None:
         """Drop the body and give back all memory, as the request is done.
@@ -56,6 +63,7 @@
         for claim in self.claims:
             claim.release()
         self.answer_claim = None
+        self.pass_on = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``."""
@@ -68,19 +76,28 @@
 
 @attrs.define(eq=False)
 class Response:
-    """A complete response."""
+    """A complete response, or one whose body is still being received."""
 
     status: int
     """HTTP status code."""
     headers: Headers
     """All headers as received, names in lower case."""
-    content: Body = attrs.field(converter=_as_body, alias="body")
-    """Complete body; empty if the response has none."""
+    content: Body = attrs.field(converter=_as_body, alias="body", factory=Body)
+    """Complete body; empty if the response has none or a stream."""
     ends_connection: bool = False
     """Whether this VM ends the caller's connection behind it. What an upstream wants of
     its own connection has no influence."""
     claim: Claim | None = None
     """Memory that the response holds, given back when it is dropped."""
+    stream: AnswerStream | None = None
+    """Body that is passed on while it is received; ``None`` for a complete one."""
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of the body (bytes)."""
+        return (
+            self.content.size_bytes if self.stream is None else self.stream.size_bytes
+        )
 
     @property
     def body(self) -> bytes:
@@ -99,7 +116,7 @@
 def encode_response(
     response: Response, is_head: bool, close: bool
 ) -> list[bytes | bytearray]:
-    """Encode a response.
+    """Encode a complete response.
 
     Args:
         response: The response, without headers of another connection.
@@ -109,8 +126,14 @@
     Returns:
         Pieces of the message; a long body is not copied.
     """
-    lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
+    head = encode_head(response, is_head, close)
     is_bodyless = is_head or response.status in _BODYLESS
+    return [head] if is_bodyless else _join_small(head, response.content)
+
+
+def encode_head(response: Response, is_head: bool, close: bool) -> bytes:
+    """Encode the head of a response; the arguments are those of ``encode_response``."""
+    lines = [b"HTTP/1.1 %d %b" % (response.status, _PHRASES.get(response.status, b""))]
     # Only in a response to HEAD a length can't be taken for that of bytes that follow.
     keeps_length = is_head and response.status not in _BODYLESS
     lines += [
@@ -118,12 +141,11 @@
         for name, value in response.headers
         if keeps_length or name != b"content-length"
     ]
-    if not is_bodyless:
-        lines.append(b"content-length: %d" % response.content.size_bytes)
+    if not (is_head or response.status in _BODYLESS):
+        lines.append(b"content-length: %d" % response.size_bytes)
     if close:
         lines.append(b"connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return [head] if is_bodyless else _join_small(head, response.content)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_request(
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -13,6 +13,7 @@
 from gentianfold.codes.limits import LIMIT_ELSEWHERE, OVER_RATE
 from gentianfold.codes.peers import BROKER_BEHIND
 from gentianfold.codes.requests import (
+    ANSWER_BROKEN_OFF,
     ANSWER_TIMEOUT,
     CRASHED_UPSTREAMS,
     CRASHES_UPSTREAMS,
@@ -29,10 +30,12 @@
 )
 from gentianfold.codes.routing import NO_FREE_SLOT, NO_UPSTREAM
 from gentianfold.errors import Failure
-from gentianfold.forwarding.attempt import Attempt, AttemptResult, ForwardPlan
+from gentianfold.forwarding.attempt import Attempt
 from gentianfold.forwarding.error_response import error_response
+from gentianfold.forwarding.forward_plan import ForwardPlan
 from gentianfold.forwarding.hop_by_hop import HopFilter
 from gentianfold.forwarding.memory_budget import MemoryBudget
+from gentianfold.forwarding.passed_on_counts import PassedOnCounts
 from gentianfold.forwarding.request_fingerprint import RequestFingerprint
 from gentianfold.forwarding.upstream_notice import NoticeReader
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
@@ -43,6 +46,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from gentianfold.forwarding.attempt_result import AttemptResult
     from gentianfold.forwarding.connection_pool import ConnectionPool
     from gentianfold.forwarding.header_names import HeaderNames
     from gentianfold.forwarding.messages import CallerRequest, Response
@@ -111,6 +115,8 @@
     exchanged_bytes: Counter[str] = attrs.field(factory=Counter)
     """Bytes of requests and responses, by whether the upstream is in the ``own`` or in
     an ``other`` availability zone."""
+    passed_on: PassedOnCounts = attrs.field(factory=PassedOnCounts)
+    """Answers that were passed on while they were received."""
 
     def __attrs_post_init__(self) -> None:
         self.hop_filter = HopFilter(self.header_names)
@@ -234,43 +240,61 @@
     ) -> AttemptResult:
         """Run an attempt; start a second one if the first fails or is late.
 
-        A late first attempt keeps running beside the second. The first success cancels
-        the other attempt; without a success, the least severe result is returned.
+        A late first attempt keeps running beside the second. The first success, or the
+        first byte that is passed on, cancels the other attempt; without a success, the
+        least severe result is returned.
         """
         second = Attempt(self, plan, record)
         results: list[AttemptResult] = []
         result_added = anyio.Event()
+        scopes = (anyio.CancelScope(), anyio.CancelScope())
 
         async def run(attempt: Attempt, number: int, excluded: tuple[str, ...]) -> None:
             nonlocal result_added
-            results.append(await attempt.run(number, excluded))
-            result_added.set()
+            with scopes[number - 1]:
+                results.append(await attempt.run(number, excluded))
+                result_added.set()
 
+        second.on_passed_on = scopes[0].cancel
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run, first, 1, ())
-            await self._wait_for_hedge(first, result_added)
+            await self._wait_for_hedge(first, result_added, scopes[1])
             if not (results and not results[0].is_retryable):
                 result_added = anyio.Event()
                 tasks.start_soon(run, second, 2, first.used_upstreams)
-                while len(results) < 2 and not any(map(_is_success, results)):
+                while len(results) < 2 and not any(map(_is_final, results)):
                     await result_added.wait()
                     result_added = anyio.Event()
             tasks.cancel_scope.cancel()
         return min(results, key=lambda result: result.severity)
 
-    async def _wait_for_hedge(self, first: Attempt, result_added: anyio.Event) -> None:
-        """Wait until the first attempt ends or the hedging delay has passed."""
+    async def _wait_for_hedge(
+        self,
+        first: Attempt,
+        result_added: anyio.Event,
+        second_scope: anyio.CancelScope,
+    ) -> None:
+        """Wait until the first attempt ends or the hedging delay has passed.
+
+        There is no second attempt beside a first one whose answer is passed on.
+        """
         with anyio.move_on_after(None) as scope:
 
             def start_timer(expected_duration_s: float) -> None:
                 delay_s = HEDGE_FACTOR * expected_duration_s + HEDGE_SLACK_S
                 scope.deadline = anyio.current_time() + delay_s
 
-            first.on_sent = start_timer
+            def keep_waiting() -> None:
+                scope.deadline = math.inf
+                second_scope.cancel()
+
+            first.on_sent, first.on_passed_on = start_timer, keep_waiting
             await result_added.wait()
 
     def _final_response(self, result: AttemptResult) -> Response | Failure:
         """Convert the best result of the attempts to a response or a failure."""
+        if result.is_passed_on and result.response is None:
+            return Failure(ANSWER_BROKEN_OFF, result.detail)
         if result.response is not None and result.outcome is not Outcome.SHED:
             return result.response
         if result.refused is not None:
@@ -310,5 +334,5 @@
     return Failure(CRASHED_UPSTREAMS, "", refused.retry_after_s)
 
 
-def _is_success(result: AttemptResult) -> bool:
-    return result.severity == 0
+def _is_final(result: AttemptResult) -> bool:
+    return result.severity <= 0
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -4,6 +4,9 @@
 stops, closing connections, the bound on pipelined requests and the counts of requests
 under way all use this notion. Answers to callers on narrow links stay in the transport
 for seconds after their request has run.
+
+A long answer is handed to the transport in small pieces, each when the one before has
+left; those behind it wait. It may still be coming from its upstream.
 """
 
 from __future__ import annotations
@@ -18,13 +21,22 @@
 
 import attrs
 
+from gentianfold.forwarding.answer_stream import AnswerStream
+from gentianfold.forwarding.long_answer import HOLD_BYTES
 from gentianfold.forwarding.memory_budget import Claim, Progress
-from gentianfold.forwarding.messages import Response, encode_response, write_pieces
+from gentianfold.forwarding.messages import (
+    Response,
+    encode_head,
+    encode_response,
+    write_pieces,
+)
 
 LINGER_S = 1.0
 """Time for which an ended connection is still read, so that bytes of the caller which
 cross the end don't reset the connection while the last answer is on its way (seconds).
 It begins anew as long as the caller receives."""
+PIECE_BYTES = 64 << 10
+"""Bytes of a long answer that the transport of one caller holds (bytes)."""
 
 
 @attrs.define(eq=False)
@@ -52,13 +64,28 @@
         """Go on after all written responses have left."""
         ...
 
+    def handle_written(self, close: bool) -> None:
+        """Go on after the last piece of a long response was written.
+
+        Args:
+            close: Whether the connection ends behind it.
+        """
+        ...
+
+    def handle_broken_off(self) -> None:
+        """End the connection, as the rest of a response is missing."""
+        ...
+
     def handle_stalled(self) -> None:
         """End the connection, as the caller does not receive."""
         ...
 
 
 class ResponseWriter:
-    """Writes responses in the order of their requests and ends the connection."""
+    """Writes responses in the order of their requests and ends the connection.
+
+    Implements ``AnswerSink``.
+    """
 
     def __init__(self, transport: asyncio.Transport, owner: WriterOwner) -> None:
         self._transport = transport
@@ -69,6 +96,9 @@
         self._unsent: deque[tuple[int, Claim | None]] = deque()
         self._reading: Progress | None = None
         self._written_bytes = 0
+        # The long response of which pieces are missing in the transport.
+        self._long: tuple[PendingResponse, AnswerStream] | None = None
+        self._closes_behind_long = False
         self._is_finishing = False
         self._timer: asyncio.TimerHandle | None = None
         self._progress_bytes = 0
@@ -80,16 +110,29 @@
 
     @property
     def waiting_count(self) -> int:
-        """Number of responses that have not been written."""
-        return len(self._waiting)
+        """Number of responses that have not been received completely."""
+        is_receiving = self._long is not None and self._long[1].is_receiving
+        return len(self._waiting) + is_receiving
 
     @property
     def unsent_count(self) -> int:
-        """Number of responses that were written and have not left the process."""
+        """Number of complete responses that have not left the process."""
         sent_bytes = self._sent_bytes()
         while self._unsent and self._unsent[0][0] <= sent_bytes:
-            self._unsent.popleft()
-        return len(self._unsent)
+            _, claim = self._unsent.popleft()
+            if claim is not None:
+                claim.release()
+        return len(self._unsent) + self.has_rest
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes of a response have left and others have not."""
+        return self._long is not None or self.unsent_count > 0
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether the transport lacks a part of a complete response."""
+        return self._long is not None and not self._long[1].is_receiving
 
     @property
     def under_way_count(self) -> int:
@@ -107,19 +150,39 @@
         """Add the response to the next request."""
         self._waiting.append(pending)
 
+    def is_next(self, pending: PendingResponse) -> bool:
+        """Tell whether a response can be written before it is complete."""
+        return (
+            self.can_write
+            and self._long is None
+            and bool(self._waiting)
+            and self._waiting[0] is pending
+        )
+
     def take_ready(self) -> PendingResponse | None:
-        """Remove and return the next response if it is known."""
-        if not self._waiting or self._waiting[0].response is None:
-            return None
-        return self._waiting.popleft()
+        """Remove and return the next response if it is known and its turn has come."""
+        is_ready = self._waiting and self._waiting[0].response is not None
+        return self._waiting.popleft() if is_ready and self._long is None else None
 
-    def write(self, pending: PendingResponse, close: bool) -> None:
-        """Write a response; ``close`` tells whether the connection ends behind it."""
+    def write(self, pending: PendingResponse, close: bool) -> bool:
+        """Write a response; ``close`` tells whether the connection ends behind it.
+
+        Returns:
+            Whether it is written; if not, ``handle_written`` is called later.
+        """
         response = cast("Response", pending.response)
-        pieces = encode_response(response, pending.is_head, close)
-        self._written_bytes += write_pieces(self._transport, pieces)
-        self._unsent.append((self._written_bytes, response.claim))
-        self._watch_progress()
+        if response.stream is not None:
+            self._begin_long(pending, response.stream, close)
+        elif response.size_bytes > HOLD_BYTES and not pending.is_head:
+            stream = AnswerStream.of_whole(response.content, response.claim)
+            self._begin_long(pending, stream, close)
+        else:
+            pieces = encode_response(response, pending.is_head, close)
+            self._written_bytes += write_pieces(self._transport, pieces)
+            self._unsent.append((self._written_bytes, response.claim))
+            self._watch_progress()
+            return True
+        return False
 
     def write_bytes(self, data: bytes) -> None:
         """Write bytes that are no final response."""
@@ -127,11 +190,61 @@
         self._transport.write(data)
 
     def cancel_waiting(self) -> None:
-        """Cancel the requests whose responses are not known."""
-        for pending in self._waiting:
-            if pending.cancel is not None:
-                pending.cancel()
+        """Cancel the requests whose responses are not complete."""
+        waiting = [*self._waiting]
+        if self._long is not None and self._long[1].is_receiving:
+            waiting.append(self._long[0])
         self._waiting.clear()
+        for pending in waiting:
+            # The request refers to its pending response, which must not refer back.
+            cancel, pending.cancel = pending.cancel, None
+            if cancel is not None:
+                cancel()
+
+    # Long responses
+
+    def _begin_long(
+        self, pending: PendingResponse, stream: AnswerStream, close: bool
+    ) -> None:
+        self.write_bytes(encode_head(cast("Response", pending.response), False, close))
+        self._long, self._closes_behind_long = (pending, stream), close
+        stream.attach(self)
+        if not stream.is_receiving:
+            # The owner goes on writing in its own turn.
+            self._loop.call_soon(self.continue_answer)
+        self._watch_progress()
+
+    def continue_answer(self) -> None:
+        """Write the next pieces of a long response if the one before has left."""
+        if self._long is None or self._transport.is_closing():
+            return
+        pending, stream = self._long
+        stream.record_unsent(self._transport.get_write_buffer_size())
+        if stream.is_broken_off:
+            self._long, was_finishing = None, self._is_finishing
+            self._owner.handle_broken_off()
+            if was_finishing:
+                self._end(lingers=True)
+            return
+        while (
+            stream.peek_bytes(PIECE_BYTES)
+            and not self._transport.get_write_buffer_size()
+        ):
+            piece = stream.take(PIECE_BYTES)
+            self._written_bytes += len(piece)
+            self._transport.write(piece)
+            stream.record_unsent(self._transport.get_write_buffer_size())
+        if stream.is_taken:
+            self._end_long(cast("Response", pending.response))
+        self._watch_progress()
+
+    def _end_long(self, response: Response) -> None:
+        self._long = None
+        self._unsent.append((self._written_bytes, response.claim))
+        if self._is_finishing:
+            self._end(lingers=True)
+        else:
+            self._owner.handle_written(self._closes_behind_long)
 
     # End of the connection
 
@@ -145,6 +258,10 @@
         if self._is_finishing or self._transport.is_closing():
             return
         self._is_finishing = True
+        if self._long is None:
+            self._end(lingers)
+
+    def _end(self, lingers: bool) -> None:
         lingers = lingers or self._received_bytes() < self._written_bytes
         if lingers and self._transport.can_write_eof():
             self._transport.write_eof()
@@ -156,8 +273,11 @@
     def handle_lost(self) -> int:
         """Forget all responses; return how many had not left the process."""
         # The transport may have dropped its bytes, so they don't tell any more.
-        cut_count = len(self._unsent)
+        cut_count = len(self._unsent) + (self._long is not None)
         self._unsent.clear()
+        if self._long is not None:
+            self._long[1].abandon()
+            self._long = None
         self._stop_timer()
         return cut_count
 
@@ -165,7 +285,9 @@
 
     def stalled_since_s(self, now_s: float) -> float | None:
         """Return since when a caller reads that has stalled; ``None`` if none has."""
-        if not self.unsent_count:
+        is_waiting = self._long is not None and self._long[1].peek_bytes(1) > 0
+        if not is_waiting and not self._transport.get_write_buffer_size():
+            # What has not come yet is not the caller's delay.
             self._reading = None
             return None
         sent_bytes = self._sent_bytes()
@@ -180,24 +302,29 @@
         return self._written_bytes - self._transport.get_write_buffer_size()
 
     def _watch_progress(self) -> None:
-        if self._timer is None and (self.unsent_count or self._is_finishing):
+        if self._timer is None and (self.is_sending or self._is_finishing):
             self._progress_bytes = self._received_bytes()
-            delay_s = self._owner.stall_timeout_s() if self.unsent_count else LINGER_S
+            delay_s = self._owner.stall_timeout_s() if self.is_sending else LINGER_S
             self._timer = self._loop.call_later(delay_s, self._check_progress)
 
     def handle_drained(self) -> None:
         """Go on, or wait for the caller's end, as the transport holds no bytes."""
         self._stop_timer()
+        self.continue_answer()
         self._watch_progress()
         self._owner.handle_sent()
 
     def _check_progress(self) -> None:
         self._timer = None
-        if not self.unsent_count and not self._is_finishing:
+        received_bytes = self._received_bytes()
+        if not self.is_sending and not self._is_finishing:
             self._owner.handle_sent()
-        elif self._received_bytes() > self._progress_bytes:
+        elif received_bytes > self._progress_bytes or (
+            # The caller has all that came from the upstream so far.
+            self._long is not None and received_bytes >= self._written_bytes
+        ):
             self._watch_progress()
-        elif self.unsent_count:
+        elif self.is_sending:
             self._owner.handle_stalled()
         else:
             self._transport.close()
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -11,7 +11,9 @@
 import attrs
 import httptools
 
+from gentianfold.forwarding.answer_stream import AnswerStream
 from gentianfold.forwarding.body import Body
+from gentianfold.forwarding.long_answer import FIRST_BYTES, HOLD_BYTES, stated_length
 from gentianfold.forwarding.memory_budget import (
     CLAIM_STEP_BYTES,
     FIELD_BYTES,
@@ -34,6 +36,9 @@
 """Returns whether a response belongs to the request."""
 ProgressCallback: TypeAlias = Callable[[], None]
 """Called whenever bytes of the response have arrived."""
+StreamOffer: TypeAlias = Callable[[Response], bool]
+"""Called with the head of a long response that belongs to the request and its stream;
+returns whether the caller takes it while it is being received."""
 
 
 class ExchangeFailure(enum.Enum):
@@ -67,11 +72,13 @@
     result: asyncio.Future[ExchangeResult]
     on_progress: ProgressCallback | None = None
     claim: Claim | None = None
+    offer: StreamOffer | None = None
+    stream: AnswerStream | None = None
     unmatched_count: int = 0
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """A connection that carries one exchange at a time.
+    """A connection that carries one exchange at a time. Implements ``AnswerSource``.
 
     Attributes:
         idle_since_s: Time at which the connection became idle (event loop time,
@@ -96,6 +103,8 @@
         self._head_bytes = 0
         self._loop = asyncio.get_running_loop()
         self._room_timer: asyncio.TimerHandle | None = None
+        self._is_held_back = False
+        self._is_paused = False
         self._transport: asyncio.Transport | None = None
         self._pending: _PendingResponse | None = None
         self._reset_parser()
@@ -111,6 +120,7 @@
         self._has_headers = False
         self._has_final_head = False
         self._is_close_delimited = False
+        self._stated_bytes: int | None = None
 
     # Exchange
 
@@ -130,10 +140,12 @@
         is_head: bool = False,
         on_progress: ProgressCallback | None = None,
         claim: Claim | None = None,
+        offer: StreamOffer | None = None,
     ) -> ExchangeResult:
         """Send a request and wait for its response.
 
-        A cancelled exchange closes the connection.
+        A cancelled exchange closes the connection. A response that is passed on while it
+        is received is returned with its stream when it is complete.
 
         Args:
             request: The encoded request, whole or in pieces.
@@ -142,13 +154,16 @@
             on_progress: Called whenever bytes have arrived.
             claim: Memory of the response, which gets it; reading pauses while there is
                 none. ``None`` for a response that is not counted.
+            offer: Called when a long response may be passed on while it is received,
+                until it returns True; ``None`` to receive any response whole.
         """
         if self._transport is None or self._transport.is_closing():
             return ExchangeFailure.CLOSED
         result: asyncio.Future[ExchangeResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._pending = _PendingResponse(accept, is_head, result, on_progress, claim)
+        pending = _PendingResponse(accept, is_head, result, on_progress, claim, offer)
+        self._pending = pending
         self._received_bytes = self._head_bytes = 0
         self.fault = ""
         pieces = request if isinstance(request, list) else [request]
@@ -157,6 +172,8 @@
             return await result
         finally:
             self._pending = None
+            if pending.stream is not None:
+                pending.stream.break_off()
             self._resume_reading()
             # Unsent bytes would reach the server in front of the next request.
             is_sent = self._transport.get_write_buffer_size() == 0
@@ -204,14 +221,41 @@
             except httptools.HttpParserError as error:
                 self._refuse(str(error))
                 return
+        self._pass_on()
         self._claim_received()
 
+    def _pass_on(self) -> None:
+        """Pass on what has come of a long response, or offer to."""
+        pending = self._pending
+        if pending is None or pending.result.done():
+            return
+        if pending.stream is not None:
+            pending.stream.flush()
+            return
+        size_bytes = self._stated_bytes or 0
+        if (
+            pending.offer is None
+            or not HOLD_BYTES < size_bytes <= MAX_RESPONSE_BYTES
+            or self._body.size_bytes < FIRST_BYTES
+        ):
+            return
+        stream = AnswerStream(size_bytes, pending.claim)
+        status = self._parser.get_status_code()
+        head = Response(status, self._headers, claim=pending.claim, stream=stream)
+        if pending.accept(head) and pending.offer(head):
+            pending.stream = stream
+            stream.begin(self, self._body)
+            self._body = Body()
+            stream.flush()
+
     def _claim_received(self) -> None:
         """Claim the bytes of the response; stop to read while there is no room."""
         pending = self._pending
         if pending is None or pending.claim is None:
             return
         size_bytes = self._received_bytes + FIELD_BYTES * len(self._headers)
+        if pending.stream is not None:
+            size_bytes = pending.stream.claimed_bytes
         if pending.result.done():
             # The bytes are here, and go to the caller.
             pending.claim.force_to(size_bytes)
@@ -219,10 +263,15 @@
             pending.claim.force_to(size_bytes)
             self._pause_reading()
 
+    def hold_back(self, is_held_back: bool) -> None:
+        """Stop to read from the upstream while the caller is slower, or read on."""
+        self._is_held_back = is_held_back
+        self._update_reading()
+
     def _pause_reading(self) -> None:
-        if self._transport is not None and self._room_timer is None:
-            self._transport.pause_reading()
+        if self._room_timer is None:
             self._await_room()
+            self._update_reading()
 
     def _await_room(self) -> None:
         self._room_timer = self._loop.call_later(ROOM_RETRY_S, self._read_if_room)
@@ -231,8 +280,7 @@
         self._room_timer = None
         claim = self._pending.claim if self._pending is not None else None
         if claim is None or claim.has_room(CLAIM_STEP_BYTES, self._loop.time()):
-            if self._transport is not None and not self._transport.is_closing():
-                self._transport.resume_reading()
+            self._update_reading()
         else:
             self._await_room()
 
@@ -240,8 +288,19 @@
         if self._room_timer is not None:
             self._room_timer.cancel()
             self._room_timer = None
-            if self._transport is not None and not self._transport.is_closing():
-                self._transport.resume_reading()
+        self._is_held_back = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        is_paused = self._is_held_back or self._room_timer is not None
+        transport = self._transport
+        if is_paused == self._is_paused or transport is None or transport.is_closing():
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
 
     def _take_piece(self, data: bytes) -> tuple[bytes, bytes]:
         """Split off the bytes to parse next; none if the head is too large.
@@ -304,6 +363,7 @@
         self._has_final_head = status >= 200
         if self._has_final_head:
             self._head_bytes = 0
+            self._stated_bytes = stated_length(self._headers)
         self._is_close_delimited = (
             not has_framing and status >= 200 and status not in (204, 304)
         )
@@ -315,7 +375,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
-        self._body.append(data)
+        pending = self._pending
+        if pending is None or pending.stream is None or pending.result.done():
+            self._body.append(data)
+        else:
+            pending.stream.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -336,7 +400,13 @@
             # An interim response; the final one follows.
             return
         keep_alive = self._parser.should_keep_alive() and not self._is_close_delimited
-        response = Response(status, self._headers, self._body, claim=pending.claim)
+        response = Response(
+            status,
+            self._headers,
+            self._body,
+            claim=pending.claim,
+            stream=pending.stream,
+        )
         if not pending.accept(response):
             self.is_reusable = False
             pending.unmatched_count += 1
@@ -349,6 +419,8 @@
         # An idle connection holds no bytes of its last response.
         self._headers, self._body = [], Body()
         pending.result.set_result(response)
+        if pending.stream is not None:
+            pending.stream.complete()
 
     def _refuse(self, fault: str) -> None:
         """Fail the exchange, as the bytes are no valid response."""
--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,8 @@
     is handled normally."""
     answer_padding: bytes = b""
     """Bytes behind the usual body of each answer."""
+    gate: anyio.Event | None = None
+    """Awaited before the last half of each answer is sent; ``None`` to send it at once."""
     status_line: bytes = b""
     """Replaces the status line of answers; empty for the usual one."""
     extra_headers: Headers = attrs.field(factory=list)
@@ -191,4 +193,9 @@
                 request.transport.close()
             case Behaviour.MALFORMED_RESPONSE:
                 return b"\x00\x01 not an answer\r\n\r\n"
+        if self.gate is not None:
+            half = len(response) // 2
+            request.transport.write(response[:half])
+            await self.gate.wait()
+            return response[half:]
         return response
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -100,6 +100,10 @@
         level = "INFO" if cause == "caller" else "WARNING"
         logger.log(level, "caller: {} answers cut, cause={}", count, cause)
 
+    def record_broken_off(self) -> None:
+        """Count an answer whose rest is missing, as its upstream sends no more."""
+        self.metrics.count("answers_broken_off")
+
     def start(
         self, request: CallerRequest, reply: Callable[[Response], None]
     ) -> Callable[[], None]:
@@ -111,7 +115,7 @@
 
         Returns:
             A function to call when the caller disconnects. It cancels the request
-            unless the request is committed to an upstream.
+            unless the request is committed to an upstream that has not answered yet.
         """
         scope = anyio.CancelScope()
         request_id = request.header(self.forwarder.header_names.request_id) or b""
@@ -121,7 +125,7 @@
 
         def handle_disconnect() -> None:
             record.caller_disconnected = request.is_abandoned = True
-            if not request.is_committed:
+            if not request.is_committed or request.is_passed_on:
                 scope.cancel()
 
         return handle_disconnect
@@ -141,7 +145,7 @@
                     names = self.forwarder.header_names
                     value = record.request_id.encode("latin-1")
                     response.headers.append((names.request_id, value))
-                if not record.caller_disconnected:
+                if not (record.caller_disconnected or request.is_passed_on):
                     reply(response)
         finally:
             self.running_count -= 1
