Let long answers take turns on the VM's link

Short answers waited behind long ones: an answer of 540 KB was handed to the system at once and filled the link's queue, 0.9 s at 5 Mbit/s for each.

All answers are counted when they are written, against nine tenths of machine.link_mbps. Short ones never wait; a long one writes a piece when the link has less than 10 ms to send, in turn with the others. Ruled out: bounds of the socket's buffer, which follow the window of one connection and not the sum on the link.

Tests of long answers have deadlines of a minute: on a busy machine the second attempt began 0.6 s before a deadline of 2 s and reached it (seen once, load 12).

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from gentianfold.forwarding.caller_handler import RequestHandler
     from gentianfold.forwarding.hangup_watcher import HangupWatcher
+    from gentianfold.forwarding.link_pacer import LinkPacer
     from gentianfold.forwarding.memory_budget import ConnectionLimit
 
 MAX_PIPELINED = 16
@@ -57,6 +58,7 @@
         hangups: HangupWatcher | None = None,
         memory: MemoryBudget | None = None,
         limit: ConnectionLimit | None = None,
+        link: LinkPacer | None = None,
     ) -> None:
         """Handle a connection that is about to be made.
 
@@ -67,6 +69,7 @@
                 end is noticed when reading goes on.
             memory: Memory of the process; ``None`` for no limit.
             limit: Limit on the connections of callers; ``None`` for none.
+            link: Gives long answers their turns on the link; ``None`` if it is wide.
         """
         self._handler = handler
         self._open_connections = open_connections
@@ -84,6 +87,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._memory = memory or MemoryBudget.unlimited()
         self._limit = limit
+        self._link = link
         self._claim = Claim(self._memory, Use.REQUEST)
         self._unread_claim = Claim(self._memory, Use.REQUEST)
         self._room_timer: asyncio.TimerHandle | None = None
@@ -103,11 +107,6 @@
         """Number of answers that were written and have not left the process."""
         return self._writer.unsent_count if self._writer is not None else 0
 
-    @property
-    def is_sending(self) -> bool:
-        """Whether bytes of an answer have left and others have not."""
-        return self._writer is not None and self._writer.is_sending
-
     def close_if_idle(self) -> None:
         """End the connection unless a request is being read or awaits its response."""
         if not self.is_awaiting:
@@ -144,7 +143,7 @@
         """Return since when the caller reads or sends too slowly; ``None`` if not."""
         if self._writer is None:
             return None
-        if self.is_sending:
+        if self._writer.is_sending:
             return self._writer.stalled_since_s(now_s)
         incoming = self._incoming
         if incoming is None or incoming.is_held or self._writer.waiting_count:
@@ -157,7 +156,7 @@
         if at_once and self.idle_since_s() is not None and self._transport is not None:
             self._stop_parsing()
             self._transport.close()
-        elif at_once or self.is_sending:
+        elif at_once or (self._writer is not None and self._writer.is_sending):
             self.cut("room")
             self._record_lost()
         else:
@@ -176,7 +175,7 @@
             self._transport.abort()
             return
         self._memory.add_holder(self)
-        self._writer = ResponseWriter(self._transport, self)
+        self._writer = ResponseWriter(self._transport, self, self._link)
         self._reading = PausableReading(
             self._transport, self._unread_claim, self._hangups, self._handle_hangup
         )
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -22,6 +22,8 @@
 import attrs
 
 from gentianfold.forwarding.answer_stream import AnswerStream
+from gentianfold.forwarding.link_pacer import LinkPacer
+from gentianfold.forwarding.link_schedule import MAX_PIECE_BYTES
 from gentianfold.forwarding.long_answer import HOLD_BYTES
 from gentianfold.forwarding.memory_budget import Claim, Progress
 from gentianfold.forwarding.messages import (
@@ -35,8 +37,6 @@
 """Time for which an ended connection is still read, so that bytes of the caller which
 cross the end don't reset the connection while the last answer is on its way (seconds).
 It begins anew as long as the caller receives."""
-PIECE_BYTES = 64 << 10
-"""Bytes of a long answer that the transport of one caller holds (bytes)."""
 
 
 @attrs.define(eq=False)
@@ -87,9 +87,22 @@
     Implements ``AnswerSink``.
     """
 
-    def __init__(self, transport: asyncio.Transport, owner: WriterOwner) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        owner: WriterOwner,
+        link: LinkPacer | None = None,
+    ) -> None:
+        """Write to a connection.
+
+        Args:
+            transport: The connection.
+            owner: Is told what has been written and sent.
+            link: Gives long responses their turns on the link; ``None`` if it is wide.
+        """
         self._transport = transport
         self._owner = owner
+        self._link = link
         self._loop = asyncio.get_running_loop()
         self._waiting: deque[PendingResponse] = deque()
         # Ends of the unsent responses in all that was written, and their memory.
@@ -178,7 +191,7 @@
             self._begin_long(pending, stream, close)
         else:
             pieces = encode_response(response, pending.is_head, close)
-            self._written_bytes += write_pieces(self._transport, pieces)
+            self._record_written(write_pieces(self._transport, pieces))
             self._unsent.append((self._written_bytes, response.claim))
             self._watch_progress()
             return True
@@ -186,9 +199,14 @@
 
     def write_bytes(self, data: bytes) -> None:
         """Write bytes that are no final response."""
-        self._written_bytes += len(data)
+        self._record_written(len(data))
         self._transport.write(data)
 
+    def _record_written(self, size_bytes: int) -> None:
+        self._written_bytes += size_bytes
+        if self._link is not None:
+            self._link.record(size_bytes)
+
     def cancel_waiting(self) -> None:
         """Cancel the requests whose responses are not complete."""
         waiting = [*self._waiting]
@@ -226,18 +244,27 @@
             if was_finishing:
                 self._end(lingers=True)
             return
+        limit_bytes = self._piece_bytes
         while (
-            stream.peek_bytes(PIECE_BYTES)
+            stream.peek_bytes(limit_bytes)
             and not self._transport.get_write_buffer_size()
+            and (self._link is None or self._link.take_turn(self))
         ):
-            piece = stream.take(PIECE_BYTES)
-            self._written_bytes += len(piece)
+            piece = stream.take(limit_bytes)
+            self._record_written(len(piece))
             self._transport.write(piece)
             stream.record_unsent(self._transport.get_write_buffer_size())
         if stream.is_taken:
             self._end_long(cast("Response", pending.response))
         self._watch_progress()
 
+    @property
+    def _piece_bytes(self) -> int:
+        """Bytes of a long response that the transport holds at most (bytes)."""
+        if self._link is None:
+            return MAX_PIECE_BYTES
+        return self._link.schedule.piece_bytes
+
     def _end_long(self, response: Response) -> None:
         self._long = None
         self._unsent.append((self._written_bytes, response.claim))
--- a/src/gentianfold/forwarding/tunnel_server.py
+++ b/src/gentianfold/forwarding/tunnel_server.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from gentianfold.forwarding.connection_pool import Address
+    from gentianfold.forwarding.link_pacer import LinkPacer
 
 MAX_PREFACE_BYTES = 512
 """Longest preface of a tunnel (bytes)."""
@@ -113,6 +114,7 @@
         connect_timeout_s: float,
         budget: MemoryBudget | None = None,
         limit: ConnectionLimit | None = None,
+        link: LinkPacer | None = None,
     ) -> None:
         """Handle a connection that is about to be made.
 
@@ -122,11 +124,13 @@
             connect_timeout_s: Timeout of connections to upstreams (seconds).
             budget: Memory of the process; ``None`` for no limit.
             limit: Limit on the connections of the listener; ``None`` for none.
+            link: Is told of the bytes that pass; ``None`` if they are not counted.
         """
         self._target = target
         self._tunnels = tunnels
         self._connect_timeout_s = connect_timeout_s
         self._limit = limit
+        self._link = link
         self._claim = Claim(budget, Use.ANSWER) if budget is not None else None
         self._opened_at_s = 0.0
         self._transport: asyncio.Transport | None = None
@@ -200,6 +204,8 @@
         """Pass on bytes of the response."""
         if self._transport is not None:
             self._transport.write(data)
+            if self._link is not None:
+                self._link.record(len(data))
 
     def finish(self) -> None:
         """End the connection behind the bytes that were passed on."""
--- a/src/gentianfold/vm/resource_limits.py
+++ b/src/gentianfold/vm/resource_limits.py
@@ -1,4 +1,4 @@
-"""Memory and descriptors of one VM, as budgets made from its settings."""
+"""Memory, descriptors and link of one VM, as budgets made from its settings."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 import attrs
 from loguru import logger
 
+from gentianfold.forwarding.link_pacer import LinkPacer
+from gentianfold.forwarding.link_schedule import LinkSchedule
 from gentianfold.forwarding.memory_budget import (
     MIN_CONNECTIONS,
     ConnectionLimit,
@@ -48,6 +50,8 @@
     """Connections for metrics."""
     tunnels: ConnectionLimit
     """Connections of other VMs for tunnels."""
+    link: LinkPacer
+    """Turns of long answers on the network link."""
     _reported: dict[str, int] = attrs.field(factory=dict)
     _next_report_s: float = 0.0
     _was_refusing: bool = False
@@ -68,6 +72,7 @@
             operators=ConnectionLimit(internal),
             metrics=ConnectionLimit(internal),
             tunnels=ConnectionLimit(internal),
+            link=LinkPacer(LinkSchedule(machine.link_mbps)),
         )
 
     @property
@@ -111,7 +116,7 @@
             )
         self._reported, self._was_refusing = counts, is_refusing
 
-    def gauges(self) -> dict[str, float]:
+    def gauges(self, now_s: float) -> dict[str, float]:
         """Return the gauges of the metrics page by name."""
         return {
             "memory_claimed_bytes": self.memory.used_bytes,
@@ -119,6 +124,7 @@
             "memory_capacity_bytes": self.memory.capacity_bytes,
             "caller_connections": self.callers.open_count,
             "caller_connections_limit": self.callers.capacity,
+            "link_used_mbps": self.link.schedule.used_mbps(now_s),
         }
 
     def refusals(self) -> dict[str, int]:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -174,7 +174,7 @@
         "broker_behind_seconds": node.broker.decisions.queue.behind_s(now_s),
         "upstream_connections_opened": handler.forwarder.pool.opened_count,
     }
-    for name, level in (gauges | resources.gauges()).items():
+    for name, level in (gauges | resources.gauges(now_s)).items():
         metrics.set_gauge(name, float(level))
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -14,10 +14,10 @@
 
 from gentianfold.forwarding import long_answer, response_writer
 from gentianfold.forwarding.caller_connection import CallerConnection
+from gentianfold.forwarding.link_schedule import MAX_PIECE_BYTES
 from gentianfold.forwarding.long_answer import FIRST_BYTES, HOLD_BYTES
 from gentianfold.forwarding.memory_budget import MemoryBudget, claim_answer
 from gentianfold.forwarding.messages import Response
-from gentianfold.forwarding.response_writer import PIECE_BYTES
 from gentianfold.forwarding.upstream_connection import ExchangeFailure
 
 pytestmark = pytest.mark.anyio
@@ -144,7 +144,7 @@
                 relay.upstream.data_received(rest.pop(0))
             else:
                 pauses += relay.is_held_back
-                assert 0 < relay.transport.take_all() <= PIECE_BYTES + len(HEAD)
+                assert 0 < relay.transport.take_all() <= MAX_PIECE_BYTES + len(HEAD)
                 relay.caller.resume_writing()
             peak = max(peak, relay.held_bytes())
             await settle()
--- a/tests/vm/test_long_answers.py
+++ b/tests/vm/test_long_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import attrs
 import pytest
 from conftest import (
     SEAL,
@@ -16,6 +17,7 @@
 from soak.narrow_link import connect_on_narrow_link
 
 from gentianfold.forwarding.long_answer import HOLD_BYTES
+from gentianfold.standins.site import make_configuration
 from gentianfold.standins.upstream import Behaviour
 
 pytestmark = pytest.mark.anyio
@@ -23,6 +25,18 @@
 PADDING = bytes(range(256)) * 2110
 
 
+def patient_configuration():
+    """Return a configuration whose deadlines a busy machine doesn't reach."""
+    configuration = make_configuration()
+    routes = [attrs.evolve(row, timeout_s=60.0) for row in configuration.routes]
+    return attrs.evolve(configuration, routes=tuple(routes))
+
+
+def patient_bytes(**options):
+    """Return a request whose caller waits for a minute."""
+    return request_bytes(**options).replace(b": 4000\r\n", b": 60000\r\n")
+
+
 def pad_answers(site, padding=PADDING):
     for upstream in site.upstreams.values():
         upstream.answer_padding = padding
@@ -64,12 +78,15 @@
 
 
 async def test_bytes_leave_before_the_last_one_has_come():
-    async with open_site(upstreams=1) as site, connect_caller(site.vms[0]) as stream:
+    async with (
+        open_site(1, configuration=patient_configuration()) as site,
+        connect_caller(site.vms[0]) as stream,
+    ):
         pad_answers(site)
         upstream = site.upstreams["u1"]
         upstream.gate = anyio.Event()
         with anyio.fail_after(30):
-            await stream.send(request_bytes() * 2)
+            await stream.send(patient_bytes() * 2)
             data = await receive_until(stream, len(PADDING) // 2)
             assert upstream.slots_in_use
             upstream.gate.set()
@@ -80,14 +97,14 @@
 
 async def test_a_caller_that_leaves_amid_an_answer_ends_it_at_the_upstream():
     # Also a request that runs once: its answer has come, so it has run.
-    async with open_site(upstreams=1) as site:
+    async with open_site(1, configuration=patient_configuration()) as site:
         pad_answers(site)
         (vm,) = site.vms
         upstream = site.upstreams["u1"]
         for path in ("/search/1", "/claim/1"):
             upstream.gate = anyio.Event()
             async with connect_caller(vm) as stream:
-                await stream.send(request_bytes(path=path, method="POST", body=b"b"))
+                await stream.send(patient_bytes(path=path, method="POST", body=b"b"))
                 await receive_until(stream, HOLD_BYTES)
             await wait_until(lambda: not upstream.slots_in_use)
         await wait_until(lambda: vm.resources.memory.used_bytes == 0)
@@ -141,12 +158,12 @@
 
 async def test_the_first_byte_of_two_attempts_decides():
     # The first attempt is late and stands still, the second one answers.
-    async with open_site(upstreams=2) as site:
+    async with open_site(2, configuration=patient_configuration()) as site:
         pad_answers(site)
         first, second = site.upstreams.values()
         first.behaviour = second.behaviour = Behaviour.HANG
         async with connect_caller(site.vms[0]) as stream:
-            await stream.send(request_bytes())
+            await stream.send(patient_bytes())
             await wait_until(lambda: sum(run_counts(site)) == 1)
             late, other = sorted(
                 (first, second), key=lambda row: -row.execution_counts.total()
@@ -173,14 +190,14 @@
 
 
 async def test_a_planned_stop_waits_for_the_rest_of_a_long_answer():
-    async with open_site(upstreams=1) as site:
+    async with open_site(1, configuration=patient_configuration()) as site:
         pad_answers(site, PADDING * 4)
         (vm,) = site.vms
         upstream = site.upstreams["u1"]
         upstream.gate = anyio.Event()
         endpoint = vm.settings.callers
         async with await connect_on_narrow_link(endpoint.host, endpoint.port) as stream:
-            await stream.send(request_bytes(path="/claim/1", method="POST", body=b"b"))
+            await stream.send(patient_bytes(path="/claim/1", method="POST", body=b"b"))
             data = await receive_until(stream, HOLD_BYTES)
             vm.stop_requested.set()
             await anyio.sleep(0.4)
