--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -235,6 +235,7 @@
             heartbeat.upstreams_revision,
             heartbeat.is_cut_off,
             heartbeat.evacuations.revision if heartbeat.evacuations else None,
+            heartbeat.link_used_mbps,
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -261,6 +261,8 @@
     evacuations_revision: StoreRevision | None = None
     """Revision as of which the VM knows the evacuated zones; ``None`` if it runs a build
     that doesn't know of evacuations."""
+    link_used_mbps: float = 0.0
+    """Use of the VM's network link by answers (megabits per second)."""
 
     @property
     def capacity(self) -> float:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -149,6 +149,8 @@
     """Whether the system never ran before the VM's process."""
     token_ask: TokenAsk = TokenAsk()
     """Use of the tokens that the broker has lent, and the wish for further ones."""
+    link_used_mbps: float = 0.0
+    """Use of the VM's link by answers (megabits per second)."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/src/gentianfold/fleet/node_heartbeat.py
+++ b/src/gentianfold/fleet/node_heartbeat.py
@@ -34,4 +34,5 @@
         view.evacuations.report(),
         node.broker.is_first_start,
         node.loans.ask(broker),
+        node.tunnels.link_used_mbps(now_s),
     )
--- a/src/gentianfold/fleet/tunnel_directory.py
+++ b/src/gentianfold/fleet/tunnel_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Callable
 
 import attrs
 
@@ -22,6 +23,8 @@
 
     candidates: tuple[str, ...] = ()
     """VMs that have paths to the upstreams, as told by the broker, best first."""
+    link_used_mbps: Callable[[float], float] = lambda _: 0.0
+    """Returns the use of this VM's link (megabits per second) at a time (seconds)."""
     _received: dict[str, tuple[bytes, float]] = attrs.field(factory=dict)
     _given: dict[str, tuple[bytes, float]] = attrs.field(factory=dict)
     _failed_s: dict[str, float] = attrs.field(factory=dict)
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -257,6 +257,7 @@
             self.settings.zones,
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
+        node.tunnels.link_used_mbps = self.resources.link.schedule.used_mbps
         node.on_tunnel_token = tunnels.record_token
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
--- a/tests/vm/test_tunnels.py
+++ b/tests/vm/test_tunnels.py
@@ -88,6 +88,23 @@
         )
 
 
+async def test_a_long_answer_passes_a_tunnel_whole_and_counts_on_its_link():
+    padding = bytes(range(256)) * 1200
+    async with open_site(vms=2) as site:
+        vm, other = site.vms[1], site.vms[0]
+        await wait_until(lambda: vm.is_member)
+        cut_off(site, vm)
+        for upstream in site.upstreams.values():
+            upstream.answer_padding = padding
+        status, _, body, _ = await send_request(vm, request_bytes())
+        assert (status, body) == (200, b"answer to r1" + padding)
+        link = other.resources.link.schedule
+        assert link.used_mbps(anyio.current_time()) > 0
+        # The broker learns of the others' by their heartbeats.
+        members = other._node.broker.member_table.members
+        await wait_until(lambda: members["127.0.0.2"].link_used_mbps > 0)
+
+
 async def test_the_broker_itself_uses_the_paths_of_its_members():
     async with open_site(vms=3) as site:
         await wait_until(lambda: all(vm.is_member for vm in site.vms[1:]))
