Read from upstreams into one buffer of 64 KiB

A VM could get 256,000 bytes of each answer in one read where 64 KiB are claimed before a request is sent, each in a new object beside the parser's copy. Reads go into one buffer that all connections to upstreams share now; what one brings is parsed before the next.

The new test fails on the code before (a read of 256,000 bytes).

--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -15,6 +15,7 @@
 from gentianfold.forwarding.body import Body
 from gentianfold.forwarding.long_answer import FIRST_BYTES, HOLD_BYTES, stated_length
 from gentianfold.forwarding.memory_budget import (
+    ANSWER_BYTES,
     CLAIM_STEP_BYTES,
     FIELD_BYTES,
     ROOM_RETRY_S,
@@ -31,6 +32,8 @@
 MAX_UNMATCHED_RESPONSES = 3
 """Responses to earlier requests after which a connection is closed (count); fewer are
 skipped."""
+_RECEIVED = memoryview(bytearray(ANSWER_BYTES))
+"""Buffer of all reads: what one brings is parsed before the next."""
 
 ResponseFilter: TypeAlias = Callable[[Response], bool]
 """Returns whether a response belongs to the request."""
@@ -77,9 +80,11 @@
     unmatched_count: int = 0
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection that carries one exchange at a time. Implements ``AnswerSource``.
 
+    One read brings ``ANSWER_BYTES`` at most, as much as is claimed before it.
+
     Attributes:
         idle_since_s: Time at which the connection became idle (event loop time,
             seconds); set by the connection pool.
@@ -195,7 +200,15 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return _RECEIVED
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer; the parser keeps copies only."""
+        self.data_received(_RECEIVED[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes; unexpected ones close the connection."""
         if self._pending is None:
             self.close()
@@ -302,7 +315,9 @@
         else:
             transport.resume_reading()
 
-    def _take_piece(self, data: bytes) -> tuple[bytes, bytes]:
+    def _take_piece(
+        self, data: bytes | memoryview
+    ) -> tuple[bytes | memoryview, bytes | memoryview]:
         """Split off the bytes to parse next; none if the head is too large.
 
         A read may hold the head and a long part of the body, which is not limited as
--- a/tests/forwarding/test_upstream_connection.py
+++ b/tests/forwarding/test_upstream_connection.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import anyio
 import anyio.lowlevel
 import pytest
 from forwarding.fake_transport import FakeTransport
 
+from gentianfold.forwarding.memory_budget import ANSWER_BYTES
 from gentianfold.forwarding.upstream_connection import (
     MAX_RESPONSE_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
@@ -14,6 +17,7 @@
     Response,
     UpstreamConnection,
 )
+from gentianfold.standins.http_server import HttpServer
 
 pytestmark = pytest.mark.anyio
 
@@ -196,3 +200,31 @@
         connection.eof_received()
         connection.connection_lost(None)
     return results[0]
+
+
+@pytest.mark.parametrize("anyio_backend", [("asyncio", {"use_uvloop": True})])
+async def test_one_read_brings_no_more_than_was_claimed_for_it(monkeypatch):
+    # 256,000 bytes came at once where 64 KiB were claimed.
+    body, sizes = bytes(range(256)) * 4000, []
+    parse = UpstreamConnection.data_received
+
+    def record(connection, data):
+        sizes.append(len(data))
+        parse(connection, data)
+
+    async def serve(_):
+        await anyio.lowlevel.checkpoint()
+        return answer(b"r1", body)
+
+    monkeypatch.setattr(UpstreamConnection, "data_received", record)
+    server = HttpServer(serve)
+    await server.open()
+    _, connection = await asyncio.get_running_loop().create_connection(
+        UpstreamConnection, "127.0.0.1", server.port
+    )
+    for _ in range(2):
+        result = await connection.exchange(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n", bool)
+        assert isinstance(result, Response) and result.body == body
+    assert max(sizes) <= ANSWER_BYTES
+    connection.close()
+    server.close()
