Give memory back after peaks of answers

A VM kept the pages of passed peaks: 3.9 MB of two dozen answers of 540 KB, as their pieces lie between others in the heap and the allocator gives back only its end.

Ruled out: larger pieces, which are given back by themselves, but hold more at the peak.

--- a/src/gentianfold/vm/resource_limits.py
+++ b/src/gentianfold/vm/resource_limits.py
@@ -19,6 +19,7 @@
     socket_capacity,
 )
 from gentianfold.platform.deployment import stated_max_files
+from gentianfold.vm.heap_trimmer import HeapTrimmer
 
 if TYPE_CHECKING:
     from gentianfold.settings import Settings
@@ -52,6 +53,8 @@
     """Connections of other VMs for tunnels."""
     link: LinkPacer
     """Turns of long answers on the network link."""
+    trimmer: HeapTrimmer = attrs.field(factory=HeapTrimmer)
+    """Gives memory back after peaks."""
     _reported: dict[str, int] = attrs.field(factory=dict)
     _next_report_s: float = 0.0
     _was_refusing: bool = False
@@ -86,6 +89,11 @@
             "tunnels": self.tunnels,
         }
 
+    def advance(self, now_s: float) -> None:
+        """Report what was refused, and give back memory after a peak."""
+        self.report(now_s)
+        self.trimmer.advance(self.memory.used_bytes, now_s)
+
     def report(self, now_s: float) -> None:
         """Log what was refused or ended since the last call, once a second at most."""
         if now_s < self._next_report_s:
@@ -124,6 +132,7 @@
             "memory_capacity_bytes": self.memory.capacity_bytes,
             "caller_connections": self.callers.open_count,
             "caller_connections_limit": self.callers.capacity,
+            "heap_trims": self.trimmer.trim_count,
             "link_used_mbps": self.link.schedule.used_mbps(now_s),
         }
 
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -370,7 +370,7 @@
             if ticks % MAINTENANCE_TICKS == 0:
                 self.pool.close_expired()
                 self._reload_if_changed()
-            self.resources.report(anyio.current_time())
+            self.resources.advance(anyio.current_time())
             self.log_writer.flush()
             await anyio.sleep(TICK_INTERVAL_S)
 
