--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -257,6 +257,7 @@
             self.settings.zones,
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
+        node.tunnels.link_used_mbps = self.resources.link.schedule.used_mbps
         node.on_tunnel_token = tunnels.record_token
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
@@ -292,6 +293,7 @@
                 self.hangups,
                 self.resources.memory,
                 self.resources.callers,
+                self.resources.link,
             ),
             *_socket_address(self.settings.callers),
             backlog=LISTEN_BACKLOG,
@@ -331,6 +333,7 @@
                     CONNECT_TIMEOUT_S,
                     self.resources.memory,
                     self.resources.tunnels,
+                    self.resources.link,
                 ),
                 self.settings.address,
                 self.settings.fleet.port,
@@ -367,7 +370,7 @@
             if ticks % MAINTENANCE_TICKS == 0:
                 self.pool.close_expired()
                 self._reload_if_changed()
-            self.resources.report(anyio.current_time())
+            self.resources.advance(anyio.current_time())
             self.log_writer.flush()
             await anyio.sleep(TICK_INTERVAL_S)
 
