Keep the retry budget by construction, and let retries wait for it

Cause: the budget used 0.6 of the ratio and 0.4 of the slack, all of it in the first seconds and for retries of which half were rejected again; each new broker began with a whole slack. A retry that got no slot was counted all the same. Ruled out: all of the bound in a sliding window (the next broker knows nothing of it). Change: a budget that adds up with the counted requests and the time for which a share is held; a queue of retries that waits for it, and for the end of the rejections where the deadline allows that.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -35,7 +35,8 @@
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
-    from gentianfold.placement.slot_scheduler import Decision, SlotScheduler
+    from gentianfold.placement.slot_request import Decision
+    from gentianfold.placement.slot_scheduler import SlotScheduler
 
 ANNOUNCE_INTERVAL_S = 1.0
 """Time between two announcements to possible other brokers (seconds)."""
--- a/src/gentianfold/fleet/decision_loop.py
+++ b/src/gentianfold/fleet/decision_loop.py
@@ -16,8 +16,8 @@
 from gentianfold.placement.admission import BEHIND_S, AdmissionQueue
 
 if TYPE_CHECKING:
-    from gentianfold.placement.slot_request import SlotRequest
-    from gentianfold.placement.slot_scheduler import Decision, SlotScheduler
+    from gentianfold.placement.slot_request import Decision, SlotRequest
+    from gentianfold.placement.slot_scheduler import SlotScheduler
 
 DECISIONS_PER_SLICE = 4
 """Decisions between two reads of the socket (count): an eighth of the datagrams that
--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -57,6 +57,14 @@
                 load.healthy_in_use,
                 load.shedding,
             )
+        for retries in scheduler.retries.loads(now_s):
+            logger.info(
+                "retries: service={} waiting={} budget_left={:.0f} rejecting_ms={:.0f}",
+                retries.service,
+                retries.waiting,
+                retries.budget_left,
+                retries.rejecting_s * 1000,
+            )
 
     def log_upstreams(
         self,
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -10,6 +10,7 @@
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.grant import apply_outcome
 from gentianfold.placement.outcome import Outcome
+from gentianfold.placement.rejection_table import RejectionTable
 from gentianfold.placement.stated_limits import StatedLimits
 from gentianfold.placement.transfer_table import TransferTable
 
@@ -38,6 +39,8 @@
     """Usual elapsed times by route and by service."""
     transfers: TransferTable = attrs.field(factory=TransferTable)
     """Usual sizes of requests with their responses, by route."""
+    rejections: RejectionTable = attrs.field(factory=RejectionTable)
+    """Services that reject many requests."""
     stated_limits: StatedLimits = attrs.field(init=False)
     """Rate limits that upstreams state."""
 
@@ -70,6 +73,7 @@
         """
         tracker, request = grant.tracker, grant.request
         self._apply(grant, outcome, elapsed_s, now_s)
+        self.rejections.record(request.service, outcome, now_s)
         if pause_s is not None:
             tracker.paused_until_s[request.vm] = now_s + pause_s
         if outcome is Outcome.CONNECT_FAILED:
--- a/src/gentianfold/placement/slot_request.py
+++ b/src/gentianfold/placement/slot_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import TypeAlias
 
 import attrs
 
@@ -14,6 +15,10 @@
 """Retry delay while another VM holds the customer's limit (seconds): most brokers are
 replaced within it."""
 
+NO_UPSTREAM_RETRY_S = 0.5
+"""Retry delay for a service without upstreams (seconds): upstreams that restart are
+listed within about a second."""
+
 
 class GrantReason(enum.IntEnum):
     """Why an upstream was chosen; the numbers are sent between VMs."""
@@ -139,3 +144,7 @@
     """Time after which the caller should retry (seconds)."""
     ahead: int = 0
     """Requests of the service that would have been served first (count)."""
+
+
+Decision: TypeAlias = Granted | Queued | Refused
+"""Result of a request for a slot."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -25,9 +25,12 @@
 from gentianfold.placement.queue_pass import QueuePass
 from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget
+from gentianfold.placement.retry_queue import RetryQueue
 from gentianfold.placement.running_requests import observe_grants
 from gentianfold.placement.slot_ledger import SlotLedger
 from gentianfold.placement.slot_request import (
+    NO_UPSTREAM_RETRY_S,
+    Decision,
     Granted,
     GrantReason,
     Queued,
@@ -52,13 +55,6 @@
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
-NO_UPSTREAM_RETRY_S = 0.5
-"""Retry delay for a service without upstreams (seconds): upstreams that restart are
-listed within about a second."""
-
-Decision: TypeAlias = Granted | Queued | Refused
-"""Result of a request for a slot."""
-
 
 @attrs.define(eq=False)
 class SlotScheduler:
@@ -91,6 +87,8 @@
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
+    retries: RetryQueue = attrs.field(init=False)
+    """Retries that wait for the budget."""
 
     def __attrs_post_init__(self) -> None:
         self._ledger = SlotLedger(self._trackers, self._order)
@@ -101,6 +99,7 @@
             lambda service: self._state(service).demand,
             self.elapsed,
         )
+        self.retries = RetryQueue(self.budget, self._outcomes.rejections)
         self.lent = LentSlots(
             self._ledger, self._outcomes.record, self.count_first_attempt
         )
@@ -117,7 +116,7 @@
             valid_s: Time after which the fraction is 0 unless set again (seconds).
         """
         self.quota.set_share(share, mature_share, now_s, valid_s)
-        self.budget.share = share
+        self.budget.set_share(share, now_s, valid_s)
         self.warmups.set_share(share, now_s, valid_s)
 
     # Upstreams
@@ -167,7 +166,7 @@
                 upstream, GrantReason.BEST, self._outcomes.expected_s(request)
             )
         queue = self._waiting.queue(request.service)
-        if key in queue:
+        if key in queue or key in self.retries:
             return Queued(len(queue))
         if request.fingerprint and not self.crashes.try_acquire(
             request.fingerprint, now_s
@@ -185,10 +184,7 @@
                 demand.count_unserved(now_s)
                 return self.quota.refuse(request.customer, now_s)
             self.budget.count_request(request.service, now_s)
-        decision = self._place_new(request, queue, now_s)
-        if isinstance(decision, Refused):
-            self._count_refused(request, decision, now_s)
-        return decision
+        return self._place_or_refuse(request, now_s)
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
@@ -204,7 +200,8 @@
 
     def is_known(self, key: SlotRequestKey) -> bool:
         """Tell whether a slot request holds a slot or waits for one."""
-        return key in self._ledger.grants or key in self._waiting
+        is_waiting = key in self._waiting or key in self.retries
+        return is_waiting or key in self._ledger.grants
 
     def _can_wait_for_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows the request before it is late."""
@@ -240,6 +237,7 @@
         grant = self._ledger.free(key)
         if grant is None:
             self._waiting.remove(key)
+            self.retries.remove(key)
             return
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self._outcomes.record(grant, outcome, elapsed_s, now_s, *stated)
@@ -280,11 +278,16 @@
         """Free the slots of a VM and remove its queued requests."""
         self._ledger.free_vm(vm)
         self._waiting.remove_vm(vm)
+        self.retries.remove_vm(vm)
 
     def advance(
         self, now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         """Grant free slots to queued requests; refuse those past their latest start."""
+        for request, refused in list(self.retries.due(now_s)):
+            decision = refused or self._place_or_refuse(request, now_s, is_counted=True)
+            if not isinstance(decision, Queued):
+                yield request.key, decision
         changed, self._ledger.changed = self._ledger.changed, set()
         for service, queue in self._waiting.services():
             index = self._state(service).queue_index
@@ -295,14 +298,8 @@
         """Update acceptance and slowness of upstreams from their running requests."""
         self.warmups.expire(now_s)
         share, changes = self.quota.share, self.state_changes
-        observe_grants(
-            self._trackers,
-            self._ledger.grants,
-            self._outcomes.expected_s,
-            share,
-            changes,
-            now_s,
-        )
+        grants, expected_s = self._ledger.grants, self._outcomes.expected_s
+        observe_grants(self._trackers, grants, expected_s, share, changes, now_s)
         self._update_working_sets(now_s)
 
     def _update_working_sets(self, now_s: float, has_changed: bool = False) -> None:
@@ -330,8 +327,8 @@
 
     @property
     def waiting_count(self) -> int:
-        """Number of requests that wait for a slot."""
-        return len(self._waiting)
+        """Number of requests that wait for a slot, or for the retry budget."""
+        return len(self._waiting) + len(self.retries)
 
     @property
     def granted_count(self) -> int:
@@ -340,18 +337,28 @@
 
     # Decisions
 
-    def _place_new(
-        self,
-        request: SlotRequest,
-        queue: dict[SlotRequestKey, QueueEntry],
-        now_s: float,
+    def _place_or_refuse(
+        self, request: SlotRequest, now_s: float, is_counted: bool = False
     ) -> Decision:
+        """Decide on a request; a retry may have been counted by its budget before."""
+        decision: Decision | None = None
+        if request.attempt > 1 and not is_counted:
+            expected_s = self._outcomes.expected_s(request)
+            decision = self.retries.decide(request, expected_s, now_s)
+        if decision is None:
+            decision = self._place(request, now_s)
+            if isinstance(decision, Refused):
+                self.retries.give_back(request, now_s)
+        if isinstance(decision, Refused):
+            self._count_refused(request, decision, now_s)
+        return decision
+
+    def _place(self, request: SlotRequest, now_s: float) -> Decision:
+        queue = self._waiting.queue(request.service)
         service_pool = self._trackers.pool(request.service)
         pool = service_pool.within(request.zones)
         if not pool.trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
-        if request.attempt > 1 and not self.budget.try_acquire(request.service, now_s):
-            return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
@@ -410,7 +417,10 @@
         ]
         for key, entry in late:
             self._waiting.remove(key)
-            yield key, self._decide_late(entry, pool, len(queue), now_s)
+            decision = self._decide_late(entry, pool, len(queue), now_s)
+            if isinstance(decision, Refused):
+                self.retries.give_back(entry.request, now_s)
+            yield key, decision
 
     def _decide_late(
         self, entry: QueueEntry, pool: UpstreamPool, ahead: int, now_s: float
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -129,6 +129,7 @@
         "requests_under_way": handler.under_way_count,
         "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
+        "retries_waiting": len(node.scheduler.retries),
         "slots_in_use": node.scheduler.granted_count,
         "slots_lent_idle": node.scheduler.lent.idle_count,
         "slots_recalled": node.broker.loans.recall_count,
