Plan slots until the deadline for requests that miss their target

What callers saw: while a service was short of slots for some seconds, requests that could not meet their target were refused although slots were free long before their deadline. With deadlines of eight times the target, requests waited for a tenth of their time left under a lasting overload: half of those served were late, a third of the refusals came after an eighth of the target. Cause: the limit of a wait knew target and time left, not the service. Ruled out: waiting to the deadline (lasting overload); a share of slots for late requests. Change: a late place behind all that can meet their target, if slots are left by the arrivals expected; waits are planned with a margin; the tenth of the time left counts twice the target at most. Decisions on waits are a module.

--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -16,8 +16,8 @@
     from gentianfold.placement.wait_table import WaitClass
 
 
-SortKey: TypeAlias = tuple[int, bool, int, int, float]
-"""Priority, over fair share, route priority, slots held, time queued (seconds)."""
+SortKey: TypeAlias = tuple[bool, int, bool, int, int, float]
+"""Late, priority, over fair share, route priority, slots held, time queued (seconds)."""
 
 
 @attrs.define
@@ -39,13 +39,15 @@
             held.pop(request.customer, None)
 
     def sort_key(self, entry: QueueEntry) -> SortKey:
-        """Return priority, over fair share, route priority, slots held and time queued.
+        """Return late, priority, over fair share, route priority, slots held, time queued.
 
+        A request that misses its target gives way to those that can still meet theirs.
         A customer's priority is the same for all of its requests, so route priorities
         order them; otherwise long work that can wait would delay short, urgent work.
         """
         held = self._held(entry.request)
-        return *self.wait_class(entry)[1:], held, entry.queued_at_s
+        wait_class = self.wait_class(entry)
+        return entry.is_late, *wait_class[1:], held, entry.queued_at_s
 
     def new_key(self, request: SlotRequest, now_s: float) -> SortKey:
         """Return the sort key of a request that arrives now."""
--- a/src/gentianfold/placement/retry_queue.py
+++ b/src/gentianfold/placement/retry_queue.py
@@ -16,6 +16,8 @@
 
 import attrs
 
+from gentianfold.placement.capacity_plan import PLAN_FACTOR
+from gentianfold.placement.queue_entry import START_FACTOR
 from gentianfold.placement.slot_request import Queued, RefusalReason, Refused
 
 if TYPE_CHECKING:
@@ -26,12 +28,6 @@
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.waiting_requests import SlotRequestKey
 
-START_FACTOR = 1.5
-"""Time left with which a retry is still sent, as a multiple of its expected time: most
-requests of a route end within it."""
-PLAN_FACTOR = 1.1
-"""Factor by which an expected wait for the budget is multiplied before a retry waits for
-it: one that was held in vain is worse for its caller than one refused at once."""
 RECOVERY_S = 5.0
 """Shortest time for which a rejecting service is expected to go on (seconds): that of a
 restart. One that has lasted for long is expected to go on for half as long again."""
--- a/src/gentianfold/placement/service_demand.py
+++ b/src/gentianfold/placement/service_demand.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from gentianfold.placement.capacity_plan import ArrivalRates
+
 TIME_CONSTANT_S = 2.0
 """Time constant of the decay of the counts (seconds): failing requests must not keep
 upstreams without requests for longer than that."""
@@ -27,6 +29,8 @@
 class ServiceDemand:
     """Decaying counts of the requests of one service, and a bucket for exploration."""
 
+    arrivals: ArrivalRates = attrs.field(factory=ArrivalRates)
+    """Rates at which requests come."""
     _requests: float = 0.0
     _idempotent: float = 0.0
     _unserved: float = 0.0
@@ -36,6 +40,7 @@
     def count_request(self, idempotent: bool, now_s: float) -> None:
         """Count the first attempt of a request."""
         self._decay(now_s)
+        self.arrivals.count(now_s)
         self._requests += 1
         self._idempotent += idempotent
         self._explore_tokens = min(
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -23,7 +23,7 @@
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
 from gentianfold.placement.queue_pass import QueuePass
-from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
+from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.retry_queue import RetryQueue
 from gentianfold.placement.running_requests import observe_grants
@@ -39,12 +39,7 @@
     SlotRequest,
 )
 from gentianfold.placement.tracker_table import TrackerTable
-from gentianfold.placement.wait_estimate import (
-    competing_part,
-    estimate_wait_s,
-    shortest_pause_s,
-)
-from gentianfold.placement.wait_table import WaitTable
+from gentianfold.placement.wait_planner import WaitPlanner
 from gentianfold.placement.waiting_requests import SlotRequestKey, WaitingRequests
 from gentianfold.placement.warmup_limiter import WarmupBudget
 
@@ -52,6 +47,7 @@
     from collections.abc import Iterable, Iterator
 
     from gentianfold.model import Upstream
+    from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
@@ -81,12 +77,12 @@
         default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
     )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
-    _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
     lent: LentSlots = attrs.field(init=False)
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
+    _planner: WaitPlanner = attrs.field(init=False)
     retries: RetryQueue = attrs.field(init=False)
     """Retries that wait for the budget."""
 
@@ -96,8 +92,16 @@
             self._trackers,
             self.quota,
             self.state_changes,
-            lambda service: self._state(service).demand,
+            self._demand,
+            self.elapsed,
+        )
+        self._planner = WaitPlanner(
+            self._trackers,
+            self._waiting,
+            self._order,
             self.elapsed,
+            self._outcomes.expected_s,
+            self._demand,
         )
         self.retries = RetryQueue(self.budget, self._outcomes.rejections)
         self.lent = LentSlots(
@@ -314,6 +318,9 @@
             state = self._states[service] = ServiceState()
         return state
 
+    def _demand(self, service: str) -> ServiceDemand:
+        return self._state(service).demand
+
     def queued_services(self, now_s: float) -> Iterator[ServiceLoad]:
         """Yield the load of each service that has requests in its queue."""
         for service, queue in self._waiting.services():
@@ -355,8 +362,7 @@
 
     def _place(self, request: SlotRequest, now_s: float) -> Decision:
         queue = self._waiting.queue(request.service)
-        service_pool = self._trackers.pool(request.service)
-        pool = service_pool.within(request.zones)
+        pool = self._trackers.pool(request.service).within(request.zones)
         if not pool.trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         index = self._state(request.service).queue_index
@@ -365,19 +371,13 @@
             granted = self._grant(request, pool, now_s)
             if granted is not None:
                 return granted
-        slot_time_s = self.elapsed.slot_time_s(request.service)
-        part = len(pool.trackers) / len(service_pool.trackers)
-        homes = self._waiting.homes(request.service)
-        competing = ahead * competing_part(request.zones, homes, len(queue), part)
-        estimated_s = estimate_wait_s(pool, slot_time_s, competing, now_s)
-        entry = QueueEntry(request, now_s, estimated_s)
-        wait_class = self._order.wait_class(entry)
-        wait_s = estimated_s * self._wait_table.factor(wait_class, now_s)
-        wait_s = max(wait_s, shortest_pause_s(pool.trackers, request.vm, now_s))
-        if now_s + wait_s > entry.latest_start_s(self._outcomes.expected_s(request)):
-            if degraded := self._grant_degraded(request, pool, now_s):
+        entry = self._planner.plan(request, ahead, now_s)
+        if isinstance(entry, Refused) or entry.is_late:
+            degraded = self._grant_degraded(request, pool, now_s)
+            if degraded is not None:
                 return degraded
-            return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
+        if isinstance(entry, Refused):
+            return entry
         self._queue_request((request.vm, request.slot_request_id), entry)
         return Queued(ahead)
 
@@ -403,7 +403,7 @@
             if granted is None:
                 queue_pass.pass_over(entry.request)
                 continue
-            self._record_wait(entry, now_s)
+            self._planner.record(entry, now_s)
             self._waiting.remove(key)
             yield key, granted
         queue_pass.finish()
@@ -416,6 +416,10 @@
             or now_s > entry.latest_start_s(self._outcomes.expected_s(entry.request))
         ]
         for key, entry in late:
+            if not entry.is_late and self._planner.may_be_late(entry, now_s):
+                self._planner.record(entry, now_s)
+                entry.is_late = True
+                continue
             self._waiting.remove(key)
             decision = self._decide_late(entry, pool, len(queue), now_s)
             if isinstance(decision, Refused):
@@ -436,13 +440,11 @@
         if not self._has_token(request, now_s):
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
-        self._record_wait(entry, now_s)
+        self._planner.record(entry, now_s)
         if degraded := self._grant_degraded(request, pool, now_s):
             return degraded
         demand.count_unserved(now_s)
-        slot_time_s = self.elapsed.slot_time_s(request.service)
-        wait_s = estimate_wait_s(pool, slot_time_s, ahead, now_s)
-        return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
+        return self._planner.refuse_late(request, pool, ahead, now_s)
 
     def _has_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows to send the request now."""
@@ -488,9 +490,3 @@
             self._outcomes.expected_s(request),
             candidate_count,
         )
-
-    def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
-        waited_s = now_s - entry.queued_at_s
-        self._wait_table.record(
-            self._order.wait_class(entry), entry.estimated_s, waited_s, now_s
-        )
--- a/src/gentianfold/placement/upstream_pool.py
+++ b/src/gentianfold/placement/upstream_pool.py
@@ -189,13 +189,26 @@
             slot_time_s: Usual time for which a request holds a slot (seconds).
             now_s: Current time (seconds).
         """
+        return self.healthy_in_use + self._slots_of_limited(slot_time_s, now_s)
+
+    def usable_slots(self, slot_time_s: float, now_s: float) -> float:
+        """Return the slots of healthy upstreams, those without requests among them (count).
+
+        Args:
+            slot_time_s: Usual time for which a request holds a slot (seconds).
+            now_s: Current time (seconds).
+        """
+        return self.healthy_slots + self._slots_of_limited(slot_time_s, now_s)
+
+    def _slots_of_limited(self, slot_time_s: float, now_s: float) -> float:
+        """Return the slots that upstreams held to a rate use under load (count)."""
         if now_s >= self._limited_until_s:
             self._limited_until_s = now_s + LIMITED_REFRESH_S
             self._limited_slots = sum(
                 tracker.held_slots(slot_time_s, now_s)
                 for tracker in self._limited.values()
             )
-        return self.healthy_in_use + self._limited_slots
+        return self._limited_slots
 
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether any healthy upstream would start a request at once."""
--- a/src/gentianfold/reports/load_patterns.py
+++ b/src/gentianfold/reports/load_patterns.py
@@ -60,6 +60,13 @@
     """Number of servers; ``REGISTRY_REQUESTS`` is the load of a service with 14."""
     request_kinds: tuple[RequestKind, ...] = REGISTRY_REQUESTS
     """Kinds of requests that arrive."""
+    swing: float = 0.0
+    """Part by which the rates rise and fall in each ``WAVE_PERIOD_S``, 0 to 1."""
+    rejecting_share: float = 0.0
+    """Share of its requests that each server rejects at once in ``REJECTING_S``, 0 to 1."""
+    hot_customer_factor: float = 1.0
+    """Factor by which one of ten customers, all equal otherwise, multiplies its
+    requests; they come on top of the others."""
     customer_priority: int | None = None
     """Priority of all customers, 0 is most urgent; ``None`` if the customers have none,
     so that the priority of the route applies."""
@@ -71,6 +78,11 @@
 )
 """Short urgent and long tolerant requests of an overloaded service; the rates are scaled
 to the total slots of the modelled servers."""
+PATIENT_REQUESTS = (
+    RequestKind("status", 42.0, 0.35, 1.5, 8.0, 1, 2, True),
+    RequestKind("confirm", 60.0, 0.30, 1.5, 8.0, 2, 1, False),
+)
+"""Requests whose deadlines are several times their target latency."""
 SLOTS_PER_SERVER = 6
 """Requests that a server processes concurrently (count)."""
 VM_COUNT = 32
@@ -78,6 +90,12 @@
 FAILURE_PERIOD_S = 8.0
 """Length of a failure period (seconds); failures of registry upstreams last about as
 long."""
+WAVE_PERIOD_S = 15.0
+"""Time between two peaks of a load that swings (seconds)."""
+REJECTING_S = (10.0, 18.0)
+"""Start and end of the time in which servers reject requests (seconds)."""
+CUSTOMER_COUNT = 10
+"""Customers of a load with a hot one (count)."""
 LOAD_PATTERNS = (
     LoadPattern("calm", 0.58),
     LoadPattern("ordinary"),
@@ -89,5 +107,21 @@
     LoadPattern(
         "long work", request_kinds=ORDER_AND_SURVEY_REQUESTS, customer_priority=1
     ),
+    LoadPattern("patient", 3.0, failing_share=0.1, request_kinds=PATIENT_REQUESTS),
+    LoadPattern(
+        "patient waves",
+        1.9,
+        failing_share=0.1,
+        request_kinds=PATIENT_REQUESTS,
+        swing=0.55,
+    ),
+    LoadPattern(
+        "rejecting",
+        0.6,
+        failing_share=0.0,
+        request_kinds=PATIENT_REQUESTS,
+        rejecting_share=0.55,
+    ),
+    LoadPattern("hot customer", 2.0, failing_share=0.1, hot_customer_factor=5.0),
 )
 """Loads of ``gentianfold report placement``, in the order of its rows."""
--- a/src/gentianfold/reports/placement_model.py
+++ b/src/gentianfold/reports/placement_model.py
@@ -21,9 +21,12 @@
 from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
 from gentianfold.placement.slot_scheduler import SlotScheduler
 from gentianfold.reports.load_patterns import (
+    CUSTOMER_COUNT,
     FAILURE_PERIOD_S,
+    REJECTING_S,
     SLOTS_PER_SERVER,
     VM_COUNT,
+    WAVE_PERIOD_S,
     LoadPattern,
     RequestKind,
 )
@@ -159,11 +162,12 @@
 
         Args:
             duration_s: Time during which requests arrive (seconds). Attempts that end
-                more than 3 s later are not counted.
+                more than 3 s later, or the longest deadline later, are not counted.
         """
         arrivals = self._draw_arrivals(duration_s)
         index = 0
-        while self._now_s < duration_s + 3:
+        longest_s = max(kind.timeout_s for kind in self.pattern.request_kinds)
+        while self._now_s < duration_s + max(longest_s, 3):
             self._now_s += TIME_STEP_S
             while index < len(arrivals) and arrivals[index][0] <= self._now_s:
                 self._start_request(arrivals[index][1])
@@ -187,10 +191,24 @@
             at_s = 0.0
             while at_s < duration_s:
                 scaled_rate_per_s = kind.rate_per_s * self.pattern.load_factor
-                at_s += self._random.expovariate(scaled_rate_per_s)
+                at_s += self._random.expovariate(
+                    scaled_rate_per_s * self._wave_factor(at_s)
+                )
                 arrivals.append((at_s, kind))
         return sorted(arrivals, key=lambda arrival: arrival[0])
 
+    def _wave_factor(self, at_s: float) -> float:
+        angle = 2 * math.pi * at_s / WAVE_PERIOD_S
+        return 1 + self.pattern.swing * math.sin(angle)
+
+    def _draw_customer(self) -> str:
+        """Return the customer of a request; empty if no customer is hot."""
+        hot_factor = self.pattern.hot_customer_factor
+        if hot_factor == 1:
+            return ""
+        number = self._random.random() * (CUSTOMER_COUNT - 1 + hot_factor)
+        return f"c{max(int(number - hot_factor + 1), 0)}"
+
     def _make_scheduler(self, index: int) -> SlotScheduler:
         chooser = Chooser(random=random.Random(self.seed * 1000 + index))
         scheduler = SlotScheduler(chooser=chooser)
@@ -224,7 +242,7 @@
             next(self._slot_request_ids),
             SERVICE,
             kind.name,
-            "",
+            self._draw_customer(),
             self._request_priority(kind),
             kind.priority,
             kind.idempotent,
@@ -290,12 +308,16 @@
             server.slots_in_use += 1
             fails = self._is_failing(server.name) and self._random.random() < 0.9
             fails |= server.is_partly_failing and self._random.random() < 0.5
+            is_rejected = self._is_rejected()
+            fails |= is_rejected
             mean_s = attempt.kind.mean_processing_time_s * server.slow_factor
             processing_time_s = self._random.lognormvariate(
                 math.log(mean_s) - PROCESSING_TIME_SIGMA**2 / 2, PROCESSING_TIME_SIGMA
             )
             time_left_s = attempt.arrived_s + attempt.kind.timeout_s - self._now_s
             outcome = Outcome.FAILED if fails else Outcome.SUCCEEDED
+            if is_rejected:
+                outcome = Outcome.SHED
             if not fails and processing_time_s > time_left_s:
                 outcome, processing_time_s = Outcome.TIMED_OUT, max(time_left_s, 0.0)
             duration_s = FAILURE_RESPONSE_TIME_S if fails else processing_time_s
@@ -306,6 +328,15 @@
                 self._completions, (end_s, slot_request_id, attempt, outcome, elapsed_s)
             )
 
+    def _is_rejected(self) -> bool:
+        share = self.pattern.rejecting_share
+        start_s, end_s = REJECTING_S
+        return (
+            share > 0
+            and start_s <= self._now_s < end_s
+            and (self._random.random() < share)
+        )
+
     def _is_failing(self, name: str) -> bool:
         """Return whether a server is in a failure period.
 
@@ -341,12 +372,14 @@
         elif outcome is Outcome.TIMED_OUT and not kind.idempotent:
             self.totals.timed_out += 1
             self.totals.failed += 1
-        elif kind.idempotent and request.attempt == 1 and server is not None:
+        elif server is not None and (
+            outcome is Outcome.SHED or (kind.idempotent and request.attempt == 1)
+        ):
             retry = attrs.evolve(
                 request,
                 slot_request_id=next(self._slot_request_ids),
                 attempt=2,
-                excluded=(server.name,),
+                excluded=(*request.excluded, server.name)[-3:],
                 time_left_s=kind.timeout_s - latency_s,
                 target_left_s=kind.target_latency_s - latency_s,
             )
