--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -23,11 +23,14 @@
 from gentianfold.placement.queue_entry import QueueEntry
 from gentianfold.placement.queue_order import QueueOrder
 from gentianfold.placement.queue_pass import QueuePass
-from gentianfold.placement.quota_table import MIN_RETRY_AFTER_S, QuotaTable
+from gentianfold.placement.quota_table import QuotaTable
 from gentianfold.placement.retry_budget import RetryBudget
+from gentianfold.placement.retry_queue import RetryQueue
 from gentianfold.placement.running_requests import observe_grants
 from gentianfold.placement.slot_ledger import SlotLedger
 from gentianfold.placement.slot_request import (
+    NO_UPSTREAM_RETRY_S,
+    Decision,
     Granted,
     GrantReason,
     Queued,
@@ -36,12 +39,7 @@
     SlotRequest,
 )
 from gentianfold.placement.tracker_table import TrackerTable
-from gentianfold.placement.wait_estimate import (
-    competing_part,
-    estimate_wait_s,
-    shortest_pause_s,
-)
-from gentianfold.placement.wait_table import WaitTable
+from gentianfold.placement.wait_planner import WaitPlanner
 from gentianfold.placement.waiting_requests import SlotRequestKey, WaitingRequests
 from gentianfold.placement.warmup_limiter import WarmupBudget
 
@@ -49,16 +47,10 @@
     from collections.abc import Iterable, Iterator
 
     from gentianfold.model import Upstream
+    from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
-NO_UPSTREAM_RETRY_S = 0.5
-"""Retry delay for a service without upstreams (seconds): upstreams that restart are
-listed within about a second."""
-
-Decision: TypeAlias = Granted | Queued | Refused
-"""Result of a request for a slot."""
-
 
 @attrs.define(eq=False)
 class SlotScheduler:
@@ -85,12 +77,14 @@
         default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
     )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
-    _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
     lent: LentSlots = attrs.field(init=False)
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
+    _planner: WaitPlanner = attrs.field(init=False)
+    retries: RetryQueue = attrs.field(init=False)
+    """Retries that wait for the budget."""
 
     def __attrs_post_init__(self) -> None:
         self._ledger = SlotLedger(self._trackers, self._order)
@@ -98,9 +92,18 @@
             self._trackers,
             self.quota,
             self.state_changes,
-            lambda service: self._state(service).demand,
+            self._demand,
             self.elapsed,
         )
+        self._planner = WaitPlanner(
+            self._trackers,
+            self._waiting,
+            self._order,
+            self.elapsed,
+            self._outcomes.expected_s,
+            self._demand,
+        )
+        self.retries = RetryQueue(self.budget, self._outcomes.rejections)
         self.lent = LentSlots(
             self._ledger, self._outcomes.record, self.count_first_attempt
         )
@@ -117,7 +120,7 @@
             valid_s: Time after which the fraction is 0 unless set again (seconds).
         """
         self.quota.set_share(share, mature_share, now_s, valid_s)
-        self.budget.share = share
+        self.budget.set_share(share, now_s, valid_s)
         self.warmups.set_share(share, now_s, valid_s)
 
     # Upstreams
@@ -167,7 +170,7 @@
                 upstream, GrantReason.BEST, self._outcomes.expected_s(request)
             )
         queue = self._waiting.queue(request.service)
-        if key in queue:
+        if key in queue or key in self.retries:
             return Queued(len(queue))
         if request.fingerprint and not self.crashes.try_acquire(
             request.fingerprint, now_s
@@ -185,10 +188,7 @@
                 demand.count_unserved(now_s)
                 return self.quota.refuse(request.customer, now_s)
             self.budget.count_request(request.service, now_s)
-        decision = self._place_new(request, queue, now_s)
-        if isinstance(decision, Refused):
-            self._count_refused(request, decision, now_s)
-        return decision
+        return self._place_or_refuse(request, now_s)
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
@@ -204,7 +204,8 @@
 
     def is_known(self, key: SlotRequestKey) -> bool:
         """Tell whether a slot request holds a slot or waits for one."""
-        return key in self._ledger.grants or key in self._waiting
+        is_waiting = key in self._waiting or key in self.retries
+        return is_waiting or key in self._ledger.grants
 
     def _can_wait_for_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows the request before it is late."""
@@ -240,6 +241,7 @@
         grant = self._ledger.free(key)
         if grant is None:
             self._waiting.remove(key)
+            self.retries.remove(key)
             return
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self._outcomes.record(grant, outcome, elapsed_s, now_s, *stated)
@@ -280,11 +282,16 @@
         """Free the slots of a VM and remove its queued requests."""
         self._ledger.free_vm(vm)
         self._waiting.remove_vm(vm)
+        self.retries.remove_vm(vm)
 
     def advance(
         self, now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         """Grant free slots to queued requests; refuse those past their latest start."""
+        for request, refused in list(self.retries.due(now_s)):
+            decision = refused or self._place_or_refuse(request, now_s, is_counted=True)
+            if not isinstance(decision, Queued):
+                yield request.key, decision
         changed, self._ledger.changed = self._ledger.changed, set()
         for service, queue in self._waiting.services():
             index = self._state(service).queue_index
@@ -295,14 +302,8 @@
         """Update acceptance and slowness of upstreams from their running requests."""
         self.warmups.expire(now_s)
         share, changes = self.quota.share, self.state_changes
-        observe_grants(
-            self._trackers,
-            self._ledger.grants,
-            self._outcomes.expected_s,
-            share,
-            changes,
-            now_s,
-        )
+        grants, expected_s = self._ledger.grants, self._outcomes.expected_s
+        observe_grants(self._trackers, grants, expected_s, share, changes, now_s)
         self._update_working_sets(now_s)
 
     def _update_working_sets(self, now_s: float, has_changed: bool = False) -> None:
@@ -317,6 +318,9 @@
             state = self._states[service] = ServiceState()
         return state
 
+    def _demand(self, service: str) -> ServiceDemand:
+        return self._state(service).demand
+
     def queued_services(self, now_s: float) -> Iterator[ServiceLoad]:
         """Yield the load of each service that has requests in its queue."""
         for service, queue in self._waiting.services():
@@ -330,8 +334,8 @@
 
     @property
     def waiting_count(self) -> int:
-        """Number of requests that wait for a slot."""
-        return len(self._waiting)
+        """Number of requests that wait for a slot, or for the retry budget."""
+        return len(self._waiting) + len(self.retries)
 
     @property
     def granted_count(self) -> int:
@@ -340,37 +344,40 @@
 
     # Decisions
 
-    def _place_new(
-        self,
-        request: SlotRequest,
-        queue: dict[SlotRequestKey, QueueEntry],
-        now_s: float,
+    def _place_or_refuse(
+        self, request: SlotRequest, now_s: float, is_counted: bool = False
     ) -> Decision:
-        service_pool = self._trackers.pool(request.service)
-        pool = service_pool.within(request.zones)
+        """Decide on a request; a retry may have been counted by its budget before."""
+        decision: Decision | None = None
+        if request.attempt > 1 and not is_counted:
+            expected_s = self._outcomes.expected_s(request)
+            decision = self.retries.decide(request, expected_s, now_s)
+        if decision is None:
+            decision = self._place(request, now_s)
+            if isinstance(decision, Refused):
+                self.retries.give_back(request, now_s)
+        if isinstance(decision, Refused):
+            self._count_refused(request, decision, now_s)
+        return decision
+
+    def _place(self, request: SlotRequest, now_s: float) -> Decision:
+        queue = self._waiting.queue(request.service)
+        pool = self._trackers.pool(request.service).within(request.zones)
         if not pool.trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
-        if request.attempt > 1 and not self.budget.try_acquire(request.service, now_s):
-            return Refused(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
             granted = self._grant(request, pool, now_s)
             if granted is not None:
                 return granted
-        slot_time_s = self.elapsed.slot_time_s(request.service)
-        part = len(pool.trackers) / len(service_pool.trackers)
-        homes = self._waiting.homes(request.service)
-        competing = ahead * competing_part(request.zones, homes, len(queue), part)
-        estimated_s = estimate_wait_s(pool, slot_time_s, competing, now_s)
-        entry = QueueEntry(request, now_s, estimated_s)
-        wait_class = self._order.wait_class(entry)
-        wait_s = estimated_s * self._wait_table.factor(wait_class, now_s)
-        wait_s = max(wait_s, shortest_pause_s(pool.trackers, request.vm, now_s))
-        if now_s + wait_s > entry.latest_start_s(self._outcomes.expected_s(request)):
-            if degraded := self._grant_degraded(request, pool, now_s):
+        entry = self._planner.plan(request, ahead, now_s)
+        if isinstance(entry, Refused) or entry.is_late:
+            degraded = self._grant_degraded(request, pool, now_s)
+            if degraded is not None:
                 return degraded
-            return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
+        if isinstance(entry, Refused):
+            return entry
         self._queue_request((request.vm, request.slot_request_id), entry)
         return Queued(ahead)
 
@@ -396,7 +403,7 @@
             if granted is None:
                 queue_pass.pass_over(entry.request)
                 continue
-            self._record_wait(entry, now_s)
+            self._planner.record(entry, now_s)
             self._waiting.remove(key)
             yield key, granted
         queue_pass.finish()
@@ -409,8 +416,15 @@
             or now_s > entry.latest_start_s(self._outcomes.expected_s(entry.request))
         ]
         for key, entry in late:
+            if not entry.is_late and self._planner.may_be_late(entry, now_s):
+                self._planner.record(entry, now_s)
+                entry.is_late = True
+                continue
             self._waiting.remove(key)
-            yield key, self._decide_late(entry, pool, len(queue), now_s)
+            decision = self._decide_late(entry, pool, len(queue), now_s)
+            if isinstance(decision, Refused):
+                self.retries.give_back(entry.request, now_s)
+            yield key, decision
 
     def _decide_late(
         self, entry: QueueEntry, pool: UpstreamPool, ahead: int, now_s: float
@@ -426,13 +440,11 @@
         if not self._has_token(request, now_s):
             demand.count_unserved(now_s)
             return self.quota.refuse(request.customer, now_s)
-        self._record_wait(entry, now_s)
+        self._planner.record(entry, now_s)
         if degraded := self._grant_degraded(request, pool, now_s):
             return degraded
         demand.count_unserved(now_s)
-        slot_time_s = self.elapsed.slot_time_s(request.service)
-        wait_s = estimate_wait_s(pool, slot_time_s, ahead, now_s)
-        return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
+        return self._planner.refuse_late(request, pool, ahead, now_s)
 
     def _has_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows to send the request now."""
@@ -478,9 +490,3 @@
             self._outcomes.expected_s(request),
             candidate_count,
         )
-
-    def _record_wait(self, entry: QueueEntry, now_s: float) -> None:
-        waited_s = now_s - entry.queued_at_s
-        self._wait_table.record(
-            self._order.wait_class(entry), entry.estimated_s, waited_s, now_s
-        )
