Keep the floor for routes that go to two services, and with lent slots

Now requests and unserved ones are counted three ways for a service: those sent to it, those of the routes that go mainly to it, and those of all routes that go to it at times (DemandTable). While any count shows more than 6% unserved, every healthy upstream is due within a second for requests that run once, too (1.5 s before). Lent slots get a term that leaves the broker two decisions a second for each upstream, and are recalled while a healthy upstream is left out. Requests that a VM refuses since its broker is late are told to the broker in its next report.

--- a/src/gentianfold/fleet/broker_loans.py
+++ b/src/gentianfold/fleet/broker_loans.py
@@ -50,7 +50,7 @@
         key = (vm, slot_request_id)
         if not self.scheduler.lent.is_lendable(key, granted.reason):
             return 0
-        room = self.scheduler.room(granted.upstream.service)
+        room = self.scheduler.room(granted.upstream.service, self._now_s)
         return int(self.lender.slot_term_s(room, self._now_s) * 1000)
 
     def count_placement(self, now_s: float) -> None:
@@ -75,23 +75,37 @@
                 self.scheduler.free_slot((vm, use.lease_id))
         for lease_id in message.returned:
             self.scheduler.free_slot((vm, lease_id))
+        for service, route, idempotent, count in message.unserved:
+            self.scheduler.demands.count_refused_elsewhere(
+                service, route, idempotent, now_s, count
+            )
         self._recall_unsound()
 
     def advance(self, now_s: float) -> None:
-        """Recall idle slots of services whose requests wait, and log loans."""
-        waiting = [
+        """Recall idle slots of services that need them at the broker; log loans."""
+        due = [
             service
-            for service in self.scheduler.waiting_services()
+            for service in self.scheduler.waiting_services() + self._to_spread(now_s)
             if now_s - self._recalled_s.get(service, -1e9) >= RECALL_INTERVAL_S
         ]
-        for service in waiting:
+        for service in due:
             self._recalled_s[service] = now_s
-        if waiting:
-            self._recall(tuple(waiting), ())
+        if due:
+            self._recall(tuple(dict.fromkeys(due)), ())
         self.scheduler.lent.find_unsound(now_s)
         self._recall_unsound()
         self._log(now_s)
 
+    def _to_spread(self, now_s: float) -> list[str]:
+        """Return services whose lent slots keep requests from healthy upstreams."""
+        if not self.scheduler.lent.idle_count:
+            return []
+        return [
+            service
+            for service in self.scheduler.services_to_spread(now_s)
+            if self.lender.may_recall(self.scheduler.room(service, now_s))
+        ]
+
     def _recall_unsound(self) -> None:
         upstreams = self.scheduler.lent.take_unsound()
         if upstreams:
--- a/src/gentianfold/fleet/lender.py
+++ b/src/gentianfold/fleet/lender.py
@@ -78,6 +78,10 @@
         """Return the term of a slot that is granted now (seconds); 0 for one request."""
         return self.policy.slot_term_s(self.load(now_s), room)
 
+    def may_recall(self, room: ServiceRoom) -> bool:
+        """Tell whether this VM can decide often enough to reach all upstreams."""
+        return self.policy.may_recall(room.upstreams, self.cpu_share)
+
     def answer(
         self, vm: str, ask: TokenAsk, now_s: float
     ) -> tuple[tuple[str, int], ...]:
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -273,11 +273,14 @@
 
 
 class SlotUses(msgspec.Struct, array_like=True, tag=15, frozen=True):
-    """Reports finished uses of lent slots."""
+    """Reports finished uses of lent slots, and requests that got no decision."""
 
     uses: tuple[SlotUse, ...]
     returned: tuple[int, ...] = ()
     """Idle lent slots that the VM gives back, by lease."""
+    unserved: tuple[tuple[str, str, bool, int], ...] = ()
+    """Service, route, whether idempotent, and number of the requests that the VM refused
+    since the broker did not decide on them."""
 
 
 class RecallSlots(msgspec.Struct, array_like=True, tag=16, frozen=True):
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -54,6 +55,7 @@
     """Requests placed on lent slots since the start (count)."""
     _uses: list[SlotUse] = attrs.field(factory=list)
     _returned: list[int] = attrs.field(factory=list)
+    _unserved: Counter[tuple[str, str, bool]] = attrs.field(factory=Counter)
 
     def __attrs_post_init__(self) -> None:
         self.slots = SlotStock(self._is_usable)
@@ -153,6 +155,14 @@
             self.send_reports()
         return True
 
+    def record_unserved(self, request: SlotRequest) -> None:
+        """Count a request that this VM refuses as the broker did not decide on it.
+
+        The broker has to know: which upstreams get requests depends on the share that
+        goes unserved.
+        """
+        self._unserved[request.service, request.route, request.idempotent] += 1
+
     def recall(self, vm: str, message: RecallSlots) -> None:
         """Return idle slots that a broker recalls."""
         if vm == self.membership.broker:
@@ -171,16 +181,19 @@
         self.send_reports()
 
     def send_reports(self) -> None:
-        """Send uses and returned slots to the broker; without one they are dropped.
+        """Send uses, returned slots and unserved requests to the broker.
 
-        A broker learns from heartbeats, too, which slots a VM still holds.
+        Without a broker uses and returned slots are dropped: a broker learns from
+        heartbeats, too, which slots a VM still holds.
         """
-        if not self._uses and not self._returned:
+        if not self._uses and not self._returned and not self._unserved:
             return
         broker = self.membership.broker
         if self.membership.role is Role.MEMBER and broker is not None:
-            message = SlotUses(tuple(self._uses), tuple(self._returned))
+            unserved = tuple((*key, count) for key, count in self._unserved.items())
+            message = SlotUses(tuple(self._uses), tuple(self._returned), unserved)
             self.transport.send(broker, message)
+            self._unserved.clear()
         self._uses.clear()
         self._returned.clear()
 
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -100,9 +100,12 @@
         with anyio.CancelScope() as scope:
             self._new_requests.add(scope)
             try:
-                return await self._place(request)
+                placed = await self._place(request)
             finally:
                 self._new_requests.discard(scope)
+            if self.loans is not None and _is_undecided(placed):
+                self.loans.record_unserved(request)
+            return placed
         return STOPPING
 
     def refuse_new_requests(self) -> None:
@@ -326,3 +329,10 @@
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _is_undecided(placed: Placement | Refused) -> bool:
+    """Tell whether a request was refused without a decision of a scheduler."""
+    return placed is LIMIT_ELSEWHERE or (
+        isinstance(placed, Refused) and placed.reason is RefusalReason.BROKER_BEHIND
+    )
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -103,7 +103,7 @@
     get requests within any two seconds."""
     foreign_interval_factor: float = 1.3
     """Multiple of these intervals for idempotent requests of other zones."""
-    non_idempotent_interval_s: float = 1.5
+    non_idempotent_interval_s: float = 1.0
     """Time without requests after which a healthy upstream gets a non-idempotent
     request while requests go unserved (seconds)."""
     non_idempotent_new_s: float = 2.0
--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -9,8 +9,8 @@
 from gentianfold.placement.outcome import Outcome
 
 if TYPE_CHECKING:
+    from gentianfold.placement.demand_table import DemandTable
     from gentianfold.placement.elapsed_table import ElapsedTable
-    from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
@@ -55,7 +55,7 @@
     elapsed_s: float,
     expected_s: float,
     now_s: float,
-    demand: ServiceDemand,
+    demands: DemandTable,
     elapsed: ElapsedTable,
 ) -> None:
     """Record the outcome of an attempt with its upstream and its service.
@@ -66,7 +66,7 @@
         elapsed_s: Time since the slot was granted (seconds).
         expected_s: Expected time of the request (seconds).
         now_s: Current time (seconds).
-        demand: Demand of the service.
+        demands: Demand of the services.
         elapsed: Usual elapsed times.
     """
     tracker, request = grant.tracker, grant.request
@@ -75,7 +75,7 @@
     was_cold = tracker.warmup.is_bounded(grant.granted_at_s)
     is_final = not request.idempotent or request.attempt > 1
     if outcome is Outcome.CANCELLED or (outcome.is_failure and is_final):
-        demand.count_unserved(now_s)
+        demands.count_unserved(request, now_s)
     if outcome is Outcome.SUCCEEDED:
         tracker.record_success(grant.granted_at_s, is_uncounted=not grant.is_accepted)
         if not was_cold:
--- a/src/gentianfold/placement/lending.py
+++ b/src/gentianfold/placement/lending.py
@@ -23,6 +23,11 @@
     """Slots that are granted or lent (count)."""
     waiting: int = 0
     """Requests in the queue of the service (count)."""
+    upstreams: int = 0
+    """Upstreams that take new requests (count)."""
+    is_underserved: bool = False
+    """Whether too many of its requests go unserved, so that all healthy upstreams must
+    get requests."""
 
 
 @attrs.frozen
@@ -58,6 +63,9 @@
     chosen is no older than that."""
     min_term_s: float = 0.1
     """Shortest term of a lent slot (seconds): a shorter one saves no round trip."""
+    spread_per_s: float = 2.0
+    """Decisions for each upstream of an underserved service that stay with the broker
+    (per second): requests on lent slots go where earlier ones went."""
     lent_fraction: float = 0.125
     """Part of a limit's window that is lent at a time at most, 0 to 1: a broker that
     takes over does not know of tokens that its predecessor has lent."""
@@ -87,8 +95,20 @@
         use = room.slots_in_use / room.usable_slots
         roominess = 1 - _rise(use, self.roomy_use, self.tight_use)
         term_s = self.max_term_s * roominess * self.eagerness(load)
+        if room.is_underserved:
+            spread_per_s = self.spread_per_s * max(room.upstreams, 1)
+            term_s = min(term_s, room.slots_in_use / spread_per_s)
         return term_s if term_s >= self.min_term_s else 0.0
 
+    def may_recall(self, upstreams: int, cpu_share: float) -> bool:
+        """Tell whether the broker can decide for each upstream of a service each second.
+
+        Args:
+            upstreams: Upstreams of the service (count).
+            cpu_share: CPU share of the broker (cores).
+        """
+        return self.spread_per_s * upstreams <= cpu_share * self.decisions_per_core_s
+
     def tokens(self, load: float, room: TokenRoom, wanted: int) -> int:
         """Return the tokens of a customer that a VM gets ahead of its requests (count).
 
--- a/src/gentianfold/placement/lent_slots.py
+++ b/src/gentianfold/placement/lent_slots.py
@@ -97,6 +97,7 @@
         if grant is not None:
             grant.is_idle, grant.is_accepted = False, False
             grant.request, grant.granted_at_s = request, now_s
+            self.ledger.record_use(grant, now_s)
             self.ledger.order.count_slot(request, 1)
 
     def end_use(self, key: SlotRequestKey, use: LentUse, now_s: float) -> None:
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,10 +13,10 @@
 from gentianfold.placement.transfer_table import TransferTable
 
 if TYPE_CHECKING:
+    from gentianfold.placement.demand_table import DemandTable
     from gentianfold.placement.grant import Grant
     from gentianfold.placement.log_entries import StateChangeQueue
     from gentianfold.placement.quota_table import QuotaTable
-    from gentianfold.placement.service_demand import ServiceDemand
     from gentianfold.placement.slot_request import SlotRequest
     from gentianfold.placement.tracker_table import TrackerTable
 
@@ -32,8 +31,8 @@
     """Rate limits of the customers."""
     state_changes: StateChangeQueue
     """Gets the changes to log."""
-    demand_of: Callable[[str], ServiceDemand]
-    """Returns the demand of a service."""
+    demands: DemandTable
+    """Demand of the services."""
     elapsed: ElapsedTable = attrs.field(factory=ElapsedTable)
     """Usual elapsed times by route and by service."""
     transfers: TransferTable = attrs.field(factory=TransferTable)
@@ -92,10 +91,9 @@
     ) -> None:
         tracker, request = grant.tracker, grant.request
         was_suspect = tracker.suspect_since_s is not None
-        demand = self.demand_of(request.service)
         expected_s = self.expected_s(request)
         apply_outcome(
-            grant, outcome, elapsed_s, expected_s, now_s, demand, self.elapsed
+            grant, outcome, elapsed_s, expected_s, now_s, self.demands, self.elapsed
         )
         is_suspect = tracker.suspect_since_s is not None
         if was_suspect or is_suspect:
--- a/src/gentianfold/placement/service_demand.py
+++ b/src/gentianfold/placement/service_demand.py
@@ -24,37 +24,75 @@
 
 
 @attrs.define
-class ServiceDemand:
-    """Decaying counts of the requests of one service, and a bucket for exploration."""
+class DemandCount:
+    """Decaying counts of some requests and of the unserved ones among them."""
 
-    _requests: float = 0.0
-    _idempotent: float = 0.0
-    _unserved: float = 0.0
+    requests: float = 0.0
+    """Requests (count)."""
+    unserved: float = 0.0
+    """Requests that were refused, failed or were given up by their callers (count)."""
     _decayed_at_s: float = 0.0
+
+    def add(self, now_s: float, requests: int = 0, unserved: int = 0) -> None:
+        """Add requests and unserved ones (counts)."""
+        self._decay(now_s)
+        self.requests += requests
+        self.unserved += unserved
+
+    def is_underserved(self, now_s: float) -> bool:
+        """Tell whether more than ``MAX_UNSERVED_SHARE`` of the requests go unserved."""
+        if not self.unserved:
+            return False
+        self._decay(now_s)
+        return self.unserved >= max(MIN_UNSERVED, MAX_UNSERVED_SHARE * self.requests)
+
+    def _decay(self, now_s: float) -> None:
+        age_s = now_s - self._decayed_at_s
+        if age_s <= 0:
+            return
+        factor = math.exp(-age_s / TIME_CONSTANT_S)
+        self.requests *= factor
+        self.unserved *= factor
+        self._decayed_at_s = now_s
+
+
+@attrs.define
+class ServiceDemand:
+    """Recent requests of one service, and a bucket for exploration.
+
+    Callers see the requests of a route as those of one service, although parts of them
+    may go to others. Which service that is only the callers know, so the requests are
+    counted in three ways.
+    """
+
+    sent: DemandCount = attrs.field(factory=DemandCount)
+    """Requests that go to the service."""
+    of_main_routes: DemandCount = attrs.field(factory=DemandCount)
+    """Requests, wherever they go, of the routes that go mainly to it."""
+    of_all_routes: DemandCount = attrs.field(factory=DemandCount)
+    """Requests, wherever they go, of all routes that go to it at times."""
+    _idempotent: DemandCount = attrs.field(factory=DemandCount)
     _explore_tokens: float = MAX_EXPLORE_TOKENS
 
     def count_request(self, idempotent: bool, now_s: float) -> None:
         """Count the first attempt of a request."""
-        self._decay(now_s)
-        self._requests += 1
-        self._idempotent += idempotent
+        self.sent.add(now_s, requests=1)
+        self._idempotent.add(now_s, requests=idempotent)
         self._explore_tokens = min(
             self._explore_tokens + EXPLORE_SHARE, MAX_EXPLORE_TOKENS
         )
 
-    def count_unserved(self, now_s: float) -> None:
-        """Count a request that was refused, failed or was given up by its caller."""
-        self._decay(now_s)
-        self._unserved += 1
-
     def is_underserved(self, now_s: float) -> bool:
-        """Tell whether more than ``MAX_UNSERVED_SHARE`` of the requests go unserved."""
-        self._decay(now_s)
-        return self._unserved >= max(MIN_UNSERVED, MAX_UNSERVED_SHARE * self._requests)
+        """Tell whether too many requests go unserved, whichever way they are counted."""
+        return (
+            self.sent.is_underserved(now_s)
+            or self.of_main_routes.is_underserved(now_s)
+            or self.of_all_routes.is_underserved(now_s)
+        )
 
     def has_idempotent_requests(self) -> bool:
         """Tell whether the service gets idempotent requests that can explore."""
-        return self._idempotent >= MIN_IDEMPOTENT_SHARE * self._requests
+        return self._idempotent.requests >= MIN_IDEMPOTENT_SHARE * self.sent.requests
 
     def has_explore_token(self) -> bool:
         """Tell whether a request may leave the working sets."""
@@ -63,13 +101,3 @@
     def take_explore_token(self) -> None:
         """Count a request that leaves the working sets."""
         self._explore_tokens = max(self._explore_tokens - 1, 0.0)
-
-    def _decay(self, now_s: float) -> None:
-        age_s = now_s - self._decayed_at_s
-        if age_s <= 0:
-            return
-        factor = math.exp(-age_s / TIME_CONSTANT_S)
-        self._requests *= factor
-        self._idempotent *= factor
-        self._unserved *= factor
-        self._decayed_at_s = now_s
--- a/src/gentianfold/placement/slot_ledger.py
+++ b/src/gentianfold/placement/slot_ledger.py
@@ -42,6 +42,13 @@
         self.trackers.file(tracker, to_end=True)
         self.order.count_slot(grant.request, 1)
 
+    def record_use(self, grant: Grant, at_s: float) -> None:
+        """Record that a lent slot was used for a further request."""
+        tracker = grant.tracker
+        if at_s > tracker.last_used_s:
+            tracker.last_used_s = at_s
+            self.trackers.file(tracker, to_end=True)
+
     def register(self, request: SlotRequest, upstream_name: str, now_s: float) -> None:
         """Book a slot granted by another scheduler, if its upstream is listed."""
         tracker = self.trackers.get(upstream_name)
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -9,7 +9,9 @@
 
 from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.crash_table import CrashTable
+from gentianfold.placement.demand_table import DemandTable
 from gentianfold.placement.elapsed_table import ElapsedTable
+from gentianfold.placement.floor import leaves_out_upstreams
 from gentianfold.placement.grant import Grant
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
@@ -87,18 +89,21 @@
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _wait_table: WaitTable = attrs.field(factory=WaitTable)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
+    demands: DemandTable = attrs.field(init=False)
+    """Recent requests of the services, and how many of them were not served."""
     lent: LentSlots = attrs.field(init=False)
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.demands = DemandTable(lambda service: self._state(service).demand)
         self._ledger = SlotLedger(self._trackers, self._order)
         self._outcomes = OutcomeRecorder(
             self._trackers,
             self.quota,
             self.state_changes,
-            lambda service: self._state(service).demand,
+            self.demands,
             self.elapsed,
         )
         self.lent = LentSlots(
@@ -174,15 +179,14 @@
         ):
             retry_after_s = self.crashes.retry_after_s(request.fingerprint, now_s)
             return Refused(RefusalReason.CRASHES_UPSTREAMS, retry_after_s)
-        demand = self._state(request.service).demand
         if request.attempt == 1:
-            demand.count_request(request.idempotent, now_s)
+            self.demands.count_request(request, now_s)
             if not self.quota.has_room(request.customer, now_s):
                 if self.quota.is_growing and self._can_wait_for_token(request, now_s):
                     self.budget.count_request(request.service, now_s)
                     self._queue_request(key, QueueEntry(request, now_s))
                     return Queued(len(queue))
-                demand.count_unserved(now_s)
+                self.demands.count_unserved(request, now_s)
                 return self.quota.refuse(request.customer, now_s)
             self.budget.count_request(request.service, now_s)
         decision = self._place_new(request, queue, now_s)
@@ -192,7 +196,7 @@
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
-        self._state(request.service).demand.count_request(request.idempotent, now_s)
+        self.demands.count_request(request, now_s)
         self.budget.count_request(request.service, now_s)
 
     def _count_refused(
@@ -200,7 +204,7 @@
     ) -> None:
         """Count a refusal; one for want of upstreams at home says nothing of others."""
         if request.zones is None or refused.reason is not RefusalReason.NO_UPSTREAM:
-            self._state(request.service).demand.count_unserved(now_s)
+            self.demands.count_unserved(request, now_s)
 
     def is_known(self, key: SlotRequestKey) -> bool:
         """Tell whether a slot request holds a slot or waits for one."""
@@ -248,11 +252,26 @@
         """Free a slot on which no request runs; an unknown one is ignored."""
         self._ledger.free(key)
 
-    def room(self, service: str) -> ServiceRoom:
+    def room(self, service: str, now_s: float) -> ServiceRoom:
         """Return the slots of a service in use, and how many there are."""
         pool = self._trackers.pool(service)
         waiting = len(self._waiting.queue(service))
-        return ServiceRoom(pool.healthy_slots, pool.healthy_in_use, waiting)
+        return ServiceRoom(
+            pool.healthy_slots,
+            pool.healthy_in_use,
+            waiting,
+            len(pool.trackers),
+            self._state(service).demand.is_underserved(now_s),
+        )
+
+    def services_to_spread(self, now_s: float) -> list[str]:
+        """Return underserved services of which a healthy upstream is left out."""
+        return [
+            service
+            for service, pool in self._trackers.pools()
+            if self._state(service).demand.is_underserved(now_s)
+            and leaves_out_upstreams(pool, now_s)
+        ]
 
     def record_rate_limit(
         self, name: str, rate_per_s: float, stated_s: float, now_s: float
@@ -418,18 +437,17 @@
         """Decide on a request that has waited as long as it may."""
         request = entry.request
         pool = pool.within(request.zones)
-        demand = self._state(request.service).demand
         if not pool.trackers:
             refused = Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
             self._count_refused(request, refused, now_s)
             return refused
         if not self._has_token(request, now_s):
-            demand.count_unserved(now_s)
+            self.demands.count_unserved(request, now_s)
             return self.quota.refuse(request.customer, now_s)
         self._record_wait(entry, now_s)
         if degraded := self._grant_degraded(request, pool, now_s):
             return degraded
-        demand.count_unserved(now_s)
+        self.demands.count_unserved(request, now_s)
         slot_time_s = self.elapsed.slot_time_s(request.service)
         wait_s = estimate_wait_s(pool, slot_time_s, ahead, now_s)
         return Refused(RefusalReason.NO_ROOM, max(wait_s, MIN_RETRY_AFTER_S), ahead)
--- a/tests/fleet/test_loans_fleet.py
+++ b/tests/fleet/test_loans_fleet.py
@@ -36,6 +36,10 @@
     grants: dict = attrs.field(factory=dict)
     lent_uses: int = 0
     recalls: int = 0
+    left_share: float = 0.0
+    """Share of the requests whose callers leave, 0 to 1."""
+    used: list = attrs.field(factory=list)
+    """Time (seconds) and upstream of each request of a member."""
 
     def start(self, vm, **kwargs):
         super().start(vm, **kwargs)
@@ -53,15 +57,16 @@
         if customer is None:
             return
         self.sent[customer].append(self.now_s)
-        node = self.nodes[vm]
+        outcome, node = self.draw_outcome(), self.nodes[vm]
         if granted is None:
-            node.scheduler.release(key, Outcome.SUCCEEDED, 0.01, self.now_s)
+            node.scheduler.release(key, outcome, 0.01, self.now_s)
             return
         placement = to_decision(granted[1], granted[0], self.now_s)
         request = make_request(slot_request_id, vm=vm, customer=customer)
         node.scheduler.register_grant(request, placement.upstream, self.now_s)
         node.loans.borrow(request, placement)
-        node.release(placement, Outcome.SUCCEEDED, 0.01)
+        node.release(placement, outcome, 0.01)
+        self.used.append((self.now_s, placement.upstream))
         # The client would return a grant that it has not asked for.
         node.slots._granted_by[slot_request_id] = granted[0]
 
@@ -77,7 +82,12 @@
             return
         self.lent_uses += 1
         self.sent[customer].append(self.now_s)
-        node.release(placement, Outcome.SUCCEEDED, 0.01)
+        self.used.append((self.now_s, placement.upstream))
+        node.release(placement, self.draw_outcome(), 0.01)
+
+    def draw_outcome(self):
+        has_left = self.left_share and self.random.random() < self.left_share
+        return Outcome.CANCELLED if has_left else Outcome.SUCCEEDED
 
 
 def make_fleet(size, seed=1, policy=EAGER):
@@ -196,3 +206,44 @@
     assert fleet.lent_uses == 0
     (broker,) = fleet.brokers()
     assert fleet.nodes[broker].scheduler.lent.idle_count == 0
+
+
+def test_lent_slots_keep_no_healthy_upstream_without_requests():
+    # VMs went on with lent slots of a few upstreams while callers of a fifth of the
+    # requests left: the others got nothing for two seconds.
+    fleet = make_fleet(8)
+    fleet.run(14, per_s=0)
+    (broker,) = fleet.brokers()
+    names = [f"u{number}" for number in range(40)]
+    for node in fleet.nodes.values():
+        upstreams = [make_upstream(name, 4) for name in names]
+        node.scheduler.replace_upstreams(upstreams, fleet.now_s)
+    fleet.sent[""] = []
+    members = sorted(set(fleet.nodes) - {broker})
+    start_s = fleet.now_s
+    while fleet.now_s < start_s + 14:
+        fleet.left_share = 0.2 if fleet.now_s > start_s + 4 else 0.0
+        fleet.step()
+        for vm in fleet.random.choices(members, k=10):
+            fleet.request(vm, "")
+        if fleet.now_s > start_s + 4 + 2:
+            used = {name for at_s, name in fleet.used if fleet.now_s - at_s <= 1.2}
+            assert len(used) >= 0.9 * len(names), fleet.now_s - start_s
+    assert fleet.lent_uses > 0.2 * len(fleet.used)
+
+
+def test_requests_that_a_vm_refuses_without_its_broker_count_as_unserved():
+    # A broker that answered late served all that it decided on, and kept to few
+    # upstreams while VMs refused a part of the requests themselves.
+    fleet = make_fleet(4)
+    fleet.run(14, per_s=0)
+    (broker,) = fleet.brokers()
+    member = next(vm for vm in fleet.nodes if vm != broker)
+    scheduler = fleet.nodes[broker].scheduler
+    for number in range(20):
+        scheduler.request_slot(make_request(number, vm=broker), fleet.now_s)
+    assert not scheduler.room("desk", fleet.now_s).is_underserved
+    for number in range(3):
+        fleet.nodes[member].loans.record_unserved(make_request(number, vm=member))
+    fleet.run(STEP_S * 4, per_s=0)
+    assert scheduler.room("desk", fleet.now_s).is_underserved
--- a/tests/placement/test_floor.py
+++ b/tests/placement/test_floor.py
@@ -170,3 +170,34 @@
         used = {name for at_s, name, _ in simulation.grants if at_s >= start_s}
         assert not_served > UNSERVED_SHARE * 60 * WINDOW_S / 2
         assert len(used - failing_names) >= FLOOR_SHARE * 36
+
+
+def test_requests_refused_at_another_service_of_their_routes_count_for_their_own():
+    # A route sent a share of its requests to a second service, which was full. Its own
+    # service served the rest from 5 of 8 upstreams, while 53 of 124 requests weren't.
+    scheduler = SlotScheduler(chooser=Chooser(random=random.Random(1)))
+    names = [f"u{number}" for number in range(14)]
+    upstreams = [make_upstream(name, 4) for name in names]
+    other = make_upstream("full", 1, service="other")
+    scheduler.replace_upstreams([*upstreams, other], 0.0)
+    rng, ids, now_s, running = random.Random(1), itertools.count(1), 0.0, []
+    used_s, unserved = dict.fromkeys(names, 0.0), 0
+    while now_s < 10.0:
+        now_s += 0.02
+        service = "other" if now_s >= 4.0 and rng.random() < 0.4 else "desk"
+        idempotent = rng.random() < 0.6
+        request = make_request(next(ids), service=service, idempotent=idempotent)
+        decision = scheduler.request_slot(request, now_s)
+        unserved += not isinstance(decision, Granted)
+        if isinstance(decision, Granted):
+            used_s[decision.upstream.name] = now_s
+            work_s = 0.14 if service == "desk" else 60.0
+            running.append((now_s + work_s, request.key, work_s))
+        for end in [end for end in running if end[0] <= now_s]:
+            running.remove(end)
+            scheduler.release(end[1], Outcome.SUCCEEDED, end[2], now_s)
+        scheduler.observe_running(now_s)
+        list(scheduler.advance(now_s))
+        if now_s > 4.0 + WINDOW_S:
+            assert all(now_s - used_s[name] <= 1.5 for name in names), now_s
+    assert unserved > 0.3 * 6.0 / 0.02
