Keep a share of the slots for routes and customers that others displace

What callers saw: under urgent routes of 1.4 times the capacity, or a customer of high priority, the less urgent routes and customers got nothing at all. Cause: the queue is in strict order of priorities. Ruled out: slots set aside (idle while their route asks for little). Change: a route or customer that is served less than 0.35 times as often as all requests of the service comes first until it isn't.

--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gentianfold.placement.queue_entry import QueueEntry
+from gentianfold.placement.share_floor import ShareFloor
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -16,8 +17,8 @@
     from gentianfold.placement.wait_table import WaitClass
 
 
-SortKey: TypeAlias = tuple[bool, int, bool, int, int, float]
-"""Late, priority, over fair share, route priority, slots held, time queued (seconds)."""
+SortKey: TypeAlias = tuple[bool, bool, int, bool, int, int, float]
+"""Late, not below the floor, priority, over fair share, route priority, slots held, time queued (seconds)."""
 
 
 @attrs.define
@@ -28,6 +29,9 @@
         factory=lambda: defaultdict(dict)
     )
     _fair_slots: dict[str, float] = attrs.field(factory=dict)
+    _floors: defaultdict[str, ShareFloor] = attrs.field(
+        factory=lambda: defaultdict(ShareFloor)
+    )
 
     def count_slot(self, request: SlotRequest, change: int) -> None:
         """Count a slot that a customer got (1) or returned (-1)."""
@@ -37,17 +41,25 @@
             held[request.customer] = count
         else:
             held.pop(request.customer, None)
+        if change > 0:
+            self._floors[request.service].count_served(request)
+
+    def count_asked(self, request: SlotRequest) -> None:
+        """Count a first attempt that its customer's limit allows."""
+        self._floors[request.service].count_asked(request)
 
     def sort_key(self, entry: QueueEntry) -> SortKey:
-        """Return late, priority, over fair share, route priority, slots held, time queued.
+        """Return the key by which waiting requests are served, lowest first.
 
         A request that misses its target gives way to those that can still meet theirs.
+        Routes and customers below the floor of their shares come before more urgent ones.
         A customer's priority is the same for all of its requests, so route priorities
         order them; otherwise long work that can wait would delay short, urgent work.
         """
         held = self._held(entry.request)
         wait_class = self.wait_class(entry)
-        return entry.is_late, *wait_class[1:], held, entry.queued_at_s
+        is_above = not self._floors[entry.request.service].is_below(entry.request)
+        return entry.is_late, is_above, *wait_class[1:], held, entry.queued_at_s
 
     def new_key(self, request: SlotRequest, now_s: float) -> SortKey:
         """Return the sort key of a request that arrives now."""
@@ -71,13 +83,17 @@
         sort_key = self.new_key(request, now_s)
         return sum(self.sort_key(entry) < sort_key for entry in queue.values())
 
-    def update_fair_slots(self, service: str, waiting: Collection[str]) -> None:
+    def update_shares(
+        self, service: str, waiting: Collection[str], now_s: float
+    ) -> None:
         """Set the fair share: slots in use per customer that holds or waits for one.
 
         Args:
             service: The service.
             waiting: Customers with requests in its queue.
+            now_s: Current time (seconds).
         """
+        self._floors[service].update(now_s)
         held = self._slots_held[service]
         count = len(held.keys() | waiting)
         self._fair_slots[service] = sum(held.values()) / max(count, 1)
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -187,11 +187,13 @@
                     return Queued(len(queue))
                 demand.count_unserved(now_s)
                 return self.quota.refuse(request.customer, now_s)
+            self._order.count_asked(request)
             self.budget.count_request(request.service, now_s)
         return self._place_or_refuse(request, now_s)
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
+        self._order.count_asked(request)
         self._state(request.service).demand.count_request(request.idempotent, now_s)
         self.budget.count_request(request.service, now_s)
 
@@ -392,7 +394,8 @@
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
         pool, index = self._trackers.pool(service), self._state(service).queue_index
         if pool.may_start(now_s):
-            self._order.update_fair_slots(service, self._waiting.customers(service))
+            customers = self._waiting.customers(service)
+            self._order.update_shares(service, customers, now_s)
         queue_pass = QueuePass(pool, index, index.is_due(len(queue), now_s), now_s)
         for key, entry in queue_pass.entries(queue, self._order):
             if not self._has_token(entry.request, now_s):
--- a/tests/placement/model.py
+++ b/tests/placement/model.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import random
+from collections import Counter
 
 import attrs
 
@@ -87,6 +88,8 @@
     """Time from sending to refusal of each refused attempt (seconds)."""
     grants: list = attrs.field(factory=list)
     """Time (seconds), name of the upstream and reason of each grant."""
+    granted_by: Counter = attrs.field(factory=Counter)
+    """Grants by customer, or by route if there is none (count)."""
     _events: list = attrs.field(factory=list)
     _slot_request_ids: object = attrs.field(factory=lambda: itertools.count(1))
     _sent: dict = attrs.field(factory=dict)
@@ -138,6 +141,7 @@
             )
         if not isinstance(decision, Granted):
             return
+        self.granted_by[request.customer or request.route] += 1
         self.grants.append((self.now_s, decision.upstream.name, decision.reason))
         self._placed_on[request.slot_request_id] = decision.upstream.name
         fails = self.fails(decision.upstream.name, self.now_s)
