Pass on nothing of an answer that will be too large

Callers would have got all but the last bytes of an answer of just under 8 MiB: heads count towards the bound of an exchange, and the answer was passed on by its stated length alone. It is passed on only if all of it stays within the bound; otherwise it fails as a whole one.

The new test fails on the code before (bytes of an answer that fails at its end had left). Found by reading; no caller met it.

--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -246,10 +246,13 @@
             pending.stream.flush()
             return
         size_bytes = self._stated_bytes or 0
+        rest_bytes = size_bytes - self._body.size_bytes
         if (
             pending.offer is None
-            or not HOLD_BYTES < size_bytes <= MAX_RESPONSE_BYTES
+            or size_bytes <= HOLD_BYTES
             or self._body.size_bytes < FIRST_BYTES
+            # It will turn out to be too large: the caller had better get none of it.
+            or self._received_bytes + rest_bytes > MAX_RESPONSE_BYTES
         ):
             return
         stream = AnswerStream(size_bytes, pending.claim)
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -18,7 +18,10 @@
 from gentianfold.forwarding.long_answer import FIRST_BYTES, HOLD_BYTES
 from gentianfold.forwarding.memory_budget import MemoryBudget, claim_answer
 from gentianfold.forwarding.messages import Response
-from gentianfold.forwarding.upstream_connection import ExchangeFailure
+from gentianfold.forwarding.upstream_connection import (
+    MAX_RESPONSE_BYTES,
+    ExchangeFailure,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -195,6 +198,23 @@
         assert not relay.caller_bytes().endswith(b"next")
 
 
+@pytest.mark.parametrize("head_bytes_over", [0, 1])
+async def test_nothing_leaves_of_an_answer_that_will_be_too_large(head_bytes_over):
+    # Its last bytes were missing: the head counts too.
+    size = MAX_RESPONSE_BYTES - len(HEAD) - 1 + head_bytes_over
+    head = b"HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: %d\r\n\r\n" % size
+    async with open_relay() as relay:
+        read = bytes(READ_BYTES)
+        relay.upstream.data_received(head)
+        for _ in range(size // READ_BYTES):
+            relay.upstream.data_received(read)
+        relay.upstream.data_received(read[: size % READ_BYTES])
+        await settle()
+        is_small = isinstance(relay.result, Response)
+        assert is_small == (len(head) + size <= MAX_RESPONSE_BYTES)
+        assert bool(relay.caller_bytes()) == is_small
+
+
 async def test_an_answer_whose_turn_has_not_come_is_received_whole():
     async with open_relay(number=1, request_count=2) as relay:
         for read in reads(HEAD + BODY):
