Load less in a VM, and keep less of each upstream

Operators: one of the new customers prices memory dearly; 115 VMs have 24 MB each at rest. Cause: besides interpreter and libraries (18 MB), a VM held modules that only a faulty settings file or the command line needs, the text of all generated methods, and for each upstream its own copies of the names of service and zone and three empty tables. Ruled out: malloc_trim (0.3 MB right after the start), python -OO (1.5 MB, but where the standard library has no compiled form for it, each start would compile it), ssl (uvloop or asyncio doesn't load without it), bz2 and lzma (nothing). Change: difflib, secrets and pkgutil are loaded on demand or not at all; the cache of source lines is emptied before the garbage collector is told to skip what is loaded; entries of upstreams share strings and are no work for the collector; tables of pauses and failed connections exist once something is in them. The memory budget is as it was: it subtracts what the process has at its start.

--- a/src/gentianfold/codes/__init__.py
+++ b/src/gentianfold/codes/__init__.py
@@ -7,14 +7,15 @@
 
 from __future__ import annotations
 
-import importlib
-import pkgutil
-
 from gentianfold.errors import CODES, ResultCode
 
 
 def all_codes() -> dict[int, ResultCode]:
     """Import all modules of this package and return all result codes by number."""
+    # Imported on demand: a VM needs neither.
+    import importlib
+    import pkgutil
+
     for module in pkgutil.iter_modules(__path__):
         importlib.import_module(f"{__name__}.{module.name}")
     return dict(sorted(CODES.items()))
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
@@ -195,7 +196,7 @@
     """Customer and tokens that the broker lends to the receiver."""
 
 
-class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True):
+class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """An upstream, or the deletion of one, at a revision.
 
     A deletion keeps what is known of the deleted start of the upstream.
@@ -216,6 +217,11 @@
     sequence: int = 0
     """The upstream's own count of its writes to the store since its start."""
 
+    def __post_init__(self) -> None:
+        """Share the strings that the entries of many upstreams have in common."""
+        msgspec.structs.force_setattr(self, "service", sys.intern(self.service))
+        msgspec.structs.force_setattr(self, "zone", sys.intern(self.zone))
+
 
 class UpstreamChanges(msgspec.Struct, array_like=True, tag=8, frozen=True):
     """Changes of the list of upstreams after a revision, or the whole list."""
--- a/src/gentianfold/fleet/store_revision.py
+++ b/src/gentianfold/fleet/store_revision.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class StoreRevision(msgspec.Struct, array_like=True, frozen=True, order=True):
+class StoreRevision(msgspec.Struct, array_like=True, frozen=True, order=True, gc=False):
     """A point in the history of the store.
 
     The store gives out the numbers of an earlier era again after it was restored from a
--- a/src/gentianfold/fleet/tunnel_directory.py
+++ b/src/gentianfold/fleet/tunnel_directory.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import secrets
+import hmac
+import os
 
 import attrs
 
@@ -62,14 +63,14 @@
         }
         token, until_s = self._given.get(vm, (b"", now_s))
         if until_s - now_s < TOKEN_REUSE_S:
-            token = secrets.token_bytes(TOKEN_BYTES)
+            token = os.urandom(TOKEN_BYTES)
         self._given[vm] = (token, now_s + TOKEN_TERM_S)
         return token
 
     def accepts(self, vm: str, token: bytes, now_s: float) -> bool:
         """Tell whether a tunnel that another VM opens with a token is accepted."""
         given, until_s = self._given.get(vm, (b"", now_s))
-        return now_s < until_s and secrets.compare_digest(given, token)
+        return now_s < until_s and hmac.compare_digest(given, token)
 
     def _failed_recently(self, vm: str, now_s: float) -> bool:
         return now_s - self._failed_s.get(vm, -1e9) < FAILED_VM_S
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -71,7 +71,7 @@
         tracker, request = grant.tracker, grant.request
         self._apply(grant, outcome, elapsed_s, now_s)
         if pause_s is not None:
-            tracker.paused_until_s[request.vm] = now_s + pause_s
+            tracker.pause(request.vm, now_s + pause_s)
         if outcome is Outcome.CONNECT_FAILED:
             tracker.rate_limiter.refund_request()
             if grant.has_token:
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -136,7 +136,7 @@
         """Record until when a start of an upstream wants no requests of a VM."""
         tracker = self._trackers.get(name)
         if tracker is not None and tracker.upstream.start_time_ms == start_time_ms:
-            tracker.paused_until_s[vm] = until_s
+            tracker.pause(vm, until_s)
 
     def record_cold(
         self, name: str, start_time_ms: int, until_s: float, now_s: float
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -95,12 +95,15 @@
     """Whether it was last logged as slow."""
     shed_until_s: float = 0.0
     """Until when it counts as full after it shed or misdirected a request (seconds)."""
-    blocked_until_s: dict[str, float] = attrs.field(factory=dict)
-    """Until when each VM avoids it (seconds), by address of the VM."""
-    paused_until_s: dict[str, float] = attrs.field(factory=dict)
-    """Until when it wants no requests of each VM (seconds), by address of the VM."""
-    connect_failed_s: dict[str, float] = attrs.field(factory=dict)
-    """When each VM last failed to connect (seconds), by address of the VM."""
+    blocked_until_s: dict[str, float] | None = None
+    """Until when each VM avoids it (seconds), by address of the VM; ``None`` for none: a
+    dictionary for each of thousands of upstreams takes megabytes."""
+    paused_until_s: dict[str, float] | None = None
+    """Until when it wants no requests of each VM (seconds), by address of the VM; ``None``
+    for none."""
+    connect_failed_s: dict[str, float] | None = None
+    """When each VM last failed to connect (seconds), by address of the VM; ``None`` for
+    none."""
     last_used_s: float = NEVER_S
     """When one of its slots was last granted (seconds)."""
     listed_at_s: float = 0.0
@@ -148,24 +151,31 @@
             return False
         if self.pause_s(vm, now_s) > 0:
             return True
-        until_s = self.blocked_until_s.get(vm)
+        blocked = self.blocked_until_s or {}
+        until_s = blocked.get(vm)
         if until_s is None:
             return False
         if until_s <= now_s:
-            del self.blocked_until_s[vm]
+            del blocked[vm]
             return False
         return True
 
     def pause_s(self, vm: str, now_s: float) -> float:
         """Return the time for which it wants no requests of a VM (seconds)."""
-        until_s = self.paused_until_s.get(vm)
-        if until_s is None:
+        paused = self.paused_until_s
+        until_s = paused.get(vm) if paused else None
+        if not paused or until_s is None:
             return 0.0
         if until_s <= now_s:
-            del self.paused_until_s[vm]
+            del paused[vm]
             return 0.0
         return until_s - now_s
 
+    def pause(self, vm: str, until_s: float) -> None:
+        """Record until when it wants no requests of a VM (seconds)."""
+        self.paused_until_s = self.paused_until_s or {}
+        self.paused_until_s[vm] = until_s
+
     def has_free_slot(self, now_s: float) -> bool:
         """Tell whether the upstream would start a request at once."""
         return (
@@ -284,7 +294,9 @@
 
     def record_connect_failure(self, vm: str, now_s: float) -> None:
         """Block the upstream for a VM; suspect it if several VMs can't connect."""
+        self.blocked_until_s = self.blocked_until_s or {}
         self.blocked_until_s[vm] = now_s + CONNECT_BLOCK_S
+        self.connect_failed_s = self.connect_failed_s or {}
         self.connect_failed_s[vm] = now_s
         recent = sum(
             now_s - at_s < CONNECT_BLOCK_S for at_s in self.connect_failed_s.values()
--- a/src/gentianfold/settings/_builder.py
+++ b/src/gentianfold/settings/_builder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -13,6 +12,8 @@
 from gentianfold.settings._value_types import INVALID, TYPE_KEY, ObjectType
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from gentianfold.settings._scanner import FieldPath, Position
 
 
@@ -46,8 +47,7 @@
             return INVALID
         fields = {field.name: field for field in attrs.fields(cls)}
         for name in value.keys() - fields.keys():
-            nearest = difflib.get_close_matches(str(name)[:64], fields, n=1)
-            hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
+            hint = _suggest(str(name)[:64], fields)
             problem = f"there is no such field{hint}"
             self.add_failure(codes.SETTING_UNKNOWN, (*path, name), problem)
         values = {
@@ -84,3 +84,12 @@
     text = ".".join(str(part)[:64] for part in path)
     # A JSON escape can yield a lone surrogate, which can't be encoded as UTF-8.
     return text.encode(errors="replace").decode()
+
+
+def _suggest(name: str, fields: Iterable[str]) -> str:
+    """Return a hint at the field that a name is most like; empty if there is none."""
+    # Imported on demand: only a faulty settings file needs it.
+    import difflib
+
+    nearest = difflib.get_close_matches(name, fields, n=1)
+    return f"; did you mean {nearest[0]!r}?" if nearest else ""
--- a/src/gentianfold/vm/main.py
+++ b/src/gentianfold/vm/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import linecache
 import os
 import sys
 
@@ -40,7 +41,10 @@
     writer = LogWriter()
     writer.set_nonblocking()
     set_up_log(settings.logging, writer)
+    # Lines of generated methods, which only tracebacks read.
+    linecache.clearcache()
     # Imported modules are never freed; skipping them shortens each garbage collection.
+    gc.collect()
     gc.freeze()
     virtual_machine = VirtualMachine(settings, writer, settings_file)
     virtual_machine.process_started_s = started_s
