Generate no text form for components of a VM

Nothing prints a component; the method that would was compiled for each of 79 classes in each process. Values keep theirs. Test: failed on the code before.

--- a/src/gentianfold/fleet/announced_configuration.py
+++ b/src/gentianfold/fleet/announced_configuration.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class AnnouncedConfiguration:
     """Newest configuration version announced to this VM."""
 
--- a/src/gentianfold/fleet/arrival_rate.py
+++ b/src/gentianfold/fleet/arrival_rate.py
@@ -25,7 +25,7 @@
     updated_s: float
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ArrivalRates:
     """Exponentially decaying rate of arrivals of each key."""
 
--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -59,7 +59,7 @@
 """Datagrams of upstream changes sent to one member at a time (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Broker:
     """Serves the members of the fleet while this VM is the broker."""
 
--- a/src/gentianfold/fleet/broker_loans.py
+++ b/src/gentianfold/fleet/broker_loans.py
@@ -23,7 +23,7 @@
 """Minimum time between two log lines on loans (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BrokerLoans:
     """Lends slots to members, and recalls them when other requests wait for them."""
 
--- a/src/gentianfold/fleet/decision_loop.py
+++ b/src/gentianfold/fleet/decision_loop.py
@@ -29,7 +29,7 @@
 """Time between two log lines on a broker that is behind (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class DecisionLoop:
     """Decides on slot requests, and passes freed slots to the requests that wait."""
 
--- a/src/gentianfold/fleet/evacuation_table.py
+++ b/src/gentianfold/fleet/evacuation_table.py
@@ -25,7 +25,7 @@
 notice the restoration and write again what it has lost."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EvacuationTable:
     """Evacuated zones as of a revision; all times are event loop times (seconds)."""
 
--- a/src/gentianfold/fleet/fleet_tunnels.py
+++ b/src/gentianfold/fleet/fleet_tunnels.py
@@ -29,7 +29,7 @@
 """Datagrams with the same notice, as one may be lost (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class FleetTunnels:
     """Implements ``TunnelOpener`` with the VMs that the broker names."""
 
--- a/src/gentianfold/fleet/leaving_table.py
+++ b/src/gentianfold/fleet/leaving_table.py
@@ -19,7 +19,7 @@
 or each VM that uses the upstream was told by itself."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LeavingTable:
     """Starts of upstreams that are about to end; a later start is not bound."""
 
--- a/src/gentianfold/fleet/lender.py
+++ b/src/gentianfold/fleet/lender.py
@@ -27,7 +27,7 @@
 _ALL = ""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Lot:
     """Tokens that a VM may use until the end of a term, by customer."""
 
@@ -40,7 +40,7 @@
         return tokens.unsettled if tokens is not None else 0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Borrower:
     """Lots and wishes of one VM."""
 
@@ -49,7 +49,7 @@
     wishes: dict[str, int] = attrs.field(factory=dict)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Lender:
     """Decides on loans by the load of this VM and keeps the lots of each VM."""
 
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -60,7 +60,7 @@
 """Time between two calls of ``Node.advance`` (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Node:
     """Implements ``Placer`` for a VM of a fleet and dispatches received messages."""
 
--- a/src/gentianfold/fleet/node_evacuations.py
+++ b/src/gentianfold/fleet/node_evacuations.py
@@ -32,7 +32,7 @@
     """Members that have not confirmed it; empty on a VM that is not the broker."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NodeEvacuations:
     """Merges the evacuated zones and applies them to the upstreams of this VM."""
 
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -30,7 +30,7 @@
 """Uses that are reported in one message (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NodeLoans:
     """Lent slots and tokens of a VM; tells the broker how they are used."""
 
--- a/src/gentianfold/fleet/node_notices.py
+++ b/src/gentianfold/fleet/node_notices.py
@@ -22,7 +22,7 @@
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NodeNotices:
     """Applies notices of upstreams, read by this VM or told by others."""
 
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -23,7 +23,7 @@
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NodeShares:
     """The part of each fleet-wide limit that a VM may use in its present role."""
 
--- a/src/gentianfold/fleet/node_view.py
+++ b/src/gentianfold/fleet/node_view.py
@@ -15,7 +15,7 @@
 (seconds): three heartbeats of 1.5 seconds, and the time until they are read."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NodeView:
     """The newest published state that this VM knows, and when it was read."""
 
--- a/src/gentianfold/fleet/pause_table.py
+++ b/src/gentianfold/fleet/pause_table.py
@@ -14,7 +14,7 @@
 """Pauses in one report (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PauseTable:
     """Pauses of this VM by upstream and start; all times are monotonic (seconds)."""
 
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -24,7 +24,7 @@
 """A granted slot, or the refusal of one."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PendingRequest:
     """A request that awaits a decision of the broker or of the local scheduler."""
 
--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -22,7 +22,7 @@
 """Names of upstreams shown in one list of a log line (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlacementLog:
     """Logs each state change, and services with queued requests at most once a second."""
 
--- a/src/gentianfold/fleet/resend_pace.py
+++ b/src/gentianfold/fleet/resend_pace.py
@@ -32,7 +32,7 @@
 """Repeats that may follow each other without new requests (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResendPace:
     """Backoff and budget of the repeated slot requests of one VM."""
 
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -57,7 +57,7 @@
 """Refusal by a VM that found no broker for a customer with a limit."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SlotClient:
     """Requests slots and keeps the requests that await a decision."""
 
--- a/src/gentianfold/fleet/slot_stock.py
+++ b/src/gentianfold/fleet/slot_stock.py
@@ -25,7 +25,7 @@
 """Time after a recall for which the VM keeps no slots of the service (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LentSlot:
     """A slot that may serve several requests, one at a time."""
 
@@ -51,7 +51,7 @@
         return self.request.service
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SlotStock:
     """Lent slots of one VM: those in use by slot request, and idle ones by service.
 
--- a/src/gentianfold/fleet/token_stock.py
+++ b/src/gentianfold/fleet/token_stock.py
@@ -32,7 +32,7 @@
 before it counts as failed."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Lot:
     """Tokens that may be used until the end of their term."""
 
@@ -43,7 +43,7 @@
     """Ask that told of its end; ``None`` before."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TokenStock:
     """The lots that this VM holds, and its demand.
 
--- a/src/gentianfold/fleet/tunnel_directory.py
+++ b/src/gentianfold/fleet/tunnel_directory.py
@@ -17,7 +17,7 @@
 """Time for which a VM that opened no tunnel is not asked again (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TunnelDirectory:
     """Tokens that this VM got from others, and those that it gave; does no I/O."""
 
--- a/src/gentianfold/fleet/tunnel_plan.py
+++ b/src/gentianfold/fleet/tunnel_plan.py
@@ -18,7 +18,7 @@
 """Time for which the list of VMs with paths is kept (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TunnelPlan:
     """Spreads tunnels at random over the VMs with paths, by their capacity."""
 
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -59,7 +59,7 @@
 }
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen(eq=False, repr=False)
 class ForwardPlan:
     """Facts about a request that are settled before its first attempt."""
 
@@ -85,7 +85,7 @@
     """Availability zones in which the request may run; ``None`` for any."""
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen(eq=False, repr=False)
 class AttemptResult:
     """Result of an attempt."""
 
@@ -122,7 +122,7 @@
         return self.outcome.is_failure
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Attempt:
     """Sends a request to an upstream.
 
--- a/src/gentianfold/forwarding/connection_pool.py
+++ b/src/gentianfold/forwarding/connection_pool.py
@@ -32,7 +32,7 @@
 """IP address and TCP port."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConnectionPool:
     """Idle connections, by address and server name."""
 
--- a/src/gentianfold/forwarding/memory_budget.py
+++ b/src/gentianfold/forwarding/memory_budget.py
@@ -160,7 +160,7 @@
     return max(min(max_files, file_limit) - RESERVED_FILES, 4 * MIN_CONNECTIONS)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class MemoryBudget:
     """Bytes that the process holds for its clients."""
 
@@ -228,7 +228,7 @@
             self.ended_count += 1
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Claim:
     """Bytes claimed for one object; they are given back when it is dropped."""
 
@@ -279,7 +279,7 @@
     return claim if claim.grow_to(ANSWER_BYTES, now_s) else None
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConnectionLimit:
     """Connections that a listener has open at a time.
 
--- a/src/gentianfold/forwarding/messages.py
+++ b/src/gentianfold/forwarding/messages.py
@@ -21,7 +21,7 @@
 """Length up to which a body is sent in one piece with its head (bytes)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallerRequest:
     """A completely received request of a caller."""
 
@@ -66,7 +66,7 @@
     return data if isinstance(data, Body) else Body(data)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Response:
     """A complete response."""
 
--- a/src/gentianfold/forwarding/path_state.py
+++ b/src/gentianfold/forwarding/path_state.py
@@ -16,7 +16,7 @@
 does not move all requests to and fro."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PathState:
     """Evidence of one VM; a failure counts only if another VM did connect."""
 
--- a/src/gentianfold/forwarding/request_fingerprint.py
+++ b/src/gentianfold/forwarding/request_fingerprint.py
@@ -14,7 +14,7 @@
 """Length of a fingerprint (bytes): no two of a day's requests share one by chance."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestFingerprint:
     """Digest of method, host, target, customer and body, computed on first use."""
 
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -78,7 +78,7 @@
 }
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestForwarder:
     """Forwards requests and returns their responses."""
 
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -27,7 +27,7 @@
 It begins anew as long as the caller receives."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PendingResponse:
     """A response that has not been written."""
 
--- a/src/gentianfold/forwarding/routing_state.py
+++ b/src/gentianfold/forwarding/routing_state.py
@@ -13,7 +13,7 @@
     from gentianfold.model import Configuration, Upstream
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RoutingState:
     """Latest configuration and upstream list; the version never decreases."""
 
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -58,7 +58,7 @@
 """A complete response, or why there is none."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _PendingResponse:
     """A response that is awaited or being read."""
 
--- a/src/gentianfold/forwarding/upstream_notice.py
+++ b/src/gentianfold/forwarding/upstream_notice.py
@@ -36,7 +36,7 @@
 """Notice of a response that states nothing."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class NoticeReader:
     """Reads notices; logs the first invalid one only."""
 
--- a/src/gentianfold/forwarding/upstream_paths.py
+++ b/src/gentianfold/forwarding/upstream_paths.py
@@ -38,7 +38,7 @@
         return TunnelStatus.UNAVAILABLE
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamPaths:
     """Finds a connection for each attempt, and learns which paths this VM has lost."""
 
--- a/src/gentianfold/placement/admission.py
+++ b/src/gentianfold/placement/admission.py
@@ -45,7 +45,7 @@
 """Time constant with which the told delay decays (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Arrival:
     """A request that awaits its decision."""
 
@@ -53,7 +53,7 @@
     arrived_s: float
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class AdmissionQueue:
     """Slot requests that await a decision, bounded by the time that they wait."""
 
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -378,7 +378,7 @@
         return cost + self.random.random() * policy.jitter
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Selection:
     """Selects the upstreams that one request may use."""
 
--- a/src/gentianfold/placement/crash_table.py
+++ b/src/gentianfold/placement/crash_table.py
@@ -92,7 +92,7 @@
     """Whether the request was sent as a trial."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Entry:
     customer: str
     crashes: list[Crash] = attrs.field(factory=list)
@@ -126,7 +126,7 @@
             self.is_confirmed = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CrashTable:
     """Bounded table of requests that may crash upstreams; all times are monotonic."""
 
--- a/src/gentianfold/placement/customer_usage.py
+++ b/src/gentianfold/placement/customer_usage.py
@@ -68,7 +68,7 @@
         return newly_returned
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TokenLot:
     """Tokens that another VM may use until a time by the lender's clock.
 
--- a/src/gentianfold/placement/grant.py
+++ b/src/gentianfold/placement/grant.py
@@ -29,7 +29,7 @@
 """Time added to that multiple (seconds), so that jitter fails no short request."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Grant:
     """A slot held by an attempt."""
 
--- a/src/gentianfold/placement/grant_table.py
+++ b/src/gentianfold/placement/grant_table.py
@@ -14,7 +14,7 @@
     from gentianfold.placement.grant import Grant
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GrantTable:
     """Grants that hold a slot; those of one VM are found without a search."""
 
--- a/src/gentianfold/placement/lent_slots.py
+++ b/src/gentianfold/placement/lent_slots.py
@@ -55,7 +55,7 @@
     the answer states none."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LentSlots:
     """Uses of lent slots, and the idle ones by VM.
 
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -22,7 +22,7 @@
     from gentianfold.placement.tracker_table import TrackerTable
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OutcomeRecorder:
     """What finished attempts tell about upstreams and routes."""
 
--- a/src/gentianfold/placement/queue_entry.py
+++ b/src/gentianfold/placement/queue_entry.py
@@ -13,7 +13,7 @@
 """Fraction of its time left for which a request waits although it misses its target."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class QueueEntry:
     """A request in the queue of its service."""
 
--- a/src/gentianfold/placement/queue_index.py
+++ b/src/gentianfold/placement/queue_index.py
@@ -23,7 +23,7 @@
 """Time for which the order of a long queue is kept (seconds): one tick."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class QueueIndex:
     """Order of one service's queue, as of the last tick and the requests that came."""
 
--- a/src/gentianfold/placement/queue_pass.py
+++ b/src/gentianfold/placement/queue_pass.py
@@ -36,7 +36,7 @@
 first in a tick (count): each costs little, but thousands may wait."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class QueuePass:
     """One pass over the queue of a service."""
 
--- a/src/gentianfold/placement/rate_limiter.py
+++ b/src/gentianfold/placement/rate_limiter.py
@@ -19,7 +19,7 @@
 """Lower bound of the tokens; requests sent without a token count up to it."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RateLimiter:
     """Token bucket for the rate that one upstream states; all times are monotonic.
 
--- a/src/gentianfold/placement/slot_ledger.py
+++ b/src/gentianfold/placement/slot_ledger.py
@@ -16,7 +16,7 @@
     from gentianfold.placement.waiting_requests import SlotRequestKey
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SlotLedger:
     """Slots in use, lent ones on which no request runs among them."""
 
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -60,7 +60,7 @@
 """Result of a request for a slot."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SlotScheduler:
     """Schedules the requests of a whole fleet, or of one VM without a broker."""
 
--- a/src/gentianfold/placement/stated_limits.py
+++ b/src/gentianfold/placement/stated_limits.py
@@ -15,7 +15,7 @@
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StatedLimits:
     """Passes what upstreams state to their rate limiters."""
 
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -19,7 +19,7 @@
 its measurements have decayed to nothing then."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TrackerTable:
     """One tracker for each start of a listed upstream."""
 
--- a/src/gentianfold/placement/upstream_pool.py
+++ b/src/gentianfold/placement/upstream_pool.py
@@ -35,7 +35,7 @@
 (seconds): one tick."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ZoneGroups:
     """Healthy upstreams of one availability zone that have unused slots.
 
@@ -58,7 +58,7 @@
             group.update(ordered)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Filing:
     """Where an upstream is filed."""
 
@@ -69,7 +69,7 @@
     """Its slots that count as those of healthy upstreams (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamPool:
     """Upstreams of one service that accept new requests, by state."""
 
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -47,7 +47,7 @@
 (count): more than a pair of VMs that share one broken link."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamTracker:
     """State and statistics of one upstream; all times are monotonic.
 
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -18,7 +18,7 @@
 _Key = TypeVar("_Key")
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WaitingRequests:
     """One queue for each service; the order in which they are served is not kept."""
 
--- a/src/gentianfold/placement/warmup_limiter.py
+++ b/src/gentianfold/placement/warmup_limiter.py
@@ -62,7 +62,7 @@
         return max(min(wanted_per_s, allowed / (1 + MAX_SEND_DELAY_S)), 0.0)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WarmupBudget:
     """Share of one scheduler in the requests of all cold upstreams."""
 
@@ -123,7 +123,7 @@
         self._updated_s = max(self._updated_s, now_s)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WarmupLimiter:
     """Token bucket of one upstream while it is cold; all times are monotonic."""
 
--- a/src/gentianfold/platform/store_client.py
+++ b/src/gentianfold/platform/store_client.py
@@ -50,7 +50,7 @@
 """Reason of the failure that requires listing all items again."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreClient:
     """Sends requests to the store; no other class does."""
 
--- a/src/gentianfold/platform/store_synchronizer.py
+++ b/src/gentianfold/platform/store_synchronizer.py
@@ -115,7 +115,7 @@
         ...
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreSynchronizer:
     """Reads the store on each poll and passes changes to a sink."""
 
--- a/src/gentianfold/vm/configuration_fetcher.py
+++ b/src/gentianfold/vm/configuration_fetcher.py
@@ -76,7 +76,7 @@
 milliseconds."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConfigurationFetcher:
     """Obtains the configuration when a heartbeat reply announces a newer version."""
 
--- a/src/gentianfold/vm/log_writer.py
+++ b/src/gentianfold/vm/log_writer.py
@@ -14,7 +14,7 @@
 failures and rejections."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LogWriter:
     """Buffers log lines for a non-blocking file descriptor.
 
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -34,7 +34,7 @@
 _DEFAULT_LIMITS = CallerLimits()
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallerRequestHandler:
     """Runs each request in its own task, then logs and counts it.
 
--- a/src/gentianfold/vm/resource_limits.py
+++ b/src/gentianfold/vm/resource_limits.py
@@ -32,7 +32,7 @@
 """Time between two lines about refusals (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResourceLimits:
     """Budgets of the process, shared by all of its listeners."""
 
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -39,7 +39,7 @@
 """Time between two checks whether a poll is due (seconds)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StorePoller:
     """Polls the store at the configured interval on the broker.
 
@@ -111,7 +111,7 @@
         return asyncio.get_running_loop().time()
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StateSink:
     """Applies published state to this VM; implements ``PublishedStateSink``."""
 
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -79,7 +79,7 @@
 from all callers of a VM."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class VirtualMachine:
     """One VM; ``run`` returns after a planned stop."""
 
--- a/tests/vm/test_lean_process.py
+++ b/tests/vm/test_lean_process.py
@@ -5,9 +5,11 @@
 import gc
 import itertools
 import signal
+import sys
 from pathlib import Path
 
 import anyio
+import attrs
 import pytest
 from conftest import (
     connect_caller,
@@ -105,3 +107,21 @@
     tracker = UpstreamTracker(Upstream("u", "s", "10.0.0.1", 80, "z"))
     parts = gc.get_referents(tracker)
     assert not any(isinstance(part, dict) for part in parts)
+
+
+def test_components_carry_no_generated_text_form():
+    # Each process has its own copy of generated methods.
+    import gentianfold.vm.main as loaded
+
+    parts = ("vm", "fleet", "forwarding", "placement", "platform", "settings")
+    names = tuple(f"{loaded.__name__.partition('.')[0]}.{part}." for part in parts)
+    components = [
+        found
+        for name, module in sys.modules.items()
+        if name.startswith(names)
+        for found in vars(module).values()
+        if isinstance(found, type) and found.__module__ == name and attrs.has(found)
+        if found.__eq__ is object.__eq__
+    ]
+    assert len(components) > 50
+    assert [row for row in components if row.__repr__ is not object.__repr__] == []
