Count latencies to a hundredth

There is a histogram of 147 kB for each outcome of a request; with two significant digits instead of three it has 21. Quantiles at the metrics endpoint are then within 1%. Measured: five histograms with 400 values each take 728 kB of private memory before, 72 after. A VM that saw one outcome only (2,000 requests) had 29,828 kB before and 29,824 after: the gain begins with the second. Test: failed before by its size.

--- a/src/gentianfold/vm/metrics.py
+++ b/src/gentianfold/vm/metrics.py
@@ -15,8 +15,9 @@
 """Lowest latency recorded (microseconds); shorter ones are clamped."""
 MAX_LATENCY_US = 120_000_000
 """Highest latency recorded (microseconds); longer ones are clamped."""
-SIGNIFICANT_DIGITS = 3
-"""Precision of recorded latencies (significant decimal digits)."""
+SIGNIFICANT_DIGITS = 2
+"""Precision of recorded latencies (significant decimal digits): with one more, a
+histogram takes seven times the memory."""
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 """Quantiles exported for each histogram."""
 
--- a/tests/vm/test_lean_process.py
+++ b/tests/vm/test_lean_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import gc
 import itertools
 import signal
@@ -26,6 +27,7 @@
 from gentianfold.placement.upstream_tracker import UpstreamTracker
 from gentianfold.platform import wire, wire_encoding
 from gentianfold.standins.http_server import ReceivedRequest
+from gentianfold.vm.metrics import Metrics
 
 pytestmark = pytest.mark.anyio
 
@@ -125,3 +127,12 @@
     ]
     assert len(components) > 50
     assert [row for row in components if row.__repr__ is not object.__repr__] == []
+
+
+def test_a_histogram_is_small_and_within_a_hundredth():
+    # There is one for each outcome of a request.
+    metrics = Metrics()
+    metrics.observe("request_ok", 0.5)
+    (histogram,) = metrics.histograms.values()
+    assert ctypes.sizeof(histogram.counts) < 32 << 10
+    assert histogram.get_value_at_percentile(50) == pytest.approx(5e5, rel=0.01)
