Check a configuration before it is sent

VMs load none of it. Left out on purpose: more than one attempt for a route that isn't idempotent (the platform's own example has it, and attempts follow only those that have not run); a longer prefix (it hides no shorter one).

--- a/src/gentianfold/cli/_output.py
+++ b/src/gentianfold/cli/_output.py
@@ -5,12 +5,14 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import msgspec
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from gentianfold.errors import Failure
+    from gentianfold.rules import RuleChange
 
 _COLUMN_SEPARATOR = "  "
 
@@ -49,6 +51,13 @@
     return fields
 
 
+def change_fields(change: RuleChange) -> dict[str, Any]:
+    """Return the JSON fields of a change."""
+    return attrs.asdict(
+        change, value_serializer=lambda _, __, value: getattr(value, "value", value)
+    )
+
+
 def format_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
     """Return a table with aligned columns; numeric columns are right-aligned.
 
--- a/src/gentianfold/cli/status.py
+++ b/src/gentianfold/cli/status.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 from typing import Annotated, Any
 
 import attrs
@@ -16,14 +15,11 @@
     write_json,
     write_line,
 )
+from gentianfold.cli._vm_request import request_vm
 from gentianfold.cli.exit_codes import ExitCode
 from gentianfold.codes.cli import VM_ADDRESS_INVALID, VM_UNREACHABLE
 from gentianfold.errors import Failure
 
-REQUEST_TIMEOUT_S = 3.0
-"""Socket timeout of a status request (seconds); short, as the command is used
-interactively."""
-
 
 @cappa.command(name="status", help="Show the state of VMs and upstreams.")
 @attrs.frozen(kw_only=True)
@@ -68,18 +64,13 @@
         The decoded response, or a failure if the address or the response is invalid
         or the VM can't be reached.
     """
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        return Failure(VM_ADDRESS_INVALID, f"{address!r} isn't HOST:PORT")
-    connection = http.client.HTTPConnection(host, int(port), timeout=REQUEST_TIMEOUT_S)
+    body = request_vm(address, "/status")
+    if isinstance(body, Failure):
+        return body
     try:
-        connection.request("GET", "/status")
-        body = connection.getresponse().read()
         state: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
-    except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
+    except msgspec.MsgspecError as error:
         return Failure(VM_UNREACHABLE, f"{address}: {error}")
-    finally:
-        connection.close()
     return state
 
 
--- a/src/gentianfold/rules/difference.py
+++ b/src/gentianfold/rules/difference.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from gentianfold.model import RateLimit, Route
+from gentianfold.model import RateLimit, Route, WeightedService
 from gentianfold.rules import _options as options
 from gentianfold.rules.formatter import format_methods
 
@@ -78,7 +78,14 @@
 
 def diff_rules(old: RuleSet, new: RuleSet) -> tuple[RuleChange, ...]:
     """Return the rules that differ in effect, sorted by kind and name."""
-    before, after = _rules_by_key(old), _rules_by_key(new)
+    return diff_entries(_rules_by_key(old), _rules_by_key(new))
+
+
+def diff_entries(
+    before: Mapping[tuple[str, str], attrs.AttrsInstance],
+    after: Mapping[tuple[str, str], attrs.AttrsInstance],
+) -> tuple[RuleChange, ...]:
+    """Return the entries, by kind and name, that differ in effect, sorted by both."""
     changes = (
         _diff_rule(key, before.get(key), after.get(key))
         for key in sorted(before.keys() | after.keys())
@@ -98,7 +105,9 @@
 
 
 def _diff_rule(
-    key: tuple[str, str], old: Rule | None, new: Rule | None
+    key: tuple[str, str],
+    old: attrs.AttrsInstance | None,
+    new: attrs.AttrsInstance | None,
 ) -> RuleChange | None:
     """Compare two versions of a rule, of which one can be ``None``.
 
@@ -119,7 +128,7 @@
     return RuleChange(kind, name, Action.CHANGED, fields) if fields else None
 
 
-def _format_fields(rule: Rule | RateLimit) -> Iterator[tuple[str, str]]:
+def _format_fields(rule: attrs.AttrsInstance) -> Iterator[tuple[str, str]]:
     """Yield option name and value of each field that has an effect, as text."""
     for field in attrs.fields(type(rule)):
         value = getattr(rule, field.name)
@@ -146,4 +155,9 @@
     """Format a value for which no option defines a format."""
     if isinstance(value, bool):
         return "yes" if value else "no"
+    if isinstance(value, WeightedService):
+        return f"{value.service}:{value.weight:g}"
+    if isinstance(value, tuple | frozenset):
+        parts = map(_format_value, value)
+        return ",".join(parts if isinstance(value, tuple) else sorted(parts)) or "none"
     return str(value)
--- a/tests/vm/test_lean_process.py
+++ b/tests/vm/test_lean_process.py
@@ -36,7 +36,8 @@
     *("pkgutil", "rich", "secrets", "unittest", "urllib.request"),
     *("gentianfold.cli", "gentianfold.reports", "gentianfold.rules"),
     *("gentianfold.codes.cli", "gentianfold.codes.rules", "gentianfold.standins"),
-    "gentianfold.platform.wire_encoding",
+    *("gentianfold.codes.configuration", "gentianfold.platform.wire_encoding"),
+    "gentianfold.platform.configuration_document",
 }
 """Modules that a running VM may not load; nor those within them."""
 WARM_REQUESTS = 300
