--- a/src/gentianfold/standins/upstream.py
+++ b/src/gentianfold/standins/upstream.py
@@ -70,6 +70,8 @@
     is handled normally."""
     answer_padding: bytes = b""
     """Bytes behind the usual body of each answer."""
+    gate: anyio.Event | None = None
+    """Awaited before the last half of each answer is sent; ``None`` to send it at once."""
     status_line: bytes = b""
     """Replaces the status line of answers; empty for the usual one."""
     extra_headers: Headers = attrs.field(factory=list)
@@ -168,7 +170,8 @@
             return format_response(500, sealed_headers, b"failed")
         await anyio.sleep(self.processing_time_s)
         body = b"answer to " + headers[0][1] + self.answer_padding
-        response = format_response(200, sealed_headers, body)
+        has_seal = behaviour is not Behaviour.NO_SEAL
+        response = format_response(200, sealed_headers if has_seal else headers, body)
         if self.status_line:
             response = self.status_line + response[response.index(b"\r\n") :]
         match behaviour:
@@ -190,6 +193,9 @@
                 request.transport.close()
             case Behaviour.MALFORMED_RESPONSE:
                 return b"\x00\x01 not an answer\r\n\r\n"
-            case Behaviour.NO_SEAL:
-                return format_response(200, headers, body)
+        if self.gate is not None:
+            half = len(response) // 2
+            request.transport.write(response[:half])
+            await self.gate.wait()
+            return response[half:]
         return response
--- a/src/gentianfold/vm/resource_limits.py
+++ b/src/gentianfold/vm/resource_limits.py
@@ -1,4 +1,4 @@
-"""Memory and descriptors of one VM, as budgets made from its settings."""
+"""Memory, descriptors and link of one VM, as budgets made from its settings."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 import attrs
 from loguru import logger
 
+from gentianfold.forwarding.link_pacer import LinkPacer
+from gentianfold.forwarding.link_schedule import LinkSchedule
 from gentianfold.forwarding.memory_budget import (
     MIN_CONNECTIONS,
     ConnectionLimit,
@@ -17,6 +19,7 @@
     socket_capacity,
 )
 from gentianfold.platform.deployment import stated_max_files
+from gentianfold.vm.heap_trimmer import HeapTrimmer
 
 if TYPE_CHECKING:
     from gentianfold.settings import Settings
@@ -48,6 +51,10 @@
     """Connections for metrics."""
     tunnels: ConnectionLimit
     """Connections of other VMs for tunnels."""
+    link: LinkPacer
+    """Turns of long answers on the network link."""
+    trimmer: HeapTrimmer = attrs.field(factory=HeapTrimmer)
+    """Gives memory back after peaks."""
     _reported: dict[str, int] = attrs.field(factory=dict)
     _next_report_s: float = 0.0
     _was_refusing: bool = False
@@ -68,6 +75,7 @@
             operators=ConnectionLimit(internal),
             metrics=ConnectionLimit(internal),
             tunnels=ConnectionLimit(internal),
+            link=LinkPacer(LinkSchedule(machine.link_mbps)),
         )
 
     @property
@@ -81,6 +89,11 @@
             "tunnels": self.tunnels,
         }
 
+    def advance(self, now_s: float) -> None:
+        """Report what was refused, and give back memory after a peak."""
+        self.report(now_s)
+        self.trimmer.advance(self.memory.used_bytes, now_s)
+
     def report(self, now_s: float) -> None:
         """Log what was refused or ended since the last call, once a second at most."""
         if now_s < self._next_report_s:
@@ -111,7 +124,7 @@
             )
         self._reported, self._was_refusing = counts, is_refusing
 
-    def gauges(self) -> dict[str, float]:
+    def gauges(self, now_s: float) -> dict[str, float]:
         """Return the gauges of the metrics page by name."""
         return {
             "memory_claimed_bytes": self.memory.used_bytes,
@@ -119,6 +132,8 @@
             "memory_capacity_bytes": self.memory.capacity_bytes,
             "caller_connections": self.callers.open_count,
             "caller_connections_limit": self.callers.capacity,
+            "heap_trims": self.trimmer.trim_count,
+            "link_used_mbps": self.link.schedule.used_mbps(now_s),
         }
 
     def refusals(self) -> dict[str, int]:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -129,6 +129,7 @@
         "requests_under_way": handler.under_way_count,
         "answers_unsent": handler.unsent_count,
         "requests_waiting": node.scheduler.waiting_count,
+        "retries_waiting": len(node.scheduler.retries),
         "slots_in_use": node.scheduler.granted_count,
         "slots_lent_idle": node.scheduler.lent.idle_count,
         "slots_recalled": node.broker.loans.recall_count,
@@ -164,6 +165,9 @@
         "upstreams_age_seconds": min(node.view.upstreams_age_s(now_s), 1e9),
         "configuration_version": node.view.configuration_version,
         "configuration_announced_version": node.announced.version,
+        "answers_passed_on": handler.forwarder.passed_on.answers,
+        "answers_passed_on_bytes": handler.forwarder.passed_on.received_bytes,
+        "answers_passed_on_paused_seconds": handler.forwarder.passed_on.paused_s,
         "store_calls": fetcher.synchronizer.client.call_count,
         "store_polls_failed": fetcher.synchronizer.failure_count,
         "is_broker": node.membership.role.value == "broker",
@@ -171,7 +175,7 @@
         "broker_behind_seconds": node.broker.decisions.queue.behind_s(now_s),
         "upstream_connections_opened": handler.forwarder.pool.opened_count,
     }
-    for name, level in (gauges | resources.gauges()).items():
+    for name, level in (gauges | resources.gauges(now_s)).items():
         metrics.set_gauge(name, float(level))
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
--- a/tests/vm/test_lean_process.py
+++ b/tests/vm/test_lean_process.py
@@ -127,7 +127,8 @@
         if found.__eq__ is object.__eq__
     ]
     assert len(components) > 50
-    assert [row for row in components if row.__repr__ is not object.__repr__] == []
+    printed = [row for row in components if row.__repr__ is not object.__repr__]
+    assert printed == [], "add repr=False"
 
 
 def test_a_histogram_is_small_and_within_a_hundredth():
