--- a/src/gentianfold/fleet/tunnel_plan.py
+++ b/src/gentianfold/fleet/tunnel_plan.py
@@ -44,7 +44,7 @@
     return max(room_mbps, MIN_ROOM_FRACTION * member.link_mbps)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TunnelPlan:
     """Spreads tunnels at random over the VMs with paths, by the room on their links.
 
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -52,7 +52,7 @@
 """Hexadecimal digits of a fingerprint in the log (count)."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Attempt:
     """Sends a request to an upstream.
 
--- a/src/gentianfold/forwarding/attempt_result.py
+++ b/src/gentianfold/forwarding/attempt_result.py
@@ -23,7 +23,7 @@
 }
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen(eq=False, repr=False)
 class AttemptResult:
     """Result of an attempt."""
 
--- a/src/gentianfold/forwarding/forward_plan.py
+++ b/src/gentianfold/forwarding/forward_plan.py
@@ -12,7 +12,7 @@
     from gentianfold.model import Route
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen(eq=False, repr=False)
 class ForwardPlan:
     """Facts about a request that are settled before its first attempt."""
 
--- a/src/gentianfold/forwarding/link_schedule.py
+++ b/src/gentianfold/forwarding/link_schedule.py
@@ -38,7 +38,7 @@
         ...
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LinkSchedule:
     """Tells when the next piece of a long answer may be written, and whose it is."""
 
--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -22,7 +22,7 @@
     from gentianfold.placement.tracker_table import TrackerTable
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OutcomeRecorder:
     """What finished attempts tell about upstreams and routes."""
 
@@ -74,7 +74,7 @@
         self._apply(grant, outcome, elapsed_s, now_s)
         self.rejections.record(request.service, outcome, now_s)
         if pause_s is not None:
-            tracker.paused_until_s[request.vm] = now_s + pause_s
+            tracker.pause(request.vm, now_s + pause_s)
         if outcome is Outcome.CONNECT_FAILED:
             tracker.rate_limiter.refund_request()
             if grant.has_token:
--- a/src/gentianfold/placement/queue_entry.py
+++ b/src/gentianfold/placement/queue_entry.py
@@ -19,7 +19,7 @@
 far deadline, all requests would wait until they miss their target."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class QueueEntry:
     """A request in the queue of its service."""
 
--- a/src/gentianfold/placement/retry_queue.py
+++ b/src/gentianfold/placement/retry_queue.py
@@ -52,7 +52,7 @@
     """Time for which the service has rejected many requests (seconds); 0 if it doesn't."""
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen(eq=False, repr=False)
 class _Entry:
     request: SlotRequest
     queued_at_s: float
@@ -60,7 +60,7 @@
     sort_key: SortKey
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RetryQueue:
     """Retries of each service that wait for its budget, first come, first served."""
 
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -54,7 +54,7 @@
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SlotScheduler:
     """Schedules the requests of a whole fleet, or of one VM without a broker."""
 
--- a/src/gentianfold/placement/wait_planner.py
+++ b/src/gentianfold/placement/wait_planner.py
@@ -34,7 +34,7 @@
 whose wait is expected to end just in time would be held in vain."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WaitPlanner:
     """Expected waits of requests, and what can be served by their deadlines."""
 
