--- a/src/gentianfold/placement/demand_table.py
+++ b/src/gentianfold/placement/demand_table.py
@@ -35,7 +35,7 @@
     sent_s: float = 0.0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class DemandTable:
     """Demand of all services, and the services of each route as far as seen."""
 
