State a version in heartbeats, and rely only on what the other build keeps

Cause: builds of two versions run in one fleet while VMs are replaced, and the messages did not say which. A field that does not send was read as its default, as if it were stated, and later messages were sent to VMs that drop them:

- A broker of that build states no age of its seeds; 0 counted as contact just now.
What was left of a fleet used an eighth of its shares beside restarted seeds that used all (sum of shares 1.06).
- It may state a smaller fleet than the VM knows; the VM took it over and lent its share, which the broker then used as a larger part.
- Ends of lent slots went to it in a message that it drops: outcomes were lost, and the slots stayed in use until a heartbeat.
- It grants upstreams of evacuated zones, outside of homes and cold ones without a bound.
The VM returned the first two one after the other, while the request waited, and used the cold ones.
- A repeated slot request stated the time left of its first copy.
- Requests of VMs of that build ran outside of homes under a broker that knows them.

Change: Heartbeat and HeartbeatReply end with a protocol version, 0 from builds that state none. Members of an older broker keep no lent slots and tell the end of each use as a release, name in their requests the upstreams that they would return, return grants of cold upstreams, take over no smaller size of the fleet and no contact with seeds that is not stated. A broker lends nothing to older members, looks up the homes of their requests, and ranks them by half their capacity as deputies.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -10,6 +10,7 @@
 from gentianfold.fleet.broker_loans import BrokerLoans
 from gentianfold.fleet.decision_loop import DecisionLoop
 from gentianfold.fleet.held_slots import reconcile_slots
+from gentianfold.fleet.home_table import HomeTable
 from gentianfold.fleet.lease_table import LeaseTable
 from gentianfold.fleet.lender import Lender
 from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
@@ -26,16 +27,19 @@
     SlotRefused,
     SlotUses,
 )
+from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
-    from gentianfold.placement.slot_request import Decision
+    from gentianfold.placement.slot_request import Decision, Granted
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 ANNOUNCE_INTERVAL_S = 1.0
@@ -82,8 +86,12 @@
     """Members of the fleet besides this VM."""
     is_first_start: bool = False
     """Whether the system never ran before this process."""
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    """Region of each availability zone, by which homes are decided on."""
     stated_size: int = 0
     """Size of the largest fleet by the settings (count); 0 if they state none."""
+    homes: HomeTable = attrs.field(init=False)
+    """Zones in which the requests of members with older builds may run."""
     leases: LeaseTable = attrs.field(factory=LeaseTable)
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
@@ -98,6 +106,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
+        self.homes = HomeTable(self.view.routing, self.regions)
         lender = Lender(self.scheduler.quota, self.cpu_share)
         self.loans = BrokerLoans(self.scheduler, self.transport, lender)
         self.decisions = DecisionLoop(self.scheduler, self.send_decision)
@@ -137,7 +146,9 @@
             message: The request.
             now_s: Event loop time (seconds).
         """
-        age_s = message.age_ms / 1000
+        age_s, zones = message.age_ms / 1000, message.zones
+        if zones is None and self.member_table.is_older(vm):
+            zones = self.homes.zones(message.route, message.customer)
         request = SlotRequest(
             vm=vm,
             slot_request_id=message.slot_request_id,
@@ -153,7 +164,7 @@
             target_left_s=message.target_left_ms / 1000 - age_s,
             zone=message.zone,
             fingerprint=message.fingerprint,
-            zones=message.zones,
+            zones=zones,
         )
         self.loans.count_placement(now_s)
         self.decisions.request_slot(request, now_s)
@@ -187,10 +198,15 @@
                 expected_ms,
                 decision.reason,
                 upstream.start_time_ms,
-                self.loans.term_ms(vm, slot_request_id, decision),
+                self._term_ms(vm, slot_request_id, decision),
             ),
         )
 
+    def _term_ms(self, vm: str, slot_request_id: int, granted: Granted) -> int:
+        if self.member_table.is_older(vm):
+            return 0
+        return self.loans.term_ms(vm, slot_request_id, granted)
+
     def handle_release(self, vm: str, release: ReleaseSlot, now_s: float) -> None:
         """Free a slot and record the outcome, or withdraw a request that waits.
 
@@ -237,6 +253,7 @@
             heartbeat.is_cut_off,
             heartbeat.evacuations.revision if heartbeat.evacuations else None,
             heartbeat.link_used_mbps,
+            heartbeat.protocol,
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
@@ -245,7 +262,10 @@
             self.leases.join(vm, heartbeat.fleet_size, heartbeat.is_first_start)
             self.loans.lender.remove(vm)
             logger.info(
-                "fleet: VM {} joined, {} members", vm, len(self.member_table.members)
+                "fleet: VM {} joined, {} members, protocol={}",
+                vm,
+                self.member_count,
+                heartbeat.protocol,
             )
         self.leases.record(
             vm, heartbeat.lease_stamp_ms, lease_now_s, heartbeat.fleet_size
@@ -427,6 +447,7 @@
             int(min(lease_now_s - self.leases.seed_seen_s, MAX_SEED_AGE_S) * 1000),
             token_ask_number,
             tokens,
+            PROTOCOL,
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from gentianfold.fleet.protocol import NO_PROTOCOL, PROTOCOL, is_older
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -42,6 +44,8 @@
 STRONGER_FACTOR = 2.0
 """Multiple of its own capacity from which a broker hands over to a deputy once the
 members of a new fleet have joined: a seed may be the weakest VM."""
+OLDER_BUILD_RANK = 0.5
+"""Factor of the capacity of a VM with an older build in the ranking of deputies."""
 MAX_DEPUTIES = 3
 """Deputies that a broker names in a heartbeat reply (count)."""
 
@@ -76,6 +80,8 @@
     """Deputies named by the last broker, best first."""
     last_reply_s: float = -1e9
     """Time of the broker's last heartbeat reply (event loop time, seconds)."""
+    broker_protocol: int = NO_PROTOCOL
+    """Version of the messages that the broker knows, by its last reply."""
     _last_heartbeat_s: float = -1e9
     _unanswered: int = 0
     _excluded_until_s: dict[str, float] = attrs.field(factory=dict)
@@ -89,6 +95,15 @@
         idle_s = now_s - self.last_reply_s
         return self.role is Role.MEMBER and idle_s < MEMBER_TIMEOUT_S
 
+    @property
+    def has_older_broker(self) -> bool:
+        """Whether the broker runs a build without what this build relies on."""
+        return self.role is Role.MEMBER and is_older(self.broker_protocol)
+
+    def is_older_broker(self, vm: str) -> bool:
+        """Tell whether a VM is the broker and runs such a build."""
+        return self.has_older_broker and vm == self.broker
+
     def next_heartbeat_target(self, now_s: float) -> str | None:
         """Return the VM to send a heartbeat to, and count it as sent.
 
@@ -113,13 +128,27 @@
         self._unanswered += 1
         return self.broker
 
-    def handle_reply(self, broker: str, deputies: Sequence[str], now_s: float) -> None:
-        """Record a heartbeat reply of the broker; other VMs' replies are ignored."""
+    def handle_reply(
+        self,
+        broker: str,
+        deputies: Sequence[str],
+        now_s: float,
+        protocol: int = PROTOCOL,
+    ) -> None:
+        """Record a heartbeat reply of the broker; other VMs' replies are ignored.
+
+        Args:
+            broker: Address of the sender.
+            deputies: Successors that it names, best first.
+            now_s: Event loop time (seconds).
+            protocol: Version of the messages that it knows.
+        """
         if self.role is Role.BROKER or broker != self.broker:
             return
         self.role = Role.MEMBER
         self.deputies = tuple(deputies)
         self.last_reply_s = now_s
+        self.broker_protocol = protocol
         self._unanswered = 0
         self._excluded_until_s.pop(broker, None)
 
@@ -263,12 +292,22 @@
     that doesn't know of evacuations."""
     link_used_mbps: float = 0.0
     """Use of the VM's network link by answers (megabits per second)."""
+    protocol: int = PROTOCOL
+    """Version of the messages that the VM knows."""
 
     @property
     def capacity(self) -> float:
         """Capacity as a broker, in units of the reference VM."""
         return capacity_of(self.cpu_share, self.link_mbps)
 
+    @property
+    def rank(self) -> float:
+        """Rank as a successor of the broker: the capacity, which older builds halve.
+
+        A broker of an older build bounds less, and is soon to be replaced.
+        """
+        return self.capacity * (OLDER_BUILD_RANK if is_older(self.protocol) else 1.0)
+
 
 @attrs.define
 class MemberTable:
@@ -284,7 +323,7 @@
         old = self.members.get(vm)
         self.members[vm] = member
         self._timed_out_s.pop(vm, None)
-        if old is None or old.capacity != member.capacity:
+        if old is None or old.rank != member.rank:
             self._deputies = None
         return old is None or old.incarnation != member.incarnation
 
@@ -305,6 +344,16 @@
         }
         return expired
 
+    def is_older(self, vm: str) -> bool:
+        """Tell whether a VM is a member with an older build."""
+        member = self.members.get(vm)
+        return member is not None and is_older(member.protocol)
+
+    @property
+    def older_count(self) -> int:
+        """Number of members with an older build."""
+        return sum(map(self.is_older, self.members))
+
     def remove(self, vm: str) -> None:
         """Remove a member that leaves the fleet; it does not count as timed out."""
         self.members.pop(vm, None)
@@ -314,7 +363,7 @@
         """Return the addresses of possible successors of the broker, best first."""
         if self._deputies is None:
             members = self.members
-            order = sorted(members, key=lambda vm: (-members[vm].capacity, vm))
+            order = sorted(members, key=lambda vm: (-members[vm].rank, vm))
             self._deputies = tuple(order[:MAX_DEPUTIES])
         return self._deputies
 
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gentianfold.fleet.protocol import NO_PROTOCOL
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.fleet.token_ask import TokenAsk
 from gentianfold.placement.crash_record import CrashRecord
@@ -38,7 +39,7 @@
     zone: str
     fingerprint: bytes = b""
     age_ms: int = 0
-    """Time since the times left were computed (milliseconds)."""
+    """Time since the times left were computed (milliseconds); 0 from this build."""
     zones: tuple[str, ...] | None = None
 
 
@@ -152,6 +153,8 @@
     """Use of the tokens that the broker has lent, and the wish for further ones."""
     link_used_mbps: float = 0.0
     """Use of the VM's link by answers (megabits per second)."""
+    protocol: int = NO_PROTOCOL
+    """Version of the messages that the VM knows."""
 
 
 class HeartbeatReply(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -191,11 +194,13 @@
     """How far the broker's decisions are behind the requests (milliseconds)."""
     seed_age_ms: int = 0
     """Time since the broker was in touch with a seed that knows the fleet
-    (milliseconds)."""
+    (milliseconds); not stated by builds without a protocol."""
     token_ask_number: int = 0
     """Number of the ask for tokens that the reply answers; 0 for none."""
     tokens: tuple[tuple[str, int], ...] = ()
     """Customer and tokens that the broker lends to the receiver."""
+    protocol: int = NO_PROTOCOL
+    """Version of the messages that the broker knows."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -379,6 +384,8 @@
 def to_acquire_slot(request: SlotRequest, age_s: float = 0.0) -> AcquireSlot:
     """Return the message that requests a slot from the broker.
 
+    Its times left are those of now, as brokers of older builds read no age.
+
     Args:
         request: The request.
         age_s: Time since its times left were computed (seconds).
@@ -393,12 +400,11 @@
         request.idempotent,
         request.attempt,
         request.excluded,
-        int(request.time_left_s * 1000),
-        int(request.target_left_s * 1000),
+        int((request.time_left_s - age_s) * 1000),
+        int((request.target_left_s - age_s) * 1000),
         request.zone,
         request.fingerprint,
-        int(age_s * 1000),
-        request.zones,
+        zones=request.zones,
     )
 
 
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -226,13 +226,16 @@
         """Tell whether the grant may no longer be used.
 
         The upstream may have refused further requests since, or be cold under a bound:
-        grants that are used late add up with those of the broker.
+        grants that are used late add up with those of the broker. A broker of an older
+        build grants them without a bound.
         """
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
         is_bounded = tracker is not None and tracker.warmup.is_bounded(now_s)
+        is_late = now_s - placement.granted_at_s > MAX_SEND_DELAY_S
+        is_uncounted = is_late or self.membership.is_older_broker(placement.granted_by)
         return (
-            (is_bounded and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
+            (is_bounded and is_uncounted)
             or not self.view.is_within(name, placement.zones)
             or not self._takes_requests(name, placement.start_time_ms)
         )
@@ -283,10 +286,7 @@
             case CrashReport():
                 self.scheduler.crashes.merge(message.crash_records, now_s)
             case UpstreamCold():
-                left_s, start_time_ms = message.left_ms / 1000, message.start_time_ms
-                self.notices.record_cold(
-                    vm, message.upstream, start_time_ms, left_s, now_s
-                )
+                self.notices.handle_cold(vm, message, now_s)
             case TunnelRequest():
                 token = self.tunnels.give_token(vm, now_s)
                 self.transport.send(vm, TunnelToken(token))
@@ -294,15 +294,7 @@
                 self.tunnels.record_token(vm, message.token, now_s)
                 self.on_tunnel_token(vm)
             case TunnelNotice():
-                pause_ms = message.pause_ms
-                self.notices.record(
-                    vm,
-                    message.upstream,
-                    message.start_time_ms,
-                    message.is_leaving,
-                    pause_ms / 1000 if pause_ms is not None else None,
-                    now_s,
-                )
+                self.notices.handle_tunnel_notice(vm, message, now_s)
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
             case BrokerAnnouncement():
@@ -333,11 +325,11 @@
         self, vm: str, reply: HeartbeatReply, now_s: float
     ) -> None:
         previous_role = self.membership.role
-        self.membership.handle_reply(vm, reply.deputies, now_s)
+        self.membership.handle_reply(vm, reply.deputies, now_s, reply.protocol)
         if self.membership.role is not Role.MEMBER or vm != self.membership.broker:
             return
         if previous_role is not Role.MEMBER:
-            logger.info("fleet: joined broker {}", vm)
+            logger.info("fleet: joined broker {}, protocol={}", vm, reply.protocol)
         self.fleet_size = reply.member_count + 1
         self.tunnels.candidates = reply.tunnel_vms
         self.loans.tokens.receive(vm, reply.token_ask_number, reply.tokens)
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -9,7 +9,12 @@
 import attrs
 
 from gentianfold.fleet.membership import Membership, Role
-from gentianfold.fleet.messages import RecallSlots, SlotUse, SlotUses
+from gentianfold.fleet.messages import (
+    RecallSlots,
+    ReleaseSlot,
+    SlotUse,
+    SlotUses,
+)
 from gentianfold.fleet.slot_stock import LentSlot, SlotStock
 from gentianfold.fleet.token_stock import TokenStock
 from gentianfold.placement.outcome import Outcome
@@ -133,8 +138,9 @@
         states_nothing = pause_s is None and rate_limit_per_s in (None, UNLIMITED)
         is_sound = outcome is Outcome.SUCCEEDED and states_nothing
         is_first = placement.slot_request_id == slot.lease_id
+        may_keep = is_sound and not self.membership.has_older_broker
         is_kept = self.slots.finish(
-            placement.slot_request_id, is_sound, self.clock.now_s()
+            placement.slot_request_id, may_keep, self.clock.now_s()
         )
         self._uses.append(
             SlotUse(
@@ -176,6 +182,8 @@
         if self.membership.role is Role.BROKER:
             self.slots.clear()
             self.tokens.clear()
+        if self.membership.has_older_broker and self.slots.return_all():
+            self.membership.expedite_heartbeat(self.loop_time_s())
         due = self.slots.return_due(self.clock.now_s())
         self._returned += [slot.lease_id for slot in due]
         self.send_reports()
@@ -184,12 +192,18 @@
         """Send uses, returned slots and unserved requests to the broker.
 
         Without a broker uses and returned slots are dropped: a broker learns from
-        heartbeats, too, which slots a VM still holds.
+        heartbeats, too, which slots a VM still holds. A broker of an older build, which
+        got the role while slots were lent, is told the end of each use as that of a
+        slot request.
         """
         if not self._uses and not self._returned and not self._unserved:
             return
         broker = self.membership.broker
-        if self.membership.role is Role.MEMBER and broker is not None:
+        if self.membership.has_older_broker and broker is not None:
+            for use in self._uses:
+                self.transport.send(broker, _to_release(use))
+            self._unserved.clear()
+        elif self.membership.role is Role.MEMBER and broker is not None:
             unserved = tuple((*key, count) for key, count in self._unserved.items())
             message = SlotUses(tuple(self._uses), tuple(self._returned), unserved)
             self.transport.send(broker, message)
@@ -213,3 +227,15 @@
             yield lease_id, upstream, route, customer
         for slot in self.slots.idle():
             yield slot.lease_id, slot.placement.upstream, "", ""
+
+
+def _to_release(use: SlotUse) -> ReleaseSlot:
+    """Return the message that frees the slot of a use."""
+    return ReleaseSlot(
+        use.lease_id,
+        use.outcome,
+        use.elapsed_ms,
+        use.transferred_bytes,
+        use.rate_limit_per_s,
+        use.pause_ms,
+    )
--- a/src/gentianfold/fleet/node_notices.py
+++ b/src/gentianfold/fleet/node_notices.py
@@ -17,6 +17,7 @@
     from collections.abc import Iterable
 
     from gentianfold.fleet.membership import Membership
+    from gentianfold.fleet.messages import TunnelNotice
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
@@ -91,10 +92,30 @@
             return
         logger.info("upstream: {} is cold, cause={} s={:.3g}", name, cause, left_s)
         broker = self.membership.broker
-        if broker and self.membership.role is Role.MEMBER:
+        is_member = self.membership.role is Role.MEMBER
+        if broker and is_member and not self.membership.has_older_broker:
             message = UpstreamCold(name, start_time_ms, int(left_s * 1000))
             self.transport.send(broker, message)
 
+    def handle_cold(self, vm: str, message: UpstreamCold, now_s: float) -> None:
+        """Record what another VM tells of a cold upstream."""
+        left_s = message.left_ms / 1000
+        self.record_cold(vm, message.upstream, message.start_time_ms, left_s, now_s)
+
+    def handle_tunnel_notice(
+        self, vm: str, message: TunnelNotice, now_s: float
+    ) -> None:
+        """Record what the upstream behind a tunnel of another VM stated."""
+        pause_ms = message.pause_ms
+        self.record(
+            vm,
+            message.upstream,
+            message.start_time_ms,
+            message.is_leaving,
+            pause_ms / 1000 if pause_ms is not None else None,
+            now_s,
+        )
+
     def apply_pauses(self, now_s: float) -> None:
         """Tell the scheduler until when upstreams want no requests of this VM."""
         for name, start_time_ms, until_s in self.pauses.running(now_s):
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -9,6 +9,7 @@
 
 from gentianfold.clock import MAX_CLOCK_RATE_ERROR
 from gentianfold.fleet.membership import Membership, Role
+from gentianfold.fleet.protocol import is_older
 from gentianfold.fleet.share_lease import (
     LEASE_TERM_S,
     SHARE_VALIDITY_S,
@@ -102,15 +103,24 @@
         """
         had_lease = self.own.stamp_ms(broker) != 0
         now_s = self.clock.now_s()
-        seed_seen_s = now_s - reply.seed_age_ms / 1000
-        self.own.seed_seen_s = max(self.own.seed_seen_s, seed_seen_s)
-        self.own.record_reply(broker, reply.lease_stamp_ms, reply.fleet_size, now_s)
+        stamp_ms, fleet_size = reply.lease_stamp_ms, reply.fleet_size
+        is_unproved = is_older(reply.protocol)
+        if not is_unproved or broker in self.membership.seeds:
+            # A broker that doesn't state the age is in touch with seeds if it is one.
+            seed_seen_s = now_s - reply.seed_age_ms / 1000
+            self.own.seed_seen_s = max(self.own.seed_seen_s, seed_seen_s)
+        if is_unproved and fleet_size < self.own.fleet_size:
+            # The broker would take a larger part for the share than this VM owns.
+            stamp_ms, fleet_size = 0, 0
+        self.own.record_reply(broker, stamp_ms, fleet_size, now_s)
         self.update()
         return not had_lease and self.own.stamp_ms(broker) != 0
 
     def end_lease(self, broker: str, stamp_ms: int, fleet_size: int) -> None:
         """Take back the own share from a broker that hands over or is none."""
         self.own.end_lease(broker, stamp_ms)
+        if self.membership.is_older_broker(broker):
+            fleet_size = max(fleet_size, self.own.fleet_size)
         if fleet_size:
             self.own.fleet_size = fleet_size
             if self.membership.role is Role.BROKER:
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -19,6 +19,7 @@
     SlotRefused,
     to_acquire_slot,
 )
+from gentianfold.fleet.older_broker import exclude_withdrawn
 from gentianfold.fleet.pending_request import (
     PendingRequest,
     PlacementDecision,
@@ -180,11 +181,18 @@
             The decision; without one, the unusable upstream that the broker granted, or
             nothing if it did not decide in time.
         """
-        broker = self.membership.broker
+        broker, asked_s = self.membership.broker, self._now_s()
         if broker is None:
             return ()
+        if self.membership.has_older_broker:
+            upstreams = (row.upstream for row in self.scheduler.trackers())
+            asked = exclude_withdrawn(
+                request, broker, upstreams, self.is_withdrawn, asked_s
+            )
+            if isinstance(asked, Refused):
+                return asked
+            request = asked
         pending = self._add_pending(request)
-        asked_s = self._now_s()
         deadline_s = asked_s + request.time_left_s + DEADLINE_MARGIN_S
         tries = unanswered = 0
         self.pace.count_request()
--- a/src/gentianfold/fleet/slot_stock.py
+++ b/src/gentianfold/fleet/slot_stock.py
@@ -162,6 +162,10 @@
             )
         )
 
+    def return_all(self) -> list[LentSlot]:
+        """Remove and return all idle slots."""
+        return self._remove_idle(lambda _: True)
+
     def clear(self) -> None:
         """Forget all lent slots, as when this VM becomes the broker itself."""
         self._idle.clear()
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -137,6 +137,8 @@
         "broker_load": node.broker.loans.lender.load(now_s),
         "requests_placed_on_loans": node.loans.placed_count,
         "members": node.fleet_size,
+        "members_older_build": node.broker.member_table.older_count,
+        "has_older_broker": node.membership.has_older_broker,
         "upstreams": len(trackers),
         "upstreams_suspect": sum(
             tracker.suspect_since_s is not None for tracker in trackers
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -90,10 +90,8 @@
     settings_file: SettingsFile | None = None
     """The settings file, reloaded when it changes; ``None`` for no reloads."""
     handles_signals: bool = True
-    """Whether to handle SIGTERM and SIGINT (planned stop) and SIGHUP (settings reload).
-
-    If not, only ``stop_requested`` begins a planned stop.
-    """
+    """Whether to handle SIGTERM and SIGINT (planned stop) and SIGHUP (settings reload);
+    if not, only ``stop_requested`` begins a planned stop."""
     stop_requested: anyio.Event = attrs.field(factory=anyio.Event)
     """Set to begin a planned stop."""
     metrics: Metrics = attrs.field(factory=Metrics)
@@ -225,6 +223,7 @@
             self.view,
             settings.machine.cpu_share,
             is_first_start=is_first_start(settings.platform),
+            regions=settings.zones,
             stated_size=settings.fleet.largest_size,
         )
         loop = asyncio.get_running_loop()
