--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -24,6 +24,7 @@
     """One VM process with its settings file, log file and store relay.
 
     ``max_files`` is the limit on its open descriptors; 0 for that of the tests.
+    ``source`` is the path of another build that it runs; empty for this one.
     """
 
     settings_path: str
@@ -33,11 +34,14 @@
     store_relay: Relay
     settings: dict
     max_files: int = 0
+    source: str = ""
     process: subprocess.Popen | None = None
     _restarting: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     def start(self):
         environment = {**os.environ, "GENTIANFOLD_SETTINGS": self.settings_path}
+        if self.source:
+            environment["PYTHONPATH"] = self.source
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gentianfold.vm"],
@@ -76,7 +80,8 @@
     """Store, upstreams and VM processes.
 
     All connections from VMs to the store and to upstreams pass through relays.
-    ``extra_settings`` are added to the settings of each VM.
+    ``extra_settings`` are added to the settings of each VM; ``source`` is the path of
+    another build that all VMs run at first.
     """
 
     folder: object
@@ -88,6 +93,7 @@
     relays: list = attrs.field(factory=list)
     vms: list = attrs.field(factory=list)
     grace_s: float = 3.0
+    source: str = ""
 
     async def open(self, upstream_count, vm_count, grace_s=3.0):
         self.grace_s = grace_s
@@ -142,7 +148,14 @@
         path.write_text(json.dumps(settings))
         log_path = self.folder / f"vm-{number}.log"
         vm = VmProcess(
-            str(path), str(log_path), host, port, relay, settings, self.max_files
+            str(path),
+            str(log_path),
+            host,
+            port,
+            relay,
+            settings,
+            self.max_files,
+            self.source,
         )
         self.vms.append(vm)
         vm.start()
--- a/tests/soak/test_process_soak.py
+++ b/tests/soak/test_process_soak.py
@@ -37,6 +37,7 @@
     """Sends requests on reused connections and keeps the response of each request."""
 
     fleet: ProcessFleet
+    padding: bytes = PADDING
     responses: dict = attrs.field(factory=dict)
     non_idempotent_ids: set = attrs.field(factory=set)
     bodies: dict = attrs.field(factory=dict)
@@ -85,7 +86,7 @@
             if status in (408, 421, 429, 503) and request_id in self.non_idempotent_ids:
                 assert runs[request_id] == 0, f"{request_id} ran and got {status}"
             if 200 <= status < 300:
-                whole = b"answer to " + request_id.encode() + PADDING
+                whole = b"answer to " + request_id.encode() + self.padding
                 assert body == whole, request_id
                 assert SEAL in headers, request_id
         for upstream in self.fleet.upstreams:
