--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -482,17 +482,18 @@
             return None
         members = self.member_table.members
         readers = [
-            (member.is_cut_off, -member.capacity, member.store_age_ms, vm)
+            (member.is_cut_off, -member.rank, member.store_age_ms, vm)
             for vm, member in members.items()
             if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
         ]
         if not readers:
             return None
-        is_cut_off, capacity, _, vm = min(readers)
+        is_cut_off, _, _, vm = min(readers)
+        capacity = members[vm].capacity
         most = max(member.capacity for member in members.values())
         wait_s = 0.0
-        if is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most:
+        if is_cut_off or capacity < MIN_SUCCESSOR_SHARE * most:
             wait_s = WEAK_SUCCESSOR_STORE_READ_S
-        if STRONGER_FACTOR * -capacity <= own_capacity:
+        if STRONGER_FACTOR * capacity <= own_capacity:
             wait_s = LONG_STALE_STORE_READ_S
         return None if 0 <= age_ms < wait_s * 1000 else vm
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -44,8 +44,9 @@
 STRONGER_FACTOR = 2.0
 """Multiple of its own capacity from which a broker hands over to a deputy once the
 members of a new fleet have joined: a seed may be the weakest VM."""
-OLDER_BUILD_RANK = 0.5
-"""Factor of the capacity of a VM with an older build in the ranking of deputies."""
+OLDER_BUILD_RANK = 0.8
+"""Part of its capacity by which a VM with an older build is ranked as a successor: one
+with this build and nearly as much goes first."""
 MAX_DEPUTIES = 3
 """Deputies that a broker names in a heartbeat reply (count)."""
 
@@ -302,7 +303,7 @@
 
     @property
     def rank(self) -> float:
-        """Rank as a successor of the broker: the capacity, which older builds halve.
+        """Rank as a successor of the broker: the capacity, less with an older build.
 
         A broker of an older build bounds less, and is soon to be replaced.
         """
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -9,6 +9,7 @@
 from gentianfold.fleet.broker import Broker
 from gentianfold.fleet.messages import Heartbeat
 from gentianfold.fleet.node_view import NodeView
+from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.store_revision import NO_REVISION
 from gentianfold.placement.slot_scheduler import SlotScheduler
 
@@ -60,3 +61,13 @@
     )
     assert broker.advance(11.3) is None
     assert broker.advance(11.55) == "weak"
+
+
+def test_of_nearly_equal_members_one_with_this_build_follows():
+    # Older builds grant upstreams of evacuated zones, and cold ones without a bound.
+    broker = make_broker(
+        ("older", 0.72, 200.0, 10, False), ("newer", 0.65, 200.0, 500, False)
+    )
+    members = broker.member_table.members
+    members["newer"] = attrs.evolve(members["newer"], protocol=PROTOCOL)
+    assert broker.advance(11.3) == "newer"
