Split the granting of slots from the scheduler

Change: SlotGranter takes the choice and the token; the test makes its customer without a limit known. Result: tests/placement and tests/fleet/test_loans_fleet.py pass.

--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -7,12 +7,11 @@
 
 import attrs
 
-from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
+from gentianfold.placement.choice import Chooser, ServiceState
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.demand_table import DemandTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.floor import leaves_out_upstreams
-from gentianfold.placement.grant import Grant
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
 from gentianfold.placement.log_entries import (
@@ -29,6 +28,7 @@
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.retry_queue import RetryQueue
 from gentianfold.placement.running_requests import observe_grants
+from gentianfold.placement.slot_granter import SlotGranter
 from gentianfold.placement.slot_ledger import SlotLedger
 from gentianfold.placement.slot_request import (
     NO_UPSTREAM_RETRY_S,
@@ -86,6 +86,7 @@
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
+    _granter: SlotGranter = attrs.field(init=False)
     _planner: WaitPlanner = attrs.field(init=False)
     retries: RetryQueue = attrs.field(init=False)
     """Retries that wait for the budget."""
@@ -100,6 +101,9 @@
             self.demands,
             self.elapsed,
         )
+        self._granter = SlotGranter(
+            self.chooser, self.quota, self._ledger, self._outcomes, self._state
+        )
         self._planner = WaitPlanner(
             self._trackers,
             self._waiting,
@@ -389,12 +393,12 @@
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
-            granted = self._grant(request, pool, now_s)
+            granted = self._granter.grant(request, pool, now_s)
             if granted is not None:
                 return granted
         entry = self._planner.plan(request, ahead, now_s)
         if isinstance(entry, Refused) or entry.is_late:
-            degraded = self._grant_degraded(request, pool, now_s)
+            degraded = self._granter.grant_degraded(request, pool, now_s)
             if degraded is not None:
                 return degraded
         if isinstance(entry, Refused):
@@ -417,11 +421,11 @@
             self._order.update_shares(service, customers, now_s)
         queue_pass = QueuePass(pool, index, index.is_due(len(queue), now_s), now_s)
         for key, entry in queue_pass.entries(queue, self._order):
-            if not self._has_token(entry.request, now_s):
+            if not self._granter.has_token(entry.request, now_s):
                 index.leave_out(entry.request.customer)
                 continue
             within = pool.within(entry.request.zones)
-            granted = self._grant(entry.request, within, now_s)
+            granted = self._granter.grant(entry.request, within, now_s)
             if granted is None:
                 queue_pass.pass_over(entry.request)
                 continue
@@ -458,56 +462,11 @@
             refused = Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
             self._count_refused(request, refused, now_s)
             return refused
-        if not self._has_token(request, now_s):
+        if not self._granter.has_token(request, now_s):
             self.demands.count_unserved(request, now_s)
             return self.quota.refuse(request.customer, now_s)
         self._planner.record(entry, now_s)
-        if degraded := self._grant_degraded(request, pool, now_s):
+        if degraded := self._granter.grant_degraded(request, pool, now_s):
             return degraded
         self.demands.count_unserved(request, now_s)
         return self._planner.refuse_late(request, pool, ahead, now_s)
-
-    def _has_token(self, request: SlotRequest, now_s: float) -> bool:
-        """Tell whether the customer's limit allows to send the request now."""
-        return request.attempt > 1 or self.quota.can_take(request.customer, now_s)
-
-    def _grant(
-        self, request: SlotRequest, pool: UpstreamPool, now_s: float
-    ) -> Granted | None:
-        estimate = RequestEstimate(
-            self._outcomes.expected_s(request),
-            self._outcomes.transfers.expected_kilobytes(request.route),
-        )
-        state, explore = self._state(request.service), request.may_explore
-        choice = self.chooser.choose(pool, request, now_s, explore, estimate, state)
-        if choice is None:
-            return None
-        return self._grant_choice(request, choice, now_s)
-
-    def _grant_degraded(
-        self, request: SlotRequest, pool: UpstreamPool, now_s: float
-    ) -> Granted | None:
-        """Grant a slot of a partly failing upstream instead of refusing the request."""
-        expected_s = self._outcomes.expected_s(request)
-        choice = self.chooser.choose_degraded(pool, request, now_s, expected_s)
-        return self._grant_choice(request, choice, now_s) if choice else None
-
-    def _grant_choice(
-        self,
-        request: SlotRequest,
-        choice: tuple[UpstreamTracker, GrantReason, int],
-        now_s: float,
-    ) -> Granted:
-        tracker, reason, candidate_count = choice
-        is_trial = tracker.suspect_since_s is not None
-        has_token = request.attempt == 1 and self.quota.try_acquire(
-            request.customer, now_s
-        )
-        grant = Grant(request, tracker, now_s, is_trial, has_token)
-        self._ledger.hold(request.key, grant)
-        return Granted(
-            tracker.upstream,
-            reason,
-            self._outcomes.expected_s(request),
-            candidate_count,
-        )
--- a/tests/fleet/test_loans_fleet.py
+++ b/tests/fleet/test_loans_fleet.py
@@ -214,7 +214,7 @@
     for node in fleet.nodes.values():
         upstreams = [make_upstream(name, 4) for name in names]
         node.scheduler.replace_upstreams(upstreams, fleet.now_s)
-    fleet.sent[""] = []
+    fleet.customers[""], fleet.sent[""] = Customer(""), []
     members = sorted(set(fleet.nodes) - {broker})
     start_s = fleet.now_s
     while fleet.now_s < start_s + 14:
