--- a/src/gentianfold/cli/check.py
+++ b/src/gentianfold/cli/check.py
@@ -34,6 +34,7 @@
 from gentianfold.rules.configuration_checks import check_configuration, check_newer
 from gentianfold.rules.configuration_difference import diff_configurations
 from gentianfold.settings import Settings, load_settings
+from gentianfold.vm.policies import zone_regions
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -125,7 +126,7 @@
         for path in self.settings:
             settings = load_settings(path)
             if isinstance(settings, Settings):
-                regions.update(settings.zones.values())
+                regions.update(zone_regions(settings).values())
             else:
                 yield from settings
         for path in self.rules:
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -101,14 +101,16 @@
 class WarmupSettings:
     """Bound of the requests to cold upstreams, beside the rate of their service."""
 
-    overshoot: float = attrs.field(
-        default=1.0, metadata=type_metadata(value_types.NumberType(1, 100))
+    overshoot: float | None = attrs.field(
+        default=None, metadata=type_metadata(value_types.NumberType(1, 100))
     )
-    """Multiple of the stated rate up to which no harm is done."""
-    slack: float = attrs.field(
-        default=0.0, metadata=type_metadata(value_types.NumberType(0, 1e6))
+    """Multiple of the stated rate up to which no harm is done; ``None`` as the platform
+    states, else 1."""
+    slack: float | None = attrs.field(
+        default=None, metadata=type_metadata(value_types.NumberType(0, 1e6))
     )
-    """Requests in one second in addition (count)."""
+    """Requests in one second in addition (count); ``None`` as the platform states,
+    else 0."""
 
 
 @attrs.frozen(kw_only=True)
@@ -193,7 +195,7 @@
         ),
     )
     """Region of each availability zone, by which homes of routes and customers are
-    kept."""
+    kept; empty as the platform states."""
     callers: Endpoint = attrs.field(metadata=type_metadata(value_types.ENDPOINT))
     """Endpoint for requests of callers."""
     caller_tls: CallerTlsSettings | None = attrs.field(
--- /dev/null
+++ b/src/gentianfold/vm/policies.py
@@ -0,0 +1,43 @@
+"""Derives policies of the decisions from the settings of a VM."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gentianfold.placement.choice import ChoicePolicy
+from gentianfold.placement.retry_budget import RetryBudgetPolicy
+from gentianfold.placement.warmup_limiter import WarmupPolicy
+from gentianfold.platform.deployment import stated_regions, stated_warmup
+
+if TYPE_CHECKING:
+    from gentianfold.settings.settings import Settings
+
+
+def retry_policy(settings: Settings) -> RetryBudgetPolicy:
+    """Return the bound of the retries."""
+    budget = settings.retries
+    return RetryBudgetPolicy(budget.ratio, budget.slack, budget.window_s)
+
+
+def warmup_policy(settings: Settings) -> WarmupPolicy:
+    """Return the bound of the requests to cold upstreams."""
+    own = (settings.warmup.overshoot, settings.warmup.slack)
+    stated = stated_warmup(settings.platform)
+    overshoot, slack = (
+        value if value is not None else other
+        for value, other in zip(own, stated, strict=True)
+    )
+    return WarmupPolicy(
+        1.0 if overshoot is None else overshoot, 0.0 if slack is None else slack
+    )
+
+
+def choice_policy(settings: Settings) -> ChoicePolicy:
+    """Return the prices of the choice of upstreams."""
+    return ChoicePolicy(zone_price_per_kb=settings.placement.zone_price_per_kb)
+
+
+def zone_regions(settings: Settings) -> dict[str, str]:
+    """Return the region of each availability zone; the VM's own table goes first."""
+    stated = {} if settings.zones else stated_regions(settings.platform)
+    return stated or settings.zones
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -27,11 +27,11 @@
 from gentianfold.forwarding.service_selector import ServiceSelector
 from gentianfold.forwarding.tunnel_server import TunnelConnection
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
-from gentianfold.placement.choice import ChoicePolicy, Chooser
+from gentianfold.placement.choice import Chooser
 from gentianfold.placement.quota_table import QuotaTable
-from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
+from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.slot_scheduler import SlotScheduler
-from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupPolicy
+from gentianfold.placement.warmup_limiter import WarmupBudget
 from gentianfold.platform.deployment import is_first_start
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
@@ -43,6 +43,12 @@
 from gentianfold.vm.early_signals import SIGNALS, ignore_signals, take_held_signals
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
+from gentianfold.vm.policies import (
+    choice_policy,
+    retry_policy,
+    warmup_policy,
+    zone_regions,
+)
 from gentianfold.vm.request_handler import CallerRequestHandler
 from gentianfold.vm.resource_limits import ResourceLimits
 from gentianfold.vm.status import (
@@ -210,9 +216,9 @@
         settings = self.settings
         scheduler = SlotScheduler(
             quota=QuotaTable(settings.limits.window_s),
-            budget=RetryBudget(_retry_policy(settings)),
-            chooser=Chooser(_choice_policy(settings)),
-            warmups=WarmupBudget(_warmup_policy(settings)),
+            budget=RetryBudget(retry_policy(settings)),
+            chooser=Chooser(choice_policy(settings)),
+            warmups=WarmupBudget(warmup_policy(settings)),
         )
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
@@ -254,7 +260,7 @@
             node.scheduler.crashes,
             self.settings.address,
             self.settings.zone,
-            self.settings.zones,
+            zone_regions(self.settings),
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
         node.tunnels.link_used_mbps = self.resources.link.schedule.used_mbps
@@ -395,10 +401,10 @@
             seeds = tuple(seed.host for seed in settings.fleet.seeds)
             self._node.membership.seeds = self._node.broker.seeds = seeds
             scheduler = self._node.scheduler
-            scheduler.budget.policy = _retry_policy(settings)
+            scheduler.budget.policy = retry_policy(settings)
             scheduler.quota.window_s = settings.limits.window_s
-            scheduler.chooser.policy = _choice_policy(settings)
-            scheduler.warmups.policy = _warmup_policy(settings)
+            scheduler.chooser.policy = choice_policy(settings)
+            scheduler.warmups.policy = warmup_policy(settings)
         self.settings = attrs.evolve(
             self.settings, stop=settings.stop, fleet=settings.fleet
         )
@@ -483,18 +489,5 @@
             connection.close_if_idle()
 
 
-def _retry_policy(settings: Settings) -> RetryBudgetPolicy:
-    budget = settings.retries
-    return RetryBudgetPolicy(budget.ratio, budget.slack, budget.window_s)
-
-
-def _warmup_policy(settings: Settings) -> WarmupPolicy:
-    return WarmupPolicy(settings.warmup.overshoot, settings.warmup.slack)
-
-
-def _choice_policy(settings: Settings) -> ChoicePolicy:
-    return ChoicePolicy(zone_price_per_kb=settings.placement.zone_price_per_kb)
-
-
 def _socket_address(endpoint: Endpoint) -> tuple[str, int]:
     return endpoint.host, endpoint.port
