--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -119,3 +119,13 @@
     with anyio.fail_after(30):
         while not condition():
             await anyio.sleep(0.01)
+
+
+def execution_counts(upstream):
+    return upstream.execution_counts.total()
+
+
+def execution_count(site, request_id):
+    return sum(
+        row.execution_counts[request_id.encode()] for row in site.upstreams.values()
+    )
