Write "100 Continue" behind all answers to earlier requests

Cause: the interim response was written as soon as the head of a request had come. Since long answers leave in pieces, it could lie amid the body of the answer before, whose caller got 25 bytes that the upstream did not send and lost the last 25.

Change: it waits until the answers to all earlier requests have been written. The time until then doesn't count against the sender of the body. Parts of the reading moved to incoming_request.py.

Measured: test_nothing_is_written_into_a_long_answer fails on (the body differs from the upstream's) and passes now; tests/forwarding 263 passed.

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -15,7 +15,11 @@
     REQUEST_TIMEOUT,
 )
 from gentianfold.errors import Failure
-from gentianfold.forwarding.incoming_request import IncomingRequest, memory_failure
+from gentianfold.forwarding.incoming_request import (
+    IncomingRequest,
+    memory_failure,
+    split_to_parse,
+)
 from gentianfold.forwarding.memory_budget import (
     CONNECTION_BYTES,
     ROOM_RETRY_S,
@@ -26,7 +30,6 @@
 )
 from gentianfold.forwarding.messages import CallerRequest, Response
 from gentianfold.forwarding.pausable_reading import PausableReading
-from gentianfold.forwarding.request_head import expects_continue
 from gentianfold.forwarding.response_writer import PendingResponse, ResponseWriter
 
 if TYPE_CHECKING:
@@ -38,8 +41,6 @@
 MAX_PIPELINED = 16
 """Requests of one connection whose answers have not left the process (count); at this
 number reading pauses, and further requests stay in the socket buffer."""
-PARSE_BYTES = 16 << 10
-"""Bytes that are parsed between two checks of what the parser holds (bytes)."""
 MIN_STALL_TIMEOUT_S = 15.0
 """Shortest time without a byte received after which a caller is cut (seconds): a link may
 be cut for some seconds while the operators allow short idle times only."""
@@ -146,10 +147,9 @@
         if self._writer.is_sending:
             return self._writer.stalled_since_s(now_s)
         incoming = self._incoming
-        if incoming is None or incoming.is_held or self._writer.waiting_count:
+        if incoming is None or self._writer.waiting_count:
             return None
-        progress = incoming.progress
-        return progress.started_s if progress.has_stalled(now_s) else None
+        return incoming.stalled_since_s(now_s)
 
     def end_for_room(self, at_once: bool) -> None:
         """End a request that has stalled, or the connection of one who doesn't read."""
@@ -158,7 +158,7 @@
             self._transport.close()
         elif at_once or (self._writer is not None and self._writer.is_sending):
             self.cut("room")
-            self._record_lost()
+            self._drop_all()
         else:
             self._reject(Failure(REQUEST_TIMEOUT, "it stalled while memory was short"))
 
@@ -203,12 +203,12 @@
                 timer.cancel()
         self._cancel_pending()
         self._stop_parsing()
-        self._record_lost()
+        self._drop_all()
         self._claim.release()
         # The parser and this object refer to each other.
         del self._parser
 
-    def _record_lost(self) -> None:
+    def _drop_all(self) -> None:
         cut_count = self._writer.handle_lost() if self._writer is not None else 0
         if cut_count:
             self._handler.record_cut(cut_count, self._cut_cause)
@@ -226,14 +226,8 @@
         incoming = self._incoming
         if incoming is not None:
             incoming.progress.record(len(data), now_s)
-        if len(data) <= PARSE_BYTES or (
-            incoming is not None and incoming.missing_bytes >= len(data)
-        ):
-            self._parse(data, now_s)
-        else:
-            view = memoryview(data)
-            for start in range(0, len(data), PARSE_BYTES):
-                self._parse(view[start : start + PARSE_BYTES], now_s)
+        for part in split_to_parse(data, incoming):
+            self._parse(part, now_s)
         incoming = self._incoming
         if incoming is not None and incoming.progress.is_too_slow(now_s):
             self._reject(Failure(REQUEST_TIMEOUT, "the body comes too slowly"))
@@ -259,10 +253,9 @@
         if incoming is None:
             if self._head_bytes > 2 * limits.max_header_bytes:
                 failure = Failure(HEADERS_TOO_LARGE)
-        elif not incoming.has_head:
-            failure = incoming.check_unfinished_head(self._head_bytes, limits, now_s)
-        elif incoming.is_chunked:
-            failure = incoming.check_chunked_body(len(data), limits, now_s)
+        else:
+            head_bytes = self._head_bytes
+            failure = incoming.check_unfinished(head_bytes, len(data), limits, now_s)
         self._reject_if(failure)
 
     # httptools callbacks
@@ -296,8 +289,8 @@
         failure = incoming.finish_head(version, limits, self._loop.time())
         if failure is not None:
             self._reject(failure)
-        elif expects_continue(incoming.headers) and self._writer.can_write:
-            self._writer.write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
+        else:
+            self._write_continue()
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
@@ -337,7 +330,17 @@
 
     def handle_sent(self) -> None:
         """Start delayed requests, read on or begin the idle timeout."""
-        self._continue()
+        writer = self._writer
+        if writer is None or not writer.can_write:
+            return
+        while self._backlog and (
+            writer.under_way_count - len(self._backlog) < MAX_PIPELINED
+        ):
+            self._start(*self._backlog.popleft())
+        self._write_continue()
+        if self._room_timer is None and writer.under_way_count < MAX_PIPELINED:
+            self._resume_reading()
+        self._restart_timer()
 
     def handle_written(self, close: bool) -> None:
         """Go on behind a long answer, or end the connection."""
@@ -373,18 +376,13 @@
         request.pass_on = pass_on
         pending.cancel = self._handler.start(request, reply)
 
-    def _continue(self) -> None:
-        """Start delayed requests and read on if there is room again."""
-        writer = self._writer
-        if writer is None or not writer.can_write:
+    def _write_continue(self) -> None:
+        """Ask for a body that the caller holds back, behind all earlier answers."""
+        incoming, writer = self._incoming, self._writer
+        if incoming is None or writer is None or not writer.is_free:
             return
-        while self._backlog and (
-            writer.under_way_count - len(self._backlog) < MAX_PIPELINED
-        ):
-            self._start(*self._backlog.popleft())
-        if self._room_timer is None and writer.under_way_count < MAX_PIPELINED:
-            self._resume_reading()
-        self._restart_timer()
+        if incoming.take_continue(self._loop.time()):
+            writer.write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _pause_reading(self) -> None:
         if self._reading is not None:
@@ -427,10 +425,10 @@
         self._room_timer = None
         incoming, now_s = self._incoming, self._loop.time()
         if incoming is None or incoming.claim_more(now_s):
-            self._continue()
+            self.handle_sent()
         elif now_s >= self._room_until_s:
             self._reject(memory_failure())
-            self._continue()
+            self.handle_sent()
         else:
             # Not the caller's pause.
             incoming.progress.last_s = now_s
@@ -474,7 +472,7 @@
             if close:
                 self.finish()
                 return
-        self._continue()
+        self.handle_sent()
 
     def _restart_timer(self) -> None:
         if self._timer is not None:
--- a/src/gentianfold/forwarding/incoming_request.py
+++ b/src/gentianfold/forwarding/incoming_request.py
@@ -20,9 +20,11 @@
     Progress,
     Use,
 )
-from gentianfold.forwarding.request_head import find_head_failure
+from gentianfold.forwarding.request_head import expects_continue, find_head_failure
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianfold.forwarding.memory_budget import MemoryBudget
     from gentianfold.forwarding.messages import Headers
     from gentianfold.model import CallerLimits
@@ -30,6 +32,8 @@
 MEMORY_RETRY_AFTER_S = 1.0
 """``Retry-After`` of a request for which there is no memory (seconds): by then a client
 that has stalled was ended."""
+PARSE_BYTES = 16 << 10
+"""Bytes that are parsed between two checks of what the parser holds (bytes)."""
 
 
 class IncomingRequest:
@@ -53,6 +57,7 @@
         self.has_head = False
         self.is_chunked = False
         self.is_held = False
+        self._owes_continue = False
         self._text_bytes = 0
         self._framing_bytes = 0
         self._body_bytes_before = 0
@@ -74,6 +79,32 @@
         """Claim what every request costs."""
         return self._claim_head(REQUEST_BYTES, now_s)
 
+    def stalled_since_s(self, now_s: float) -> float | None:
+        """Return when it began if the caller sends too slowly; ``None`` if not."""
+        has_stalled = not self.is_held and self.progress.has_stalled(now_s)
+        return self.progress.started_s if has_stalled else None
+
+    def check_unfinished(
+        self,
+        head_bytes: int,
+        received_bytes: int,
+        limits: CallerLimits,
+        now_s: float,
+    ) -> Failure | None:
+        """Check and claim what has arrived of a request of which more is to come.
+
+        Args:
+            head_bytes: Bytes received for the head; the parser may hold some of them.
+            received_bytes: Bytes received since the last check.
+            limits: Limits in force.
+            now_s: Current time (loop time).
+        """
+        if not self.has_head:
+            return self.check_unfinished_head(head_bytes, limits, now_s)
+        if self.is_chunked:
+            return self.check_chunked_body(received_bytes, limits, now_s)
+        return None
+
     def drop(self) -> None:
         """Give back all bytes."""
         self.headers, self.body = [], Body()
@@ -119,9 +150,21 @@
         failure = find_head_failure(version, self.target, self.headers, limits)
         if failure is not None:
             return failure
+        self._owes_continue = expects_continue(self.headers)
         failure = self._claim_fields(self._text_bytes, now_s)
         return failure or self._claim_stated_body(now_s)
 
+    def take_continue(self, now_s: float) -> bool:
+        """Return whether the caller has to be asked for the body, once.
+
+        The time until then is not the caller's.
+        """
+        if not self._owes_continue:
+            return False
+        self._owes_continue = False
+        self.progress = Progress.begin(now_s)
+        return True
+
     # Body
 
     def add_body(self, data: bytes, limits: CallerLimits) -> Failure | None:
@@ -188,6 +231,19 @@
         return None
 
 
+def split_to_parse(
+    data: bytes, incoming: IncomingRequest | None
+) -> Iterator[bytes | memoryview]:
+    """Return received bytes in the parts to parse: one, if all are of a stated body."""
+    is_body = incoming is not None and incoming.missing_bytes >= len(data)
+    if is_body or len(data) <= PARSE_BYTES:
+        yield data
+        return
+    view = memoryview(data)
+    for start in range(0, len(data), PARSE_BYTES):
+        yield view[start : start + PARSE_BYTES]
+
+
 def memory_failure() -> Failure:
     """Return the failure of a request for which there is no memory."""
     return Failure(MEMORY_FULL, "", MEMORY_RETRY_AFTER_S)
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -157,6 +157,11 @@
         """Whether further responses can be written."""
         return not self._is_finishing and not self._transport.is_closing()
 
+    @property
+    def is_free(self) -> bool:
+        """Whether all responses to the requests so far have been written."""
+        return self.can_write and self._long is None and not self._waiting
+
     # Responses
 
     def add(self, pending: PendingResponse) -> None:
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -277,3 +277,21 @@
 
 def _sent_bytes(writer):
     return writer._sent_bytes()
+
+
+async def test_nothing_is_written_into_a_long_answer():
+    # "100 Continue" lay amid the body of the answer before.
+    post = (
+        b"POST /1 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 4\r\n"
+    )
+    async with open_relay() as relay:
+        *some, last = reads(HEAD + BODY)
+        for read in some:
+            relay.upstream.data_received(read)
+        relay.caller.data_received(post + b"\r\n")
+        relay.upstream.data_received(last)
+        _, _, rest = relay.caller_bytes().partition(b"\r\n\r\n")
+        assert rest == BODY + b"HTTP/1.1 100 Continue\r\n\r\n"
+        relay.caller.data_received(b"body")
+        relay.handler.replies[1](Response(200, [], b"next"))
+        assert relay.caller_bytes().endswith(b"next")
