Start no request behind an answer that ends the connection

Cause: a long answer is written in pieces, and reading stopped only behind its last one. Its head had said "Connection: close", so the caller takes a request behind it as not read and sends it again, also one that runs once. The VM had started it.

Change: parsing stops as soon as the head with "Connection: close" is written, as it did when answers were written at once.

Measured: test_no_request_starts_behind_an_answer_that_ends_the_connection fails on ([b'/0', b'/1'] == [b'/0'], whole and passed on) and passes now.

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -468,6 +468,9 @@
                 or (self._is_closing and not writer.waiting_count)
             )
             if not writer.write(pending, close):
+                if close:
+                    # The caller takes what it sent behind this answer as not read.
+                    self._stop_parsing()
                 return
             if close:
                 self.finish()
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -295,3 +295,26 @@
         relay.caller.data_received(b"body")
         relay.handler.replies[1](Response(200, [], b"next"))
         assert relay.caller_bytes().endswith(b"next")
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+async def test_no_request_starts_behind_an_answer_that_ends_the_connection(is_whole):
+    # The caller takes it as not read and sends it again.
+    async with open_relay(NarrowTransport()) as relay:
+        relay.handler.is_stopping = lambda: True
+        if is_whole:
+            relay.handler.replies[0](Response(200, [], BODY))
+        else:
+            for read in reads(HEAD + BODY)[:4]:
+                relay.upstream.data_received(read)
+        assert b"connection: close" in relay.caller_bytes()
+        relay.caller.data_received(REQUEST % 1)
+        assert relay.handler.started == [b"/0"]
+        if not is_whole:
+            for read in reads(HEAD + BODY)[4:]:
+                relay.upstream.data_received(read)
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+            await settle()
+        assert relay.caller_bytes().endswith(BODY) and relay.transport.is_half_closed
+        assert not relay.handler.cancelled
