Give back the memory of a long answer whose caller is ended for room

Cause: the claim of an abandoned answer stayed until the exchange ended, and its request was not cancelled: the writer forgot the answer before the end of the connection could cancel it. So ending one stalled caller made no room, the search went on to end others, and the upstream's slot stayed taken until the last byte or the deadline.

Change: an abandoned answer claims nothing; requests are cancelled before their answers are dropped.

Measured: test_a_stalled_caller_that_is_ended_for_room_gives_back_all fails on (131021 bytes held) and passes now.

--- a/src/gentianfold/forwarding/answer_stream.py
+++ b/src/gentianfold/forwarding/answer_stream.py
@@ -177,6 +177,8 @@
         self.is_abandoned = True
         self._sink = None
         self._pieces.clear()
+        if self._claim is not None:
+            self._claim.force_to(self.claimed_bytes)
         self._update_pressure()
 
     # Steps
--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -201,7 +201,6 @@
         for timer in (self._timer, self._room_timer):
             if timer is not None:
                 timer.cancel()
-        self._cancel_pending()
         self._stop_parsing()
         self._drop_all()
         self._claim.release()
@@ -209,6 +208,7 @@
         del self._parser
 
     def _drop_all(self) -> None:
+        self._cancel_pending()
         cut_count = self._writer.handle_lost() if self._writer is not None else 0
         if cut_count:
             self._handler.record_cut(cut_count, self._cut_cause)
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -318,3 +318,20 @@
             await settle()
         assert relay.caller_bytes().endswith(BODY) and relay.transport.is_half_closed
         assert not relay.handler.cancelled
+
+
+async def test_a_stalled_caller_that_is_ended_for_room_gives_back_all():
+    # Its claim stayed until the upstream had sent everything, and others were ended.
+    async with open_relay(NarrowTransport()) as relay:
+        for read in reads(HEAD + BODY)[:4]:
+            relay.upstream.data_received(read)
+        assert relay.held_bytes() >= HOLD_BYTES - READ_BYTES
+        relay.caller.end_for_room(at_once=False)
+        assert relay.held_bytes() == 0
+        assert relay.handler.cancelled == [b"/0"] and relay.handler.cuts == [
+            (1, "room")
+        ]
+        relay.caller.connection_lost(None)
+        assert relay.handler.cancelled == [b"/0"] and relay.handler.cuts == [
+            (1, "room")
+        ]
