Leave long answers a piece in a tenth of a second on a full link

Cause: the schedule counts bytes when they are written, and long answers waited until all of them should have left. Bytes that stalled callers don't take (forty answers of 128 KiB on a link of 5 Mbit/s) kept the long answers of all others from an idle link for 9 s, and short answers alone that fill the link for as long as they did.

Change: while long answers wait, a piece leaves at the latest a tenth of a second after the one before, in turns as ever. So they keep a quarter of a link of 5 Mbit/s.

Measured: on the two new tests of tests/forwarding/test_link_schedule.py fail (nothing written after 7.5 s; 0 > 200000) and pass now; the tests of the load of twelve long answers beside short ones pass unchanged.

--- a/src/gentianfold/forwarding/link_schedule.py
+++ b/src/gentianfold/forwarding/link_schedule.py
@@ -24,6 +24,10 @@
 """Shortest piece of a long answer (bytes): 26 ms at 5 Mbit/s."""
 MAX_PIECE_BYTES = 64 << 10
 """Longest piece (bytes): what the transport of one caller holds."""
+MAX_GAP_S = 0.1
+"""Longest time between two pieces while long answers wait (seconds): bytes that count as
+on the link may wait for callers that don't take them, and short answers alone may fill
+the link."""
 USAGE_S = 1.0
 """Time over which the use of the link is averaged (seconds)."""
 BYTES_PER_MEGABIT = 125_000
@@ -47,6 +51,7 @@
     _free_s: float = -math.inf
     _waiting: deque[LinkUser] = attrs.field(factory=deque)
     _turn: LinkUser | None = None
+    _gap_since_s: float = -math.inf
     _used_bytes_per_s: float = 0.0
     _used_at_s: float = 0.0
 
@@ -70,14 +75,20 @@
 
     def delay_s(self, now_s: float) -> float:
         """Return after which time the next piece may be written (seconds)."""
-        return max(self._free_s - now_s - BACKLOG_S, 0.0)
+        delay_s = self._free_s - now_s - BACKLOG_S
+        if self._waiting:
+            delay_s = min(delay_s, self._gap_since_s + MAX_GAP_S - now_s)
+        return max(delay_s, 0.0)
 
     def take_turn(self, user: LinkUser, now_s: float) -> bool:
         """Return whether a user may write a piece now; if not, it waits for its turn."""
         is_turn = self._turn is user
         self._turn = None if is_turn else self._turn
         if is_turn or (not self._waiting and self.delay_s(now_s) <= 0):
+            self._gap_since_s = now_s
             return True
+        if not self._waiting:
+            self._gap_since_s = now_s
         if user not in self._waiting:
             self._waiting.append(user)
         return False
--- a/tests/forwarding/test_link_schedule.py
+++ b/tests/forwarding/test_link_schedule.py
@@ -81,6 +81,34 @@
     )
 
 
+@pytest.mark.parametrize("mbps", [5, 100])
+def test_bytes_that_callers_dont_take_starve_no_long_answer(mbps):
+    # Forty callers had stalled amid 128 KiB: nothing long left for 9 s at 5 Mbit/s.
+    link = Link(mbps)
+    for _ in range(40):
+        link.schedule.record(128 << 10, 0.0)
+    answers = [LongAnswer(f"long{number}", link) for number in range(2)]
+    for answer in answers:
+        answer.continue_answer()
+    while any(answer.rest for answer in answers):
+        link.advance(0.002)
+        assert link.now_s < 7.5, link.written
+
+
+def test_short_answers_that_fill_the_link_leave_a_part_to_long_ones():
+    link = Link(10)
+    answers = [LongAnswer(f"long{number}", link) for number in range(3)]
+    for answer in answers:
+        answer.continue_answer()
+    for _ in range(2000):
+        link.advance(0.002)
+        link.write("short", 2500)
+    assert min(link.written[answer.name] for answer in answers) > 200_000
+    # A tenth of a second at the most between two pieces, so not much more either.
+    long_bytes = sum(link.written[answer.name] for answer in answers)
+    assert long_bytes < 0.2 * link.bytes_per_s * link.now_s
+
+
 def test_pieces_grow_with_the_link():
     sizes = [LinkSchedule(mbps).piece_bytes for mbps in (5, 10, 40, 100, 1000)]
     assert sizes == sorted(sizes)
