Don't take a caller as stalled whose answer waits for its turn on the link

Cause: a caller that had taken all that it got, and whose next piece waited for the link of the VM, counted as one that doesn't read. With thirty long answers on a link of 5 Mbit/s each gets a piece in a second only; when memory was short, callers were ended amid their answers for a delay that was the VM's own.

Change: the time of waiting for a turn isn't counted; a caller that doesn't take its piece stalls as before.

--- a/src/gentianfold/forwarding/link_schedule.py
+++ b/src/gentianfold/forwarding/link_schedule.py
@@ -80,6 +80,10 @@
             delay_s = min(delay_s, self._gap_since_s + MAX_GAP_S - now_s)
         return max(delay_s, 0.0)
 
+    def is_waiting(self, user: LinkUser) -> bool:
+        """Tell whether a user waits for its turn."""
+        return user in self._waiting
+
     def take_turn(self, user: LinkUser, now_s: float) -> bool:
         """Return whether a user may write a piece now; if not, it waits for its turn."""
         is_turn = self._turn is user
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -318,8 +318,10 @@
     def stalled_since_s(self, now_s: float) -> float | None:
         """Return since when a caller reads that has stalled; ``None`` if none has."""
         is_waiting = self._long is not None and self._long[1].peek_bytes(1) > 0
+        if self._link is not None and self._link.schedule.is_waiting(self):
+            is_waiting = False
         if not is_waiting and not self._transport.get_write_buffer_size():
-            # What has not come yet is not the caller's delay.
+            # Neither what has not come yet nor the turn on the link is its delay.
             self._reading = None
             return None
         sent_bytes = self._sent_bytes()
--- a/tests/forwarding/test_link_schedule.py
+++ b/tests/forwarding/test_link_schedule.py
@@ -140,6 +140,27 @@
     assert not pacer.schedule.is_waited_for
 
 
+@pytest.mark.anyio
+async def test_one_that_waits_for_its_turn_has_not_stalled():
+    # Callers who took all that they got were ended for the room of others.
+    handler, pacer = Handler(), LinkPacer(LinkSchedule(10))
+    connection = CallerConnection(handler, set(), link=pacer)
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    connection.data_received(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    handler.replies[0](Response(200, [], bytes(200_000)))
+    await asyncio.sleep(0)
+    now_s = asyncio.get_running_loop().time()
+    assert pacer.schedule.is_waited_for
+    assert connection.stalled_since_s(now_s) is None
+    assert connection.stalled_since_s(now_s + 10) is None
+    # A caller that doesn't take what it got has.
+    transport.is_stuck = True
+    await wait_until(lambda: not pacer.schedule.is_waited_for)
+    assert connection.stalled_since_s(now_s + 20) is None
+    assert connection.stalled_since_s(now_s + 30) is not None
+
+
 @pytest.mark.anyio
 async def test_a_short_answer_to_another_caller_passes_a_long_one():
     handler, pacer = Handler(), LinkPacer(LinkSchedule(10))
