Tell the time that this VM took for an answer from that of its upstream

Cause, in two ways. A VM without memory stops to read from upstreams; when the deadline came, the upstream counted as timed out and its elapsed time as the whole deadline, though it had been ready. And any pause for a slow caller made the outcome of a missing answer "cancelled", so an upstream that hangs amid long answers never failed.

Change: forwarding/reading_pauses.py keeps the pauses of an exchange, whatever they were for. Their time isn't the upstream's.

--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -75,6 +75,10 @@
     _stream: AnswerStream | None = None
     _is_trial: bool = False
     _exchanged_bytes: int = 0
+    # Of the last exchange: how long the upstream was not read, and whether an answer
+    # that is missing at the deadline may be due to that.
+    _paused_s: float = 0.0
+    _is_delayed_here: bool = False
     _via: str = ""
 
     async def run(self, number: int, excluded: tuple[str, ...]) -> AttemptResult:
@@ -171,18 +175,19 @@
         forwarder = self.forwarder
         started_at_s = forwarder.now_s()
         result = AttemptResult(Outcome.CANCELLED, detail="cancelled")
-        self._exchanged_bytes = 0
+        self._exchanged_bytes, self._paused_s, self._is_delayed_here = 0, 0.0, False
         try:
             result = await self._exchange_before_deadline(placement)
         finally:
-            elapsed_s = forwarder.now_s() - started_at_s
+            elapsed_s = forwarder.now_s() - started_at_s - self._paused_s
             if self._stream is not None:
-                # What the caller held back is not the upstream's time.
-                elapsed_s -= self._stream.paused_s()
                 forwarder.passed_on.record(self._stream)
+            outcome = result.outcome
+            if outcome is Outcome.TIMED_OUT and self._is_delayed_here:
+                outcome = Outcome.CANCELLED
             forwarder.placer.release(
                 placement,
-                result.outcome,
+                outcome,
                 elapsed_s,
                 self._exchanged_bytes,
                 result.rate_limit_per_s,
@@ -192,7 +197,7 @@
             self.record.attempts.append(
                 f"{placement.upstream} by={placement.granted_by}"
                 f" reason={placement.reason.name.lower()}"
-                f" outcome={result.outcome.name.lower()}"
+                f" outcome={outcome.name.lower()}"
                 f" ms={elapsed_s * 1000:.0f}{_format_limit(result)}"
                 f"{f' via={self._via}' if self._via else ''}"
                 f" {result.detail}".rstrip()
@@ -241,6 +246,9 @@
                 )
         finally:
             self._exchanged_bytes = connection.exchanged_bytes
+            ended_s = self.forwarder.now_s()
+            self._paused_s = connection.pauses.total_s(ended_s)
+            self._is_delayed_here = connection.pauses.may_be_cause(ended_s)
             if not isinstance(exchange, Response):
                 claim.release()
         if self._stream is not None and not isinstance(exchange, Response):
@@ -296,14 +304,8 @@
     ) -> AttemptResult:
         """Return the result of an exchange that ended amid an answer passed on."""
         detail = exchange.value if exchange is not None else "no whole answer in time"
-        is_slow = exchange is None and stream.paused_s() > 0
         return AttemptResult(
-            # Time that the caller took says nothing of the upstream.
-            Outcome.CANCELLED
-            if is_slow
-            else Outcome.TIMED_OUT
-            if exchange is None
-            else Outcome.FAILED,
+            Outcome.TIMED_OUT if exchange is None else Outcome.FAILED,
             detail=f"{detail}, {stream.received_bytes} of {stream.size_bytes} bytes"
             " passed on",
             is_passed_on=True,
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -22,6 +22,7 @@
     Claim,
 )
 from gentianfold.forwarding.messages import Headers, Response, write_pieces
+from gentianfold.forwarding.reading_pauses import ReadingPauses
 from gentianfold.forwarding.response_head import find_head_fault
 
 MAX_RESPONSE_BYTES = 8 << 20
@@ -92,6 +93,7 @@
             it states none.
         is_reusable: Whether another request may follow the current exchange.
         exchanged_bytes: Bytes sent and received in the last exchange.
+        pauses: When the last exchange was not read.
         fault: Why the last response was not valid; empty if it was or if there was none.
         vm: Address of the VM through which it goes, which carries one exchange; empty
             if it is direct.
@@ -109,7 +111,7 @@
         self._loop = asyncio.get_running_loop()
         self._room_timer: asyncio.TimerHandle | None = None
         self._is_held_back = False
-        self._is_paused = False
+        self.pauses = ReadingPauses()
         self._transport: asyncio.Transport | None = None
         self._pending: _PendingResponse | None = None
         self._reset_parser()
@@ -169,6 +171,7 @@
         )
         pending = _PendingResponse(accept, is_head, result, on_progress, claim, offer)
         self._pending = pending
+        self.pauses = ReadingPauses.begin(self._loop.time())
         self._received_bytes = self._head_bytes = 0
         self.fault = ""
         pieces = request if isinstance(request, list) else [request]
@@ -213,6 +216,7 @@
         if self._pending is None:
             self.close()
             return
+        self.pauses.record_read(self._loop.time())
         self.exchanged_bytes += len(data)
         self._received_bytes += len(data)
         if self._pending.on_progress is not None:
@@ -310,12 +314,15 @@
     def _update_reading(self) -> None:
         is_paused = self._is_held_back or self._room_timer is not None
         transport = self._transport
-        if is_paused == self._is_paused or transport is None or transport.is_closing():
+        if transport is None or transport.is_closing():
+            return
+        if is_paused == self.pauses.is_paused:
             return
-        self._is_paused = is_paused
         if is_paused:
+            self.pauses.pause(self._loop.time())
             transport.pause_reading()
         else:
+            self.pauses.resume(self._loop.time())
             transport.resume_reading()
 
     def _take_piece(
--- a/tests/vm/test_long_answers.py
+++ b/tests/vm/test_long_answers.py
@@ -16,13 +16,18 @@
 )
 from soak.narrow_link import connect_on_narrow_link
 
-from gentianfold.forwarding.long_answer import HOLD_BYTES
+from gentianfold.fleet.node import Node
+from gentianfold.forwarding import attempt
+from gentianfold.forwarding.long_answer import HOLD_BYTES, MAX_PAUSE_S
+from gentianfold.placement.outcome import Outcome
 from gentianfold.standins.site import make_configuration
 from gentianfold.standins.upstream import Behaviour
 
 pytestmark = pytest.mark.anyio
 
 PADDING = bytes(range(256)) * 2110
+CALLER_TIME_S = 4.0
+"""Time that the callers of ``request_bytes`` wait (seconds)."""
 
 
 def patient_configuration():
@@ -156,6 +161,62 @@
         await wait_until(lambda: not site.upstreams["u1"].slots_in_use)
 
 
+def record_released(monkeypatch):
+    """Return a list that gets the outcome and the time (seconds) of each attempt."""
+    released, release = [], Node.release
+
+    def record(node, placement, outcome, elapsed_s, *rest):
+        released.append((outcome, elapsed_s))
+        release(node, placement, outcome, elapsed_s, *rest)
+
+    monkeypatch.setattr(Node, "release", record)
+    return released
+
+
+async def test_an_upstream_that_hangs_amid_an_answer_to_a_slow_caller_has_failed(
+    monkeypatch,
+):
+    # A pause at any time was taken as the cause of the missing rest.
+    released = record_released(monkeypatch)
+    async with open_site(1) as site:
+        pad_answers(site, PADDING * 4)
+        (vm,) = site.vms
+        site.upstreams["u1"].gate = anyio.Event()
+        endpoint = vm.settings.callers
+        async with await connect_on_narrow_link(endpoint.host, endpoint.port) as stream:
+            await stream.send(request_bytes())
+            # It takes nothing for longer than its upstream is held back.
+            await anyio.sleep(2 * MAX_PAUSE_S)
+            with anyio.fail_after(30):
+                await receive_to_end(stream, b"")
+        await wait_until(lambda: released)
+    ((outcome, elapsed_s),) = released
+    assert outcome is Outcome.TIMED_OUT
+    # The pause is not its time nevertheless.
+    assert elapsed_s < CALLER_TIME_S - MAX_PAUSE_S
+
+
+@pytest.mark.parametrize("path", ["/search/1", "/claim/1"])
+async def test_an_upstream_that_a_full_vm_does_not_read_is_not_slow(path, monkeypatch):
+    # It counted as timed out, and its elapsed time as that of the deadline.
+    released = record_released(monkeypatch)
+    monkeypatch.setattr(attempt, "may_pass_on", lambda *_: False)
+    async with open_site(upstreams=1) as site, connect_caller(site.vms[0]) as stream:
+        pad_answers(site)
+        memory, upstream = site.vms[0].resources.memory, site.upstreams["u1"]
+        upstream.gate = anyio.Event()
+        with anyio.fail_after(30):
+            data = request_bytes(path=path, method="POST", body=b"b")
+            await stream.send(data.replace(b": 4000\r\n", b": 1500\r\n"))
+            await wait_until(lambda: upstream.slots_in_use)
+            memory.add(memory.capacity_bytes)
+            upstream.gate.set()
+            await wait_until(lambda: released)
+        memory.release(memory.capacity_bytes)
+    outcome, elapsed_s = released[0]
+    assert outcome is Outcome.CANCELLED and elapsed_s < 1.0
+
+
 async def test_the_first_byte_of_two_attempts_decides():
     # The first attempt is late and stands still, the second one answers.
     async with open_site(2, configuration=patient_configuration()) as site:
