Keep an answer that comes in tiny reads in blocks while it is passed on

Cause: each read of a long answer was an object of its own in its stream. An upstream that sends a few bytes at a time, to a caller that is slower, made 16,000 objects of 64 KiB: many times the memory that is claimed. Bodies that are held whole have blocks for that.

Change: small pieces are added to the block before them, unless the transport has a part of it.

Measured: test_an_answer_in_tiny_reads_is_kept_in_blocks fails on (16383 pieces, fewer than 20 allowed) and passes now.

--- a/src/gentianfold/forwarding/answer_stream.py
+++ b/src/gentianfold/forwarding/answer_stream.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
+from gentianfold.forwarding.body import BLOCK_BYTES, SMALL_PIECE_BYTES
 from gentianfold.forwarding.long_answer import Backpressure
 from gentianfold.forwarding.memory_budget import ANSWER_BYTES
 
@@ -184,8 +185,18 @@
     # Steps
 
     def _add(self, piece: bytes | bytearray) -> None:
-        self._pieces.append(piece)
         self.received_bytes += len(piece)
+        if len(piece) >= SMALL_PIECE_BYTES:
+            self._pieces.append(piece)
+            return
+        last = self._pieces[-1] if self._pieces else b""
+        # The transport may hold a part of the first piece, which must not change then.
+        is_first_taken = len(self._pieces) == 1 and self._offset > 0
+        can_grow = len(last) < BLOCK_BYTES and not is_first_taken
+        if isinstance(last, bytearray) and can_grow:
+            last += piece
+        else:
+            self._pieces.append(bytearray(piece))
 
     def _end_receiving(self) -> None:
         self._source = None
--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -157,6 +157,30 @@
         assert relay.held_bytes() == 0 and relay.handler.broken_off_count == 0
 
 
+async def test_an_answer_in_tiny_reads_is_kept_in_blocks():
+    # Each read was an object of its own: forty times the bytes that were claimed.
+    async with open_relay(NarrowTransport()) as relay:
+        relay.upstream.data_received(HEAD + BODY[:FIRST_BYTES])
+        stream = relay.upstream._pending.stream
+        start, step = FIRST_BYTES, 8
+        while not relay.is_held_back:
+            relay.upstream.data_received(BODY[start : start + step])
+            start += step
+            if start % 4096 == 0 and start < HOLD_BYTES:
+                relay.transport.take_all()
+                relay.caller.resume_writing()
+        assert len(stream._pieces) < 20
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+        for read in reads(BODY[start:]):
+            relay.upstream.data_received(read)
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+        assert relay.caller_bytes().partition(b"\r\n\r\n")[2] == BODY
+        await settle()
+        assert isinstance(relay.result, Response)
+
+
 async def test_a_caller_that_takes_nothing_gives_the_upstream_free(monkeypatch):
     monkeypatch.setattr(long_answer, "MAX_PAUSE_S", 0.02)
     async with open_relay(NarrowTransport()) as relay:
