Keep places in a broker's queue without tokens, and ask the next broker for retries

Cause: requests wait for seconds since late places and the retry queue, but their VM gave them up. A try that the budget of repeats didn't allow to send counted as unanswered: with many waiting, places were withdrawn after 0.35 s, and a place past the target of a customer with a limit after one lost datagram.

Change: a request that the broker has queued is confirmed once in a second without tokens, and is given up after three sent tries without an answer. If another broker is known it is asked, with the time left.

--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -32,8 +32,12 @@
     """The request."""
     decided: asyncio.Future[PlacementDecision]
     """Set to the decision."""
+    broker: str = ""
+    """Address of the broker that is asked; empty for the local scheduler."""
     acknowledged: bool = False
     """Whether the broker has answered the last transmission of the request."""
+    is_queued: bool = False
+    """Whether the broker has ever answered that the request waits."""
 
     async def await_decision(
         self, unanswered: int, pace: ResendPace
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -25,7 +26,11 @@
     to_decision,
     to_placement,
 )
-from gentianfold.fleet.resend_pace import REQUEST_RETRY_S, ResendPace
+from gentianfold.fleet.resend_pace import (
+    MAX_QUEUED_RETRY_S,
+    REQUEST_RETRY_S,
+    ResendPace,
+)
 from gentianfold.forwarding.placer import Placement
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.queue_entry import QueueEntry
@@ -127,6 +132,7 @@
             if self.membership.role is Role.MEMBER and (
                 self.membership.has_live_broker(now_s)
             ):
+                broker = self.membership.broker
                 decision = await self._request_from_broker(request, latest_s)
                 if self._decides_instead(request, decision):
                     decision = ()
@@ -140,6 +146,8 @@
                     time_left_s=asked.time_left_s - waited_s,
                     target_left_s=asked.target_left_s - waited_s,
                 )
+                if self._has_broker_after(broker):
+                    continue
             if self._may_place_locally(request):
                 return await self._place_locally(request)
             if self._now_s() >= latest_s:
@@ -151,6 +159,12 @@
                 return LIMIT_ELSEWHERE
             await anyio.sleep(BROKER_WAIT_S)
 
+    def _has_broker_after(self, broker: str | None) -> bool:
+        """Tell whether another broker has taken the place of one, and can be asked."""
+        membership = self.membership
+        is_other = membership.role is Role.MEMBER and membership.broker != broker
+        return is_other and membership.has_live_broker(self._now_s())
+
     def _may_place_locally(self, request: SlotRequest) -> bool:
         """Tell whether this VM holds a part of the limits that the request needs."""
         quota = self.scheduler.quota
@@ -184,22 +198,27 @@
         if broker is None:
             return ()
         pending = self._add_pending(request)
+        pending.broker = broker
         asked_s = self._now_s()
         deadline_s = asked_s + request.time_left_s + DEADLINE_MARGIN_S
-        tries = unanswered = 0
+        unanswered, sent_s = 0, -math.inf
         self.pace.count_request()
         try:
             while self._now_s() < deadline_s:
-                pending.acknowledged = False
-                if not tries or self.pace.try_resend():
-                    age_s = self._now_s() - asked_s
+                is_due = self._now_s() - sent_s >= MAX_QUEUED_RETRY_S
+                is_sent = is_due or self.pace.try_resend()
+                # A place that can't be confirmed for want of tokens is not lost.
+                pending.acknowledged = pending.is_queued and not is_sent
+                if is_sent:
+                    sent_s = self._now_s()
+                    age_s = sent_s - asked_s
                     self.transport.send(broker, to_acquire_slot(request, age_s))
-                tries += 1
                 decision = await pending.await_decision(unanswered, self.pace)
                 if decision is not None:
                     return self._accept_grant(request, decision, broker)
                 unanswered = 0 if pending.acknowledged else unanswered + 1
-                if unanswered and self._gives_up(broker, request, unanswered, latest_s):
+                has_answer = pending.acknowledged and is_sent
+                if not has_answer and self._gives_up(pending, unanswered, latest_s):
                     break
             self.membership.expedite_heartbeat(self._now_s())
             self.transport.send(
@@ -215,16 +234,21 @@
             self._pending.pop(request.slot_request_id, None)
 
     def _gives_up(
-        self, broker: str, request: SlotRequest, unanswered: int, latest_s: float
+        self, pending: PendingRequest, unanswered: int, latest_s: float
     ) -> bool:
-        """Tell whether a request that a broker leaves unanswered is withdrawn."""
+        """Tell whether a request that a broker leaves unanswered is withdrawn.
+
+        One that has a place in its queue is not given up for one lost datagram.
+        """
         now_s = self._now_s()
         membership = self.membership
-        if membership.broker != broker or not membership.has_live_broker(now_s):
+        if membership.broker != pending.broker or (
+            not membership.has_live_broker(now_s)
+        ):
             return True
-        if self._may_place_locally(request):
+        if self._may_place_locally(pending.request) or pending.is_queued:
             return unanswered >= MAX_UNANSWERED_REQUESTS
-        return now_s >= latest_s
+        return unanswered > 0 and now_s >= latest_s
 
     def _accept_grant(
         self, request: SlotRequest, decision: PlacementDecision, broker: str
@@ -311,6 +335,7 @@
                 self.transport.send(vm, release)
             return
         pending.acknowledged = True
+        pending.is_queued = pending.is_queued or isinstance(message, SlotQueued)
         if not isinstance(message, SlotQueued):
             pending.decided.set_result(to_decision(message, vm, self._now_s()))
 
