Send no body to HEAD requests of operators

Cause: the internal endpoints answered HEAD as GET, and clients that keep their connection took the body for the next answer. Change: the head alone is sent. Result: tests/vm/test_internal_http.py fails on the code before (a body of status) and passes.

--- a/src/gentianfold/vm/internal_http.py
+++ b/src/gentianfold/vm/internal_http.py
@@ -32,7 +32,7 @@
 class InternalHttpConnection(asyncio.Protocol):
     """Answers each request synchronously by its target.
 
-    The method and the body are ignored. Implements ``Holder``.
+    Any method but HEAD is answered as GET, and the body is ignored. Implements ``Holder``.
     """
 
     def __init__(
@@ -154,7 +154,8 @@
         response = self._respond(self._target)
         close = not self._parser.should_keep_alive()
         self._request_bytes = 0
-        write_pieces(self._transport, encode_response(response, False, close))
+        is_head = self._parser.get_method() == b"HEAD"
+        write_pieces(self._transport, encode_response(response, is_head, close))
         if close:
             self._transport.close()
         if not self._is_unread:
