--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -38,6 +38,7 @@
 from gentianfold.fleet.node_loans import NodeLoans
 from gentianfold.fleet.node_notices import NodeNotices
 from gentianfold.fleet.node_shares import NodeShares
+from gentianfold.fleet.node_upstreams import NodeUpstreams
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.fleet.slot_client import SlotClient
 from gentianfold.fleet.tunnel_directory import TunnelDirectory
@@ -113,6 +114,8 @@
     """Slots and tokens that the broker has lent to this VM."""
     notices: NodeNotices = attrs.field(init=False)
     """What upstreams state about themselves."""
+    upstreams: NodeUpstreams = attrs.field(init=False)
+    """The list of upstreams."""
     evacuations: NodeEvacuations = attrs.field(init=False)
     """Zones to which nothing may be sent."""
 
@@ -137,16 +140,24 @@
             self.is_withdrawn,
             self.loans,
         )
+        self.upstreams = NodeUpstreams(
+            self.view,
+            self.scheduler,
+            self.membership,
+            self.broker,
+            self._placement_log,
+            on_applied=lambda now_s: self.notices.apply_pauses(now_s),
+        )
         self.notices = NodeNotices(
             self.vm,
             self.view,
             self.scheduler,
-            self.apply_upstreams,
+            self.upstreams.apply,
             self.membership,
             self.transport,
         )
         self.evacuations = NodeEvacuations(
-            self.view, self.scheduler, self.apply_upstreams, self._now_s
+            self.view, self.scheduler, self.upstreams.apply, self._now_s
         )
         self.broker.decisions.deliver = self._deliver_decisions
 
@@ -279,7 +290,7 @@
                 self._handle_heartbeat_reply(vm, message, now_s)
             case UpstreamChanges():
                 if not is_broker:
-                    self._merge_upstreams(message, now_s)
+                    self.upstreams.merge(message, now_s)
             case CrashReport():
                 self.scheduler.crashes.merge(message.crash_records, now_s)
             case UpstreamCold():
@@ -354,20 +365,7 @@
             self.view.configuration_version,
             vm,
         )
-        is_current = self.view.upstreams.advance_revision(
-            reply.last_change_revision, reply.upstreams_revision
-        )
-        self.view.record_era(now_s)
-        if is_current and reply.store_age_ms >= 0:
-            read_s = now_s - reply.store_age_ms / 1000
-            known_s = self.view.routing.upstreams_current_at_s
-            self.view.routing.upstreams_current_at_s = max(read_s, known_s or read_s)
-
-    def _merge_upstreams(self, changes: UpstreamChanges, now_s: float) -> None:
-        has_changed = self.view.upstreams.merge(changes)
-        self.view.record_era(now_s)
-        if has_changed:
-            self.apply_upstreams(now_s)
+        self.upstreams.handle_reply(reply, now_s)
 
     def _handle_redirect(self, vm: str, redirect: Redirect, now_s: float) -> None:
         self.shares.end_lease(vm, redirect.lease_stamp_ms, redirect.fleet_size)
@@ -415,28 +413,12 @@
         self.loans.advance()
         if target is not None:
             self.transport.send(target, self._make_heartbeat(now_s))
-        if self.view.accept_withheld(now_s):
-            logger.info("upstreams: accepted entries that outlasted the restored copy")
-            self.apply_upstreams(now_s)
+        self.upstreams.advance(now_s)
         self.evacuations.advance()
         self.scheduler.observe_running(now_s)
         self._placement_log.log_placement(self.scheduler, now_s)
         self._deliver_decisions(now_s)
 
-    def apply_upstreams(self, now_s: float) -> None:
-        """Apply the merged list of upstreams; as broker, send the changes to members."""
-        upstreams = self.view.list_upstreams()
-        self._placement_log.log_upstreams(
-            self.view.routing.upstreams, upstreams, self.view.upstreams.revision
-        )
-        self.view.routing.upstreams = {
-            upstream.name: upstream for upstream in upstreams
-        }
-        self.scheduler.replace_upstreams(upstreams, now_s)
-        self.notices.apply_pauses(now_s)
-        if self.membership.role is Role.BROKER:
-            self.broker.send_upstream_changes(now_s)
-
     def apply_configuration(self) -> None:
         """Apply the rate limits of a new configuration and distribute its version."""
         configuration = self.view.routing.configuration
--- a/src/gentianfold/vm/store_poller.py
+++ b/src/gentianfold/vm/store_poller.py
@@ -142,7 +142,7 @@
         upstreams.advance(revision)
         self.node.view.record_era(self._now_s())
         if any(changed):
-            self.node.apply_upstreams(self._now_s())
+            self.node.upstreams.apply(self._now_s())
 
     def replace_upstreams(
         self, entries: list[UpstreamEntry], revision: StoreRevision
@@ -177,7 +177,7 @@
     def _apply_list(self, has_changed: bool) -> None:
         self.node.view.record_era(self._now_s())
         if has_changed:
-            self.node.apply_upstreams(self._now_s())
+            self.node.upstreams.apply(self._now_s())
 
     def update_configuration(
         self, document: bytes, configuration: Configuration, compressed: bytes = b""
--- a/tests/fleet/test_evacuation_fleet.py
+++ b/tests/fleet/test_evacuation_fleet.py
@@ -109,7 +109,7 @@
             for number, zone in enumerate((*ZONES, "z3"))
         ]
         view.upstreams.replace(entries, StoreRevision(1, 1))
-        node.apply_upstreams(self.clock.now_s)
+        node.upstreams.apply(self.clock.now_s)
 
     def set_roles(self):
         for vm, node in self.nodes.items():
--- a/tests/fleet/test_notices_fleet.py
+++ b/tests/fleet/test_notices_fleet.py
@@ -146,7 +146,7 @@
             for name, upstream in self.upstreams.items()
         ]
         node.view.upstreams.replace(entries, StoreRevision(1, self.revision))
-        node.apply_upstreams(self.clock.now_s)
+        node.upstreams.apply(self.clock.now_s)
 
     @rule(number=st.integers(0, UPSTREAM_COUNT - 1))
     def leave(self, number):
