Plan slots against requests that the limits allow, not against all

Cause: requests over the limit of their customer, which are refused for it and need no slot, counted as arrivals of the service. While one customer sent ten times its limit, the plan had no late place for the others, and their Retry-After was as of an overload.

Change: arrivals are counted where the limit has allowed a first attempt, or a VM has placed it on a lent slot.

--- a/src/gentianfold/placement/service_demand.py
+++ b/src/gentianfold/placement/service_demand.py
@@ -75,12 +75,11 @@
     """Requests, wherever they go, of all routes that go to it at times."""
     _idempotent: DemandCount = attrs.field(factory=DemandCount)
     arrivals: ArrivalRates = attrs.field(factory=ArrivalRates)
-    """Rates at which requests come."""
+    """Rates at which requests come that the limits of their customers allow."""
     _explore_tokens: float = MAX_EXPLORE_TOKENS
 
     def count_request(self, idempotent: bool, now_s: float) -> None:
         """Count the first attempt of a request."""
-        self.arrivals.count(now_s)
         self.sent.add(now_s, requests=1)
         self._idempotent.add(now_s, requests=idempotent)
         self._explore_tokens = min(
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
+from gentianfold.placement.choice import Chooser, ServiceState
 from gentianfold.placement.crash_table import CrashTable
 from gentianfold.placement.demand_table import DemandTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.floor import leaves_out_upstreams
-from gentianfold.placement.grant import Grant
+from gentianfold.placement.granter import Granter
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
 from gentianfold.placement.log_entries import (
@@ -86,6 +86,7 @@
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
+    _granter: Granter = attrs.field(init=False)
     _planner: WaitPlanner = attrs.field(init=False)
     retries: RetryQueue = attrs.field(init=False)
     """Retries that wait for the budget."""
@@ -100,6 +101,9 @@
             self.demands,
             self.elapsed,
         )
+        self._granter = Granter(
+            self.chooser, self._outcomes, self.quota, self._ledger, self._state
+        )
         self._planner = WaitPlanner(
             self._trackers,
             self._waiting,
@@ -191,14 +195,18 @@
                     return Queued(len(queue))
                 self.demands.count_unserved(request, now_s)
                 return self.quota.refuse(request.customer, now_s)
-            self._order.count_asked(request)
-            self.budget.count_request(request.service, now_s)
+            self._count_allowed(request, now_s)
         return self._place_or_refuse(request, now_s)
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
-        self._order.count_asked(request)
         self.demands.count_request(request, now_s)
+        self._count_allowed(request, now_s)
+
+    def _count_allowed(self, request: SlotRequest, now_s: float) -> None:
+        """Count a first attempt that its customer's limit allows."""
+        self._order.count_asked(request)
+        self._demand(request.service).arrivals.count(now_s)
         self.budget.count_request(request.service, now_s)
 
     def _count_refused(
@@ -389,12 +397,12 @@
         index = self._state(request.service).queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
-            granted = self._grant(request, pool, now_s)
+            granted = self._granter.grant(request, pool, now_s)
             if granted is not None:
                 return granted
         entry = self._planner.plan(request, ahead, now_s)
         if isinstance(entry, Refused) or entry.is_late:
-            degraded = self._grant_degraded(request, pool, now_s)
+            degraded = self._granter.grant_degraded(request, pool, now_s)
             if degraded is not None:
                 return degraded
         if isinstance(entry, Refused):
@@ -421,7 +429,7 @@
                 index.leave_out(entry.request.customer)
                 continue
             within = pool.within(entry.request.zones)
-            granted = self._grant(entry.request, within, now_s)
+            granted = self._granter.grant(entry.request, within, now_s)
             if granted is None:
                 queue_pass.pass_over(entry.request)
                 continue
@@ -462,7 +470,7 @@
             self.demands.count_unserved(request, now_s)
             return self.quota.refuse(request.customer, now_s)
         self._planner.record(entry, now_s)
-        if degraded := self._grant_degraded(request, pool, now_s):
+        if degraded := self._granter.grant_degraded(request, pool, now_s):
             return degraded
         self.demands.count_unserved(request, now_s)
         return self._planner.refuse_late(request, pool, ahead, now_s)
@@ -470,44 +478,3 @@
     def _has_token(self, request: SlotRequest, now_s: float) -> bool:
         """Tell whether the customer's limit allows to send the request now."""
         return request.attempt > 1 or self.quota.can_take(request.customer, now_s)
-
-    def _grant(
-        self, request: SlotRequest, pool: UpstreamPool, now_s: float
-    ) -> Granted | None:
-        estimate = RequestEstimate(
-            self._outcomes.expected_s(request),
-            self._outcomes.transfers.expected_kilobytes(request.route),
-        )
-        state, explore = self._state(request.service), request.may_explore
-        choice = self.chooser.choose(pool, request, now_s, explore, estimate, state)
-        if choice is None:
-            return None
-        return self._grant_choice(request, choice, now_s)
-
-    def _grant_degraded(
-        self, request: SlotRequest, pool: UpstreamPool, now_s: float
-    ) -> Granted | None:
-        """Grant a slot of a partly failing upstream instead of refusing the request."""
-        expected_s = self._outcomes.expected_s(request)
-        choice = self.chooser.choose_degraded(pool, request, now_s, expected_s)
-        return self._grant_choice(request, choice, now_s) if choice else None
-
-    def _grant_choice(
-        self,
-        request: SlotRequest,
-        choice: tuple[UpstreamTracker, GrantReason, int],
-        now_s: float,
-    ) -> Granted:
-        tracker, reason, candidate_count = choice
-        is_trial = tracker.suspect_since_s is not None
-        has_token = request.attempt == 1 and self.quota.try_acquire(
-            request.customer, now_s
-        )
-        grant = Grant(request, tracker, now_s, is_trial, has_token)
-        self._ledger.hold(request.key, grant)
-        return Granted(
-            tracker.upstream,
-            reason,
-            self._outcomes.expected_s(request),
-            candidate_count,
-        )
--- a/tests/placement/test_capacity_plan.py
+++ b/tests/placement/test_capacity_plan.py
@@ -7,7 +7,9 @@
 import pytest
 from placement.model import LoadSimulation, make_request, make_scheduler
 
+from gentianfold.model import Customer, RateLimit
 from gentianfold.placement.capacity_plan import ArrivalRates
+from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Queued
 
 CAPACITY_PER_S = 4 * 3 / 0.5
@@ -79,6 +81,24 @@
     assert [key[1] for key, _ in scheduler.advance(21.0)] == [2]
 
 
+def test_requests_over_a_customers_limit_take_no_place_of_others():
+    # A customer at ten times its limit counted as arrivals that need slots.
+    scheduler = make_scheduler(upstream_count=1, slots=1)
+    hot = Customer("hot", limit=RateLimit(1.0, 1.0))
+    scheduler.quota.replace_customers({"hot": hot})
+    scheduler.elapsed.record("desk", "r", 0.05)
+    for number in range(400):
+        request = make_request(1000 + number, customer="hot")
+        scheduler.request_slot(request, 10 + number / 100)
+        scheduler.release(request.key, Outcome.CANCELLED, 0.05, 10 + number / 100)
+    assert isinstance(scheduler.request_slot(make_request(1), 14.0), Granted)
+    late = make_request(2, target_left_s=0.0, time_left_s=4.0)
+    assert isinstance(scheduler.request_slot(late, 14.0), Queued)
+    assert not list(scheduler.advance(15.0))
+    scheduler.free_slot(("vm", 1))
+    assert [key[1] for key, _ in scheduler.advance(17.0)] == [2]
+
+
 def test_arrivals_are_averaged_over_the_time_to_look_ahead():
     rates = ArrivalRates()
     assert rates.per_s(1.0, 0.0) == 0.0
