Give back the count of a retry that no upstream got

Cause: waiting.md promises it, but a retry whose caller left while it waited for a slot, or whose connection failed, kept its part of the retry budget. In a crowd whose callers give up, later retries were refused for a budget that nothing had used.

Change: both give it back.

Measured: test_a_retry_that_no_upstream_got_gives_its_count_back fails on (2.5 == 3.5) and passes now.

--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -254,9 +254,12 @@
         """
         grant = self._ledger.free(key)
         if grant is None:
-            self._waiting.remove(key)
             self.retries.remove(key)
+            if (entry := self._waiting.remove(key)) is not None:
+                self.retries.give_back(entry.request, now_s)
             return
+        if outcome is Outcome.CONNECT_FAILED:
+            self.retries.give_back(grant.request, now_s)
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self._outcomes.record(grant, outcome, elapsed_s, now_s, *stated)
 
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -59,17 +59,18 @@
         if entry.request.attempt == 1:
             self.by_customer[entry.request.customer] += 1
 
-    def remove(self, key: SlotRequestKey) -> None:
-        """Remove a request; one that does not wait is ignored."""
+    def remove(self, key: SlotRequestKey) -> QueueEntry | None:
+        """Remove and return a request; ``None`` for one that does not wait."""
         service = self._services.pop(key, None)
         if service is None:
-            return
+            return None
         entry = self._queues[service].pop(key)
         _count_down(self._customers[service], entry.request.customer)
         if entry.request.zones is not None:
             _count_down(self._homes[service], entry.request.zones)
         if entry.request.attempt == 1:
             _count_down(self.by_customer, entry.request.customer)
+        return entry
 
     def remove_vm(self, vm: str) -> None:
         """Remove all requests of a VM."""
--- a/tests/placement/test_retry_queue.py
+++ b/tests/placement/test_retry_queue.py
@@ -133,6 +133,25 @@
     assert granted == [("vm", 6)]
 
 
+def test_a_retry_that_no_upstream_got_gives_its_count_back():
+    # Counts of callers that left the queue for slots, or of lost connections, were lost.
+    scheduler = make_scheduler(upstream_count=1, slots=1)
+    scheduler.budget.policy = RetryBudgetPolicy(0.0, 10.0)
+    assert isinstance(scheduler.request_slot(make_request(1), 0.0), Granted)
+    left = scheduler.budget.left("desk", 0.0)
+    for number in range(2, 12):
+        retry = make_request(number, attempt=2, target_left_s=1.5)
+        assert isinstance(scheduler.request_slot(retry, 0.0), Queued)
+        scheduler.release(retry.key, Outcome.CANCELLED, 0.0, 0.0)
+        assert scheduler.budget.left("desk", 0.0) == left
+    scheduler.free_slot(("vm", 1))
+    retry = make_request(20, attempt=2)
+    assert isinstance(scheduler.request_slot(retry, 0.0), Granted)
+    assert scheduler.budget.left("desk", 0.0) == left - 1
+    scheduler.release(retry.key, Outcome.CONNECT_FAILED, 0.1, 0.0)
+    assert scheduler.budget.left("desk", 0.0) == left
+
+
 def test_a_refused_retry_is_told_when_the_budget_allows_it():
     scheduler = make_scheduler(upstream_count=4, slots=9)
     scheduler.budget.policy = RetryBudgetPolicy(0.0, 10.0)
