Forget customers and routes of the share floor also without a queue

Cause: the counts of routes and customers decayed, and were pruned, only while requests of their service waited. In calm a broker kept one entry for each customer and service that it had ever seen; 43,000 customers before 260 services don't fit into its memory.

Change: a first attempt lets them decay if there are MAX_NAMES of them.

Measured: test_customers_who_come_no_more_are_forgotten_without_a_queue fails on (12001 names, 4002 allowed) and passes now.

--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -44,9 +44,9 @@
         if change > 0:
             self._floors[request.service].count_served(request)
 
-    def count_asked(self, request: SlotRequest) -> None:
+    def count_asked(self, request: SlotRequest, now_s: float) -> None:
         """Count a first attempt that its customer's limit allows."""
-        self._floors[request.service].count_asked(request)
+        self._floors[request.service].count_asked(request, now_s)
 
     def sort_key(self, entry: QueueEntry) -> SortKey:
         """Return the key by which waiting requests are served, lowest first.
--- a/src/gentianfold/placement/share_floor.py
+++ b/src/gentianfold/placement/share_floor.py
@@ -48,8 +48,11 @@
     _below: frozenset[tuple[str, str]] = frozenset()
     _updated_s: float = -math.inf
 
-    def count_asked(self, request: SlotRequest) -> None:
+    def count_asked(self, request: SlotRequest, now_s: float) -> None:
         """Count a first attempt."""
+        if len(self._counts) >= MAX_NAMES:
+            # Without a queue nobody else lets the counts decay.
+            self.update(now_s)
         for counts in self._counts_of(request):
             counts.asked += 1
 
@@ -79,7 +82,7 @@
             for name, counts in self._counts.items()
             if counts.asked >= MIN_ASKED and counts.served_part() < least
         )
-        if len(self._counts) > MAX_NAMES:
+        if len(self._counts) >= MAX_NAMES:
             self._counts = {
                 name: counts
                 for name, counts in self._counts.items()
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -205,7 +205,7 @@
 
     def _count_allowed(self, request: SlotRequest, now_s: float) -> None:
         """Count a first attempt that its customer's limit allows."""
-        self._order.count_asked(request)
+        self._order.count_asked(request, now_s)
         self._demand(request.service).arrivals.count(now_s)
         self.budget.count_request(request.service, now_s)
 
--- a/tests/placement/test_share_floor.py
+++ b/tests/placement/test_share_floor.py
@@ -6,7 +6,9 @@
 from collections import Counter
 
 import pytest
-from placement.model import LoadSimulation, make_scheduler
+from placement.model import LoadSimulation, make_request, make_scheduler
+
+from gentianfold.placement.share_floor import MAX_NAMES
 
 CAPACITY_PER_S = 12 * 3 / 0.2
 
@@ -73,3 +75,12 @@
     shares = simulate([*kinds, ("hot", 1.0, {"customer": "hot"})], 1)
     assert min(shares[f"c{number}"] for number in range(4)) >= 0.95
     assert shares["hot"] >= 0.25 * shares["all"]
+
+
+def test_customers_who_come_no_more_are_forgotten_without_a_queue():
+    # Counts decayed only while requests waited: hours of calm kept every name.
+    scheduler = make_scheduler(upstream_count=1, slots=1)
+    for number in range(3 * MAX_NAMES):
+        request = make_request(number, customer=f"c{number}")
+        scheduler.count_first_attempt(request, number / 100)
+    assert len(scheduler._order._floors["desk"]._counts) <= MAX_NAMES + 2
