--- a/src/gentianfold/fleet/placement_log.py
+++ b/src/gentianfold/fleet/placement_log.py
@@ -48,7 +48,7 @@
         for load in scheduler.queued_services(now_s):
             logger.info(
                 "placement: service={} waiting={} upstreams={} suspect={}"
-                " well_slots={} in_use={} shedding={}",
+                " well_slots={} in_use={} shedding={} late={} below_floor={}",
                 load.service,
                 load.waiting,
                 load.upstreams,
@@ -56,6 +56,8 @@
                 load.healthy_slots,
                 load.healthy_in_use,
                 load.shedding,
+                load.late,
+                load.below_floor,
             )
         for retries in scheduler.retries.loads(now_s):
             logger.info(
--- a/src/gentianfold/placement/log_entries.py
+++ b/src/gentianfold/placement/log_entries.py
@@ -8,8 +8,9 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Collection, Iterator, Sequence
 
+    from gentianfold.placement.queue_entry import QueueEntry
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 MAX_STATE_CHANGES = 500
@@ -34,28 +35,39 @@
     """Slots in use on the upstreams that are not suspect (count)."""
     shedding: int
     """Healthy upstreams that count as full since they shed a request (count)."""
+    late: int
+    """Queued requests that wait although they miss their target (count)."""
+    below_floor: int
+    """Routes and customers that get slots before more urgent ones (count)."""
 
 
 def measure_load(
-    service: str, waiting: int, trackers: Sequence[UpstreamTracker], now_s: float
+    service: str,
+    queue: Collection[QueueEntry],
+    trackers: Sequence[UpstreamTracker],
+    below_floor: int,
+    now_s: float,
 ) -> ServiceLoad:
     """Return the load of a service.
 
     Args:
         service: Name of the service.
-        waiting: Queued requests (count).
+        queue: Queued requests.
         trackers: Upstreams that accept new requests.
+        below_floor: Routes and customers below the floor of their shares (count).
         now_s: Current time (seconds).
     """
     healthy = [tracker for tracker in trackers if tracker.suspect_since_s is None]
     return ServiceLoad(
         service,
-        waiting,
+        len(queue),
         len(trackers),
         len(trackers) - len(healthy),
         sum(tracker.upstream.slots for tracker in healthy),
         sum(tracker.in_use for tracker in healthy),
         sum(now_s < tracker.shed_until_s for tracker in healthy),
+        sum(entry.is_late for entry in queue),
+        below_floor,
     )
 
 
--- a/src/gentianfold/placement/queue_order.py
+++ b/src/gentianfold/placement/queue_order.py
@@ -48,6 +48,10 @@
         """Count a first attempt that its customer's limit allows."""
         self._floors[request.service].count_asked(request, now_s)
 
+    def below_floor_count(self, service: str) -> int:
+        """Return the routes and customers of a service below the floor (count)."""
+        return self._floors[service].below_count
+
     def sort_key(self, entry: QueueEntry) -> SortKey:
         """Return the key by which waiting requests are served, lowest first.
 
--- a/src/gentianfold/placement/share_floor.py
+++ b/src/gentianfold/placement/share_floor.py
@@ -62,6 +62,11 @@
             for counts in self._counts_of(request):
                 counts.served += 1
 
+    @property
+    def below_count(self) -> int:
+        """Number of routes and customers below the floor."""
+        return len(self._below)
+
     def is_below(self, request: SlotRequest) -> bool:
         """Tell whether the route or the customer of a request is below the floor."""
         return bool(self._below) and not self._below.isdisjoint(_names(request))
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -358,7 +358,8 @@
         for service, queue in self._waiting.services():
             if queue:
                 trackers = self._trackers.pool(service).trackers
-                yield measure_load(service, len(queue), trackers, now_s)
+                below = self._order.below_floor_count(service)
+                yield measure_load(service, queue.values(), trackers, below, now_s)
 
     def waiting_services(self) -> list[str]:
         """Return the services that have requests in their queues."""
--- a/src/gentianfold/vm/request_handler.py
+++ b/src/gentianfold/vm/request_handler.py
@@ -93,8 +93,9 @@
 
         Args:
             count: Number of answers.
-            cause: ``caller``, ``stalled`` if the caller did not receive for too long, or
-                ``grace`` if the grace period of a planned stop ended.
+            cause: ``caller``, ``stalled`` if the caller did not receive for too long,
+                ``room`` if its memory or descriptor was needed, or ``grace`` if the grace
+                period of a planned stop ended.
         """
         self.metrics.count("answers_cut", count, cause=cause)
         level = "INFO" if cause == "caller" else "WARNING"
--- a/tests/placement/test_capacity_plan.py
+++ b/tests/placement/test_capacity_plan.py
@@ -108,3 +108,16 @@
     assert rates.per_s(8.0, 32.0) == pytest.approx(100, rel=0.1)
     assert rates.per_s(0.5, 34.0) < 20
     assert rates.per_s(8.0, 34.0) > 80
+
+
+def test_the_log_tells_which_requests_wait_although_they_are_late():
+    scheduler = make_scheduler(upstream_count=1, slots=1)
+    scheduler.elapsed.record("desk", "r", 0.05)
+    scheduler.request_slot(make_request(1), 10.0)
+    late = make_request(2, target_left_s=0.3, time_left_s=8.0)
+    assert isinstance(scheduler.request_slot(late, 10.0), Queued)
+    (load,) = scheduler.queued_services(10.0)
+    assert (load.waiting, load.late, load.below_floor) == (1, 0, 0)
+    assert not list(scheduler.advance(10.5))
+    (load,) = scheduler.queued_services(10.5)
+    assert (load.waiting, load.late) == (1, 1)
