--- a/src/gentianfold/placement/granter.py
+++ b/src/gentianfold/placement/slot_granter.py
@@ -1,4 +1,4 @@
-"""Chooses the upstream of a request and books its slot."""
+"""Gives a request the slot of a chosen upstream, and takes its customer's token."""
 
 from __future__ import annotations
 
@@ -7,46 +7,50 @@
 
 import attrs
 
-from gentianfold.placement.choice import RequestEstimate
+from gentianfold.placement.choice import Chooser, RequestEstimate, ServiceState
 from gentianfold.placement.grant import Grant
-from gentianfold.placement.slot_request import Granted
+from gentianfold.placement.outcome_recorder import OutcomeRecorder
+from gentianfold.placement.quota_table import QuotaTable
+from gentianfold.placement.slot_ledger import SlotLedger
+from gentianfold.placement.slot_request import Granted, GrantReason, SlotRequest
 
 if TYPE_CHECKING:
-    from gentianfold.placement.choice import Chooser, ServiceState
-    from gentianfold.placement.outcome_recorder import OutcomeRecorder
-    from gentianfold.placement.quota_table import QuotaTable
-    from gentianfold.placement.slot_ledger import SlotLedger
-    from gentianfold.placement.slot_request import GrantReason, SlotRequest
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
 
 @attrs.define(eq=False, repr=False)
-class Granter:
-    """Grants slots to requests that need not wait any more."""
+class SlotGranter:
+    """Grants slots of the upstreams that the chooser names."""
 
     chooser: Chooser
     """Chooses the upstream of each attempt."""
-    outcomes: OutcomeRecorder
-    """What finished attempts tell of the time and size of others."""
     quota: QuotaTable
-    """Rate limits of the customers; a first attempt takes a token."""
+    """Rate limits of the customers."""
     ledger: SlotLedger
     """Slots in use."""
+    outcomes: OutcomeRecorder
+    """Expected elapsed times and sizes of requests."""
     state_of: Callable[[str], ServiceState]
-    """Returns the state of a service."""
+    """Returns what is kept of a service."""
+
+    def has_token(self, request: SlotRequest, now_s: float) -> bool:
+        """Tell whether the customer's limit allows to send the request now."""
+        return request.attempt > 1 or self.quota.can_take(request.customer, now_s)
 
     def grant(
         self, request: SlotRequest, pool: UpstreamPool, now_s: float
     ) -> Granted | None:
-        """Grant a slot of a pool; ``None`` if no upstream of it takes the request."""
+        """Grant a slot of the best upstream, if one may get the request now."""
         estimate = RequestEstimate(
             self.outcomes.expected_s(request),
             self.outcomes.transfers.expected_kilobytes(request.route),
         )
         state, explore = self.state_of(request.service), request.may_explore
         choice = self.chooser.choose(pool, request, now_s, explore, estimate, state)
-        return self._book(request, choice, now_s) if choice else None
+        if choice is None:
+            return None
+        return self._grant_choice(request, choice, now_s)
 
     def grant_degraded(
         self, request: SlotRequest, pool: UpstreamPool, now_s: float
@@ -54,9 +58,9 @@
         """Grant a slot of a partly failing upstream instead of refusing the request."""
         expected_s = self.outcomes.expected_s(request)
         choice = self.chooser.choose_degraded(pool, request, now_s, expected_s)
-        return self._book(request, choice, now_s) if choice else None
+        return self._grant_choice(request, choice, now_s) if choice else None
 
-    def _book(
+    def _grant_choice(
         self,
         request: SlotRequest,
         choice: tuple[UpstreamTracker, GrantReason, int],
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -12,7 +12,6 @@
 from gentianfold.placement.demand_table import DemandTable
 from gentianfold.placement.elapsed_table import ElapsedTable
 from gentianfold.placement.floor import leaves_out_upstreams
-from gentianfold.placement.granter import Granter
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
 from gentianfold.placement.log_entries import (
@@ -29,6 +28,7 @@
 from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.retry_queue import RetryQueue
 from gentianfold.placement.running_requests import observe_grants
+from gentianfold.placement.slot_granter import SlotGranter
 from gentianfold.placement.slot_ledger import SlotLedger
 from gentianfold.placement.slot_request import (
     NO_UPSTREAM_RETRY_S,
@@ -86,7 +86,7 @@
     """Slots that VMs keep for further requests."""
     _ledger: SlotLedger = attrs.field(init=False)
     _outcomes: OutcomeRecorder = attrs.field(init=False)
-    _granter: Granter = attrs.field(init=False)
+    _granter: SlotGranter = attrs.field(init=False)
     _planner: WaitPlanner = attrs.field(init=False)
     retries: RetryQueue = attrs.field(init=False)
     """Retries that wait for the budget."""
@@ -101,8 +101,8 @@
             self.demands,
             self.elapsed,
         )
-        self._granter = Granter(
-            self.chooser, self._outcomes, self.quota, self._ledger, self._state
+        self._granter = SlotGranter(
+            self.chooser, self.quota, self._ledger, self._outcomes, self._state
         )
         self._planner = WaitPlanner(
             self._trackers,
@@ -429,7 +429,7 @@
             self._order.update_shares(service, customers, now_s)
         queue_pass = QueuePass(pool, index, index.is_due(len(queue), now_s), now_s)
         for key, entry in queue_pass.entries(queue, self._order):
-            if not self._has_token(entry.request, now_s):
+            if not self._granter.has_token(entry.request, now_s):
                 index.leave_out(entry.request.customer)
                 continue
             within = pool.within(entry.request.zones)
@@ -470,7 +470,7 @@
             refused = Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
             self._count_refused(request, refused, now_s)
             return refused
-        if not self._has_token(request, now_s):
+        if not self._granter.has_token(request, now_s):
             self.demands.count_unserved(request, now_s)
             return self.quota.refuse(request.customer, now_s)
         self._planner.record(entry, now_s)
@@ -478,7 +478,3 @@
             return degraded
         self.demands.count_unserved(request, now_s)
         return self._planner.refuse_late(request, pool, ahead, now_s)
-
-    def _has_token(self, request: SlotRequest, now_s: float) -> bool:
-        """Tell whether the customer's limit allows to send the request now."""
-        return request.attempt > 1 or self.quota.can_take(request.customer, now_s)
