--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -164,6 +164,7 @@
             offer: Called when a long response may be passed on while it is received,
                 until it returns True; ``None`` to receive any response whole.
         """
+        self.pauses = ReadingPauses.begin(self._loop.time())
         if self._transport is None or self._transport.is_closing():
             return ExchangeFailure.CLOSED
         result: asyncio.Future[ExchangeResult] = (
@@ -171,7 +172,6 @@
         )
         pending = _PendingResponse(accept, is_head, result, on_progress, claim, offer)
         self._pending = pending
-        self.pauses = ReadingPauses.begin(self._loop.time())
         self._received_bytes = self._head_bytes = 0
         self.fault = ""
         pieces = request if isinstance(request, list) else [request]
--- a/tests/forwarding/test_reading_pauses.py
+++ b/tests/forwarding/test_reading_pauses.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import anyio
+import pytest
+from forwarding.test_upstream_connection import open_connection
+
 from gentianfold.forwarding.reading_pauses import ReadingPauses
+from gentianfold.forwarding.upstream_connection import ExchangeFailure
 
 
 def test_the_time_of_all_pauses_is_known_also_amid_one():
@@ -32,3 +37,14 @@
     pauses.record_read(1.3)
     assert not pauses.may_be_cause(1.6)
     assert not ReadingPauses.begin(0.0).may_be_cause(0.0)
+
+
+@pytest.mark.anyio
+async def test_an_exchange_knows_no_pauses_of_the_one_before():
+    connection = open_connection()
+    connection.hold_back(True)
+    await anyio.sleep(0.01)
+    connection.hold_back(False)
+    connection.close()
+    assert await connection.exchange(b"", bool) is ExchangeFailure.CLOSED
+    assert connection.pauses.total_s(anyio.current_time()) == 0
