Give what the retry budget can't hold to retries that can't wait

Only those that could wait got it: one with a near deadline was refused as long as any other waited, also with a full budget, of which the rest was lost.

Change: with others waiting before it, a retry that can't wait is sent if the budget is full. Without them it is sent as before.

Measured: test_what_the_budget_cannot_hold_goes_to_those_who_cannot_wait fails on (refused) and passes now; the loads of tests/placement/test_retry_queue.py pass unchanged.

--- a/src/gentianfold/placement/retry_queue.py
+++ b/src/gentianfold/placement/retry_queue.py
@@ -108,7 +108,8 @@
         ahead = bisect_left(order, (sort_key, request.key))
         end_s = self._rejects_for_s(service, now_s)
         may_send = not ahead
-        if end_s * PLAN_FACTOR <= useful_s and end_s:
+        can_wait = end_s * PLAN_FACTOR <= useful_s
+        if end_s and (can_wait or ahead):
             # What is saved is for those who wait; more would be lost.
             may_send = self.budget.is_full(service, now_s)
         if may_send and self.budget.try_acquire(service, now_s):
--- a/tests/placement/test_retry_queue.py
+++ b/tests/placement/test_retry_queue.py
@@ -133,6 +133,31 @@
     assert granted == [("vm", 6)]
 
 
+def test_what_the_budget_cannot_hold_goes_to_those_who_cannot_wait():
+    # They were refused for as long as others waited, also with a full budget.
+    scheduler = make_scheduler(upstream_count=4, slots=9)
+    scheduler.budget.policy = RetryBudgetPolicy(0.0, 10.0)
+    for number in range(40):
+        scheduler._outcomes.rejections.record("desk", Outcome.SHED, number / 100)
+    now_s = 0.4
+    while scheduler.budget.try_acquire("desk", now_s):
+        pass
+    waits = make_request(1, attempt=2, time_left_s=20.0)
+    assert isinstance(scheduler.request_slot(waits, now_s), Queued)
+    hurried = {"attempt": 2, "time_left_s": 1.0}
+    # What the budget holds is kept for those who wait.
+    now_s += 2.0
+    scheduler._outcomes.rejections.record("desk", Outcome.SHED, now_s - 0.5)
+    assert scheduler.budget.left("desk", now_s) > 1
+    refused = scheduler.request_slot(make_request(2, **hurried), now_s)
+    assert isinstance(refused, Refused)
+    while not scheduler.budget.is_full("desk", now_s):
+        now_s += 1.0
+        scheduler._outcomes.rejections.record("desk", Outcome.SHED, now_s)
+    granted = scheduler.request_slot(make_request(3, **hurried), now_s)
+    assert isinstance(granted, Granted)
+
+
 def test_a_retry_that_no_upstream_got_gives_its_count_back():
     # Counts of callers that left the queue for slots, or of lost connections, were lost.
     scheduler = make_scheduler(upstream_count=1, slots=1)
