Let crowds take long answers slowly, or not at all

Cause: the crowds ask for answers of 48 KB, which are held whole; nothing showed that the memory of a VM is bounded when answers are passed on while they come.

Change: three crowds with answers of 540 KB: 40 requests ahead on each of 100 connections that read nothing or a byte in 0.2 s, and 6,000 ahead on one. No fault was found.

--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -37,6 +37,9 @@
 """Descriptors that it may have open: as many as a crowd that is refused in time needs."""
 ANSWER_BYTES = 48_000
 """Size of the upstream's answers (bytes)."""
+LONG_ANSWER_BYTES = 540_000
+"""Size of answers that are passed on while they come (bytes): a crowd asks for up to
+2 GB of them."""
 SLOTS = 100
 """Requests that the upstream takes at a time, so that the VM is what bounds them."""
 ORDINARY_S = 30.0
@@ -97,7 +100,7 @@
 
 
 @asynccontextmanager
-async def open_vm(folder):
+async def open_vm(folder, answer_bytes=ANSWER_BYTES):
     """Start a VM with lowered limits and one upstream that answers."""
     configuration = attrs.evolve(
         make_configuration(),
@@ -110,7 +113,7 @@
         await fleet.open(upstream_count=1, vm_count=1)
         upstream, relay = fleet.upstreams[0], fleet.relays[0]
         received_ids = []
-        upstream.server.handler = make_handler(received_ids)
+        upstream.server.handler = make_handler(received_ids, answer_bytes)
         upstream.slots = SLOTS
         entry = attrs.evolve(upstream.store_entry(), port=relay.port)
         fleet.store.put_upstream(entry)
@@ -124,14 +127,14 @@
         fleet.close()
 
 
-def make_handler(received_ids):
+def make_handler(received_ids, answer_bytes):
     """Return the handler of an upstream whose answers are long."""
 
     async def handle(request):
         request_id = request.headers.get(HEADERS.request_id, b"")
         received_ids.append(request_id.decode())
         headers = [(HEADERS.request_id, request_id), (HEADERS.seal, b"seal")]
-        return format_response(200, headers, bytes(ANSWER_BYTES))
+        return format_response(200, headers, bytes(answer_bytes))
 
     return handle
 
@@ -165,9 +168,9 @@
         return 0
 
 
-async def endure(folder, door, path, way):
+async def endure(folder, door, path, way, answer_bytes=ANSWER_BYTES):
     """Send a crowd to a listener and check the VM while the crowd stays."""
-    async with open_vm(folder) as crowded:
+    async with open_vm(folder, answer_bytes) as crowded:
         crowd = Crowd(crowded.door(door))
         try:
             await crowd.run(WAYS[way], path)
@@ -190,6 +193,11 @@
     await endure(tmp_path, "callers", "/nowhere/1", way)
 
 
+@pytest.mark.parametrize("way", ["ahead", "ahead-many", "slow-readers"])
+async def test_crowd_that_takes_long_answers_slowly_or_not_at_all(way, tmp_path):
+    await endure(tmp_path, "callers", "/search/1", way, LONG_ANSWER_BYTES)
+
+
 @pytest.mark.parametrize("way", INTERNAL_WAYS)
 @pytest.mark.parametrize("door", ["readiness", "operators", "metrics"])
 async def test_crowd_at_an_internal_listener(door, way, tmp_path):
