End tunnels whose opener or upstream has gone without a word

Cause: a connection that something on the way has lost track of stays open until the system gives up, after a quarter of an hour, or for good if no byte is unacknowledged. A VM that carries tunnels kept two descriptors and 128 KiB for each, 200 of them at most, and with the opener's reading the upstream stood still.

Change: keep-alive and TCP_USER_TIMEOUT of 60 s on both connections of a tunnel.

Measured: test_a_tunnel_whose_opener_has_gone_silent_ends looks at the options of both sockets; without them it fails (0 == 60000), with them it passes. That the system ends the connections was not tried, as loopback loses no packets without root.

--- a/src/gentianfold/forwarding/tunnel_server.py
+++ b/src/gentianfold/forwarding/tunnel_server.py
@@ -31,6 +31,11 @@
 """Longest preface of a tunnel (bytes)."""
 PREFACE_TIMEOUT_S = 1.0
 """Time until the preface must have arrived (seconds)."""
+SILENT_S = 60
+"""Time after which a connection whose other end acknowledges nothing is reset (seconds):
+longer than any deadline, as an opener may pause for as long."""
+KEEPALIVE_S = 10
+"""Time without bytes after which the other end is probed (seconds)."""
 MAX_TUNNELS = 200
 """Tunnels that one VM carries at a time (count)."""
 
@@ -82,7 +87,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast("asyncio.Transport", transport)
-        _disable_delay(transport)
+        _set_options(transport)
 
     def data_received(self, data: bytes) -> None:
         self.tunnel.write(data)
@@ -149,7 +154,7 @@
         if self._limit is not None and not self._limit.try_open(self, loop.time()):
             self._transport.abort()
             return
-        _disable_delay(transport)
+        _set_options(transport)
         self._timer = loop.call_later(PREFACE_TIMEOUT_S, self._transport.abort)
 
     def data_received(self, data: bytes) -> None:
@@ -275,7 +280,16 @@
             self._timer.cancel()
 
 
-def _disable_delay(transport: asyncio.BaseTransport) -> None:
+def _set_options(transport: asyncio.BaseTransport) -> None:
+    """Send without delay, and notice an end that has gone without a word."""
     sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+        (socket.TCP_USER_TIMEOUT, SILENT_S * 1000),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/tests/vm/test_tunnels.py
+++ b/tests/vm/test_tunnels.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 import pytest
 from conftest import (
@@ -15,6 +17,7 @@
 from gentianfold.forwarding.connection_pool import ConnectionPool
 from gentianfold.forwarding.tunnel_server import (
     MAX_PREFACE_BYTES,
+    SILENT_S,
     TunnelStatus,
     encode_preface,
 )
@@ -325,3 +328,22 @@
         assert sum(
             sum(up.execution_counts.values()) for up in site.upstreams.values()
         ) == (statuses.count(200))
+
+
+async def test_a_tunnel_whose_opener_has_gone_silent_ends():
+    # Its sockets and its memory stayed for a quarter of an hour.
+    async with open_site(vms=2) as site:
+        vm, other = site.vms[1], site.vms[0]
+        await wait_until(lambda: vm.is_member)
+        cut_off(site, vm)
+        for upstream in site.upstreams.values():
+            upstream.behaviour = Behaviour.HANG
+        async with connect_caller(vm) as stream:
+            await stream.send(request_bytes())
+            await wait_until(lambda: other.open_tunnels)
+            (tunnel,) = other.open_tunnels
+            for transport in (tunnel._transport, tunnel._upstream.transport):
+                sock = transport.get_extra_info("socket")
+                limit_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert limit_ms == SILENT_S * 1000
+                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
