Start no request behind a long answer that may still break off

Cause: a long answer that breaks off ends the caller's connection.

Change: requests that come behind an answer that is being passed on start when all of it is here; an answer before requests that have started is held whole.

--- a/src/gentianfold/forwarding/caller_connection.py
+++ b/src/gentianfold/forwarding/caller_connection.py
@@ -314,11 +314,11 @@
         )
         pending = PendingResponse(request.method == b"HEAD", request.keep_alive)
         self._writer.add(pending)
-        if self._writer.under_way_count > MAX_PIPELINED:
-            # The rest of a chunk that was read before reading paused.
+        if self._writer.is_receiving or self._writer.under_way_count > MAX_PIPELINED:
+            # Behind an answer that may break off, or read before reading paused.
             self._backlog.append((request, pending))
-            return
-        self._start(request, pending)
+        else:
+            self._start(request, pending)
         if self._writer.under_way_count >= MAX_PIPELINED:
             self._pause_reading()
 
@@ -333,9 +333,9 @@
         writer = self._writer
         if writer is None or not writer.can_write:
             return
-        while self._backlog and (
-            writer.under_way_count - len(self._backlog) < MAX_PIPELINED
-        ):
+        while self._backlog and not writer.is_receiving:
+            if writer.under_way_count - len(self._backlog) >= MAX_PIPELINED:
+                break
             self._start(*self._backlog.popleft())
         self._write_continue()
         if self._room_timer is None and writer.under_way_count < MAX_PIPELINED:
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -121,11 +121,15 @@
 
     # State
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a response has left of which more is to come."""
+        return self._long is not None and self._long[1].is_receiving
+
     @property
     def waiting_count(self) -> int:
         """Number of responses that have not been received completely."""
-        is_receiving = self._long is not None and self._long[1].is_receiving
-        return len(self._waiting) + is_receiving
+        return len(self._waiting) + self.is_receiving
 
     @property
     def unsent_count(self) -> int:
@@ -169,13 +173,12 @@
         self._waiting.append(pending)
 
     def is_next(self, pending: PendingResponse) -> bool:
-        """Tell whether a response can be written before it is complete."""
-        return (
-            self.can_write
-            and self._long is None
-            and bool(self._waiting)
-            and self._waiting[0] is pending
-        )
+        """Tell whether a response can be written before it is complete.
+
+        Not if others are awaited behind it: they would be lost if it breaks off.
+        """
+        is_alone = len(self._waiting) == 1 and self._waiting[0] is pending
+        return self.can_write and self._long is None and is_alone
 
     def take_ready(self) -> PendingResponse | None:
         """Remove and return the next response if it is known and its turn has come."""
@@ -215,7 +218,7 @@
     def cancel_waiting(self) -> None:
         """Cancel the requests whose responses are not complete."""
         waiting = [*self._waiting]
-        if self._long is not None and self._long[1].is_receiving:
+        if self._long is not None and self.is_receiving:
             waiting.append(self._long[0])
         self._waiting.clear()
         for pending in waiting:
