Crowds of callers with one request each, long answers among theirs

Cause: since requests behind a long answer wait for it, crowds that send ahead have their answers held whole; none had answers passed on while they come.

Change: two ways with one request on each of 200 connections, read not at all or slowly, at all listeners of callers and with answers of 540 KB.

--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -112,6 +112,11 @@
     yield request_bytes("crowd", path) * 40
 
 
+def send_one(path):
+    """One request."""
+    yield request_bytes("crowd", path)
+
+
 def send_slowly(path):
     """A head that comes byte by byte and has no end."""
     start = head(path, "Content-Length: 100", "x-slow: ")[:-4]
@@ -160,6 +165,8 @@
     "ahead-short": Way(send_ahead_short, 1),
     "ahead-many": Way(send_ahead_many, 100),
     "slow-readers": Way(send_ahead_many, 100, DRIBBLE_S, reads=True),
+    "one-each": Way(send_one, 200),
+    "one-each-slow": Way(send_one, 200, DRIBBLE_S, reads=True),
     "slow-heads": Way(send_slowly, 380, DRIBBLE_S),
     "slow-bodies": Way(send_body_slowly, 380, DRIBBLE_S),
     "halfway": Way(stop_halfway, 380),
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -48,6 +48,7 @@
 CALLER_WAYS = tuple(way for way in WAYS if way not in ("ahead-short", "prefaces"))
 INTERNAL_WAYS = ("whole", "oversized-chunks", "trailers", "long-target", "fields")
 INTERNAL_WAYS += ("ahead-short", "slow-heads", "halfway")
+LONG_WAYS = ("ahead", "ahead-many", "slow-readers", "one-each", "one-each-slow")
 TUNNEL_WAYS = ("whole", "long-target", "ahead-short", "prefaces", "halfway")
 
 
@@ -193,7 +194,7 @@
     await endure(tmp_path, "callers", "/nowhere/1", way)
 
 
-@pytest.mark.parametrize("way", ["ahead", "ahead-many", "slow-readers"])
+@pytest.mark.parametrize("way", LONG_WAYS)
 async def test_crowd_that_takes_long_answers_slowly_or_not_at_all(way, tmp_path):
     await endure(tmp_path, "callers", "/search/1", way, LONG_ANSWER_BYTES)
 
