--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -9,6 +9,7 @@
 from gentianfold.fleet.broker import Broker
 from gentianfold.fleet.messages import Heartbeat
 from gentianfold.fleet.node_view import NodeView
+from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.placement.slot_scheduler import SlotScheduler
 
@@ -78,3 +79,13 @@
     assert broker.advance(11.15) == "strong"
     broker.view.upstreams.advance(StoreRevision(1, 4))
     assert broker.advance(11.15) is None
+
+
+def test_of_nearly_equal_members_one_with_this_build_follows():
+    # Older builds grant upstreams of evacuated zones, and cold ones without a bound.
+    broker = make_broker(
+        ("older", 0.72, 200.0, 10, False), ("newer", 0.65, 200.0, 500, False)
+    )
+    members = broker.member_table.members
+    members["newer"] = attrs.evolve(members["newer"], protocol=PROTOCOL)
+    assert broker.advance(11.3) == "newer"
