--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -30,6 +30,7 @@
 from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.fleet.store_revision import NO_REVISION
+from gentianfold.fleet.succession import find_informed, find_store_reader
 from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
@@ -45,20 +46,6 @@
 
 ANNOUNCE_INTERVAL_S = 1.0
 """Time between two announcements to possible other brokers (seconds)."""
-STALE_STORE_READ_S = 1.2
-"""Age of the broker's last read of the store after which the broker role passes to a
-member that reads the store (seconds); a change published meanwhile can still take
-effect within the required 2 s."""
-WEAK_SUCCESSOR_STORE_READ_S = 1.5
-"""The same for a member with less than ``MIN_SUCCESSOR_SHARE`` of the capacity of the
-strongest one (seconds): it may not carry the fleet's slot requests."""
-MIN_SUCCESSOR_SHARE = 0.8
-"""Share of the strongest member's capacity from which a member may take over, 0 to 1."""
-LONG_STALE_STORE_READ_S = 4.0
-"""The same for a member that is much weaker than this VM (seconds); until then VMs whose
-state is old read the store themselves."""
-FRESH_STORE_READ_S = 0.8
-"""Age of a member's last read of the store below which it may take over (seconds)."""
 MAX_SEED_AGE_S = 1e6
 """Longest time without a seed that members are told (seconds)."""
 MAX_CHANGE_DATAGRAMS = 4
@@ -396,7 +383,11 @@
             for vm in candidates - {self.vm, *self.member_table.members}:
                 self.transport.send(vm, BrokerAnnouncement(self.member_count))
         self.loans.advance(now_s)
-        return self._find_store_reader(now_s, own_capacity) or self._find_informed()
+        members, age_ms = self.member_table.members, self.view.store_age_ms(now_s)
+        successor = find_store_reader(members, age_ms, own_capacity)
+        if successor is None and self.view.upstreams.revision == NO_REVISION:
+            successor = find_informed(members)
+        return successor
 
     @property
     def member_count(self) -> int:
@@ -471,46 +462,3 @@
             if capacity >= STRONGER_FACTOR * own_capacity:
                 return vm
         return None
-
-    def _find_store_reader(self, now_s: float, own_capacity: float) -> str | None:
-        """Return the strongest member with a fresh store read if this VM's is stale.
-
-        A member that is cut off from the upstreams, or much weaker than others, is
-        named later, as others may read the store meanwhile. A broker that is busy reads
-        late; a much weaker one would decide late on all requests.
-        """
-        age_ms = self.view.store_age_ms(now_s)
-        if 0 <= age_ms < STALE_STORE_READ_S * 1000:
-            return None
-        members = self.member_table.members
-        readers = [
-            (member.is_cut_off, -member.rank, member.store_age_ms, vm)
-            for vm, member in members.items()
-            if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
-        ]
-        if not readers:
-            return None
-        is_cut_off, _, _, vm = min(readers)
-        capacity = members[vm].capacity
-        most = max(member.capacity for member in members.values())
-        wait_s = 0.0
-        if is_cut_off or capacity < MIN_SUCCESSOR_SHARE * most:
-            wait_s = WEAK_SUCCESSOR_STORE_READ_S
-        if STRONGER_FACTOR * capacity <= own_capacity:
-            wait_s = LONG_STALE_STORE_READ_S
-        return None if 0 <= age_ms < wait_s * 1000 else vm
-
-    def _find_informed(self) -> str | None:
-        """Return the strongest member that knows upstreams if this VM knows none.
-
-        A VM that started anew while the store is down may get heartbeats as the broker
-        that it was.
-        """
-        if self.view.upstreams.revision != NO_REVISION:
-            return None
-        informed = [
-            (member.is_cut_off, -member.capacity, vm)
-            for vm, member in self.member_table.members.items()
-            if member.upstreams_revision != NO_REVISION
-        ]
-        return min(informed)[-1] if informed else None
