Serve customers with limits sooner after a restart of all VMs

Cause: restarted processes use no share of the limits for 1.2 s, as leases of the processes before may run. Requests of customers with limits were refused all that time: after 0.4 s of waiting, or at once; and those that came before the first configuration at once.

Change: requests wait past their target for shares on their way if a token comes by their deadline, and leave tokens to those that can meet their target; a request that comes to a VM that has just started waits for the first configuration; a restarted seed grants a fifth of the stated slack of the limits to each customer once, before it has any share. A long queue is looked at in each tick, also if one comes a little early.

--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -40,6 +40,9 @@
     """Returns the event loop time (seconds)."""
     own: LentShare = attrs.field(factory=LentShare)
     """This VM's own share, and who holds it."""
+    start_allowance: int = 0
+    """Requests of each customer beyond its limit that a seed may grant once, as long as
+    it awaits the end of leases of its earlier process (count)."""
     _updated_s: float = -1e9
 
     def start(
@@ -137,4 +140,9 @@
         own = self.own
         self.broker.start(own.fleet_size, self.clock.now_s(), own.seed_seen_s)
         self.scheduler.quota.reset_usage(self.loop_time_s())
+        is_restarted = self.clock.now_s() < own.unused_until_s and not own.fleet_size
+        if is_restarted and self.membership.vm in self.membership.seeds:
+            # Once in the life of a process: so few seeds keep to what is tolerated.
+            self.scheduler.quota.allowance = self.start_allowance
+            self.start_allowance = 0
         self.update()
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -70,6 +70,11 @@
 (seconds): only another configuration changes that."""
 NOT_READY_RETRY_AFTER_S = 0.5
 """``Retry-After`` of a response from a VM without a configuration (seconds)."""
+START_WAIT_S = 2.0
+"""Time after the start of a VM for which requests wait for its first configuration
+(seconds): several times what a VM takes to obtain it."""
+START_POLL_S = 0.02
+"""Interval at which they look for it (seconds)."""
 
 _REFUSAL_CODES = {
     RefusalReason.NO_ROOM: NO_FREE_SLOT,
@@ -117,6 +122,8 @@
     an ``other`` availability zone."""
     passed_on: PassedOnCounts = attrs.field(factory=PassedOnCounts)
     """Answers that were passed on while they were received."""
+    waits_until_s: float = -math.inf
+    """Event loop time until which requests wait for the first configuration (seconds)."""
 
     def __attrs_post_init__(self) -> None:
         self.hop_filter = HopFilter(self.header_names)
@@ -133,7 +140,7 @@
         Returns:
             The response of an upstream, or an error response.
         """
-        configuration = self.routing.configuration
+        configuration = await self._first_configuration(request)
         if configuration is None:
             return self._fail(Failure(NOT_READY, "", NOT_READY_RETRY_AFTER_S), record)
         record.configuration_version = configuration.version
@@ -154,6 +161,19 @@
 
     # Route, customer and deadline
 
+    async def _first_configuration(
+        self, request: CallerRequest
+    ) -> Configuration | None:
+        """Return the configuration; wait for it if this VM has just started.
+
+        When all VMs start at once, the balancer has no other one to send requests to.
+        """
+        while self.routing.configuration is None and (
+            self.now_s() < self.waits_until_s and not request.is_abandoned
+        ):
+            await asyncio.sleep(START_POLL_S)
+        return self.routing.configuration
+
     def _make_plan(
         self, request: CallerRequest, configuration: Configuration
     ) -> ForwardPlan | Failure:
--- a/src/gentianfold/placement/customer_usage.py
+++ b/src/gentianfold/placement/customer_usage.py
@@ -27,6 +27,8 @@
     """Integral of the mature share at the last refill (seconds)."""
     cap_number: int = 0
     """Caps that were recorded at the last refill (count)."""
+    allowed: int = 0
+    """Requests granted without a share of the limits (count)."""
     taken_s: deque[float] = attrs.field(factory=deque)
     """Times of the requests counted within the window (seconds), oldest first."""
     _lots: list[tuple[float, int, TokenLot]] = attrs.field(factory=list)
--- a/src/gentianfold/placement/queue_entry.py
+++ b/src/gentianfold/placement/queue_entry.py
@@ -29,6 +29,8 @@
     """Estimated wait, before the correction by the wait table (seconds)."""
     is_late: bool = False
     """Whether it waits although it misses its target, behind those that can meet it."""
+    reserves_token: bool = True
+    """Whether a token of its customer is kept for it, if it is a first attempt."""
 
     def latest_start_s(self, expected_s: float) -> float:
         """Return the time at which the request leaves the queue without a slot.
--- a/src/gentianfold/placement/queue_index.py
+++ b/src/gentianfold/placement/queue_index.py
@@ -19,8 +19,9 @@
 
 LONG_QUEUE = 12
 """Length above which a queue is not sorted for each event (count)."""
-REBUILD_S = 0.05
-"""Time for which the order of a long queue is kept (seconds): one tick."""
+REBUILD_S = 0.04
+"""Time for which the order of a long queue is kept (seconds): a tick that comes a little
+early makes it anew."""
 
 
 @attrs.define(eq=False, repr=False)
--- a/src/gentianfold/placement/quota_table.py
+++ b/src/gentianfold/placement/quota_table.py
@@ -69,6 +69,9 @@
     """Queued requests that will take a token when they are sent, by customer."""
     is_growing: bool = False
     """Whether the share is expected to be 1 soon."""
+    allowance: int = 0
+    """Requests of each customer that may be sent before this table has any share (count):
+    what the limits tolerate, and not what they allow."""
     _customers: Mapping[str, Customer] = attrs.field(factory=dict)
     _dropped: dict[str, Customer] = attrs.field(factory=dict)
     _usage: dict[str, CustomerUsage] = attrs.field(factory=dict)
@@ -143,7 +146,10 @@
             return False
         usage = self._usage.get(name)
         if usage is not None:
-            usage.tokens -= 1
+            if self._share:
+                usage.tokens -= 1
+            else:
+                usage.allowed += 1
             usage.taken_s.append(now_s)
         return True
 
@@ -227,12 +233,20 @@
         tokens = usage.tokens + usage.settle(lot, used, returned, now_s)
         usage.tokens = self._bound(tokens, usage.limit, lot.cap_number)
 
-    def retry_after_s(self, name: str, now_s: float) -> float:
-        """Return the time until the customer's limit allows a request (seconds)."""
+    def retry_after_s(self, name: str, now_s: float, ahead: int | None = None) -> float:
+        """Return the time until the customer's limit allows a request (seconds).
+
+        Args:
+            name: The customer.
+            now_s: Current time (seconds).
+            ahead: Requests that take their tokens before (count); ``None`` for those
+                that have reserved them.
+        """
         usage, limit = self._usage.get(name), self._limit(name)
         if usage is None or limit is None:
             return 0.0
-        missing = self.waiting[name] + 1 - usage.tokens
+        ahead = self.waiting[name] if ahead is None else ahead
+        missing = ahead + 1 - usage.tokens
         if missing > 0:
             share = 1.0 if self.is_growing else self._share
             rate_per_s = share * limit.rate_per_s
@@ -256,6 +270,7 @@
     def reset_usage(self, now_s: float) -> None:
         """Discard all usage and all tokens, as when other VMs lend their shares."""
         self._usage.clear()
+        self.allowance = 0
         self._share = self._mature_share = 0.0
         self._share_s = self._mature_share_s = 0.0
         self._updated_s = now_s
@@ -272,7 +287,10 @@
         self._refill(usage, limit)
         is_valid = now_s <= self._valid_until_s
         has_room = self._room(usage, now_s) >= count
-        return is_valid and usage.tokens >= count and has_room
+        if usage.tokens >= count and has_room:
+            return is_valid
+        has_allowance = not self._share and self.allowance - usage.allowed >= count
+        return is_valid and has_allowance
 
     def _room(self, usage: CustomerUsage, now_s: float) -> float:
         """Return the requests for which the window has room."""
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -189,9 +189,10 @@
         if request.attempt == 1:
             self.demands.count_request(request, now_s)
             if not self.quota.has_room(request.customer, now_s):
-                if self.quota.is_growing and self._can_wait_for_token(request, now_s):
+                entry = QueueEntry(request, now_s)
+                if self._can_wait_for_token(entry, now_s):
                     self.budget.count_request(request.service, now_s)
-                    self._queue_request(key, QueueEntry(request, now_s))
+                    self._queue_request(key, entry)
                     return Queued(len(queue))
                 self.demands.count_unserved(request, now_s)
                 return self.quota.refuse(request.customer, now_s)
@@ -221,12 +222,26 @@
         is_waiting = key in self._waiting or key in self.retries
         return is_waiting or key in self._ledger.grants
 
-    def _can_wait_for_token(self, request: SlotRequest, now_s: float) -> bool:
-        """Tell whether the customer's limit allows the request before it is late."""
-        latest_s = QueueEntry(request, now_s).latest_start_s(
-            self._outcomes.expected_s(request)
-        )
-        return now_s + self.quota.retry_after_s(request.customer, now_s) <= latest_s
+    def _can_wait_for_token(self, entry: QueueEntry, now_s: float) -> bool:
+        """Tell whether a request waits for shares of the limits that are on their way.
+
+        One that gets no token before it misses its target is late from now on, and
+        leaves the tokens that come to those that can meet theirs.
+        """
+        request, quota = entry.request, self.quota
+        if not quota.is_growing or request.attempt > 1:
+            return False
+        expected_s = self._outcomes.expected_s(request)
+        token_s = now_s + quota.retry_after_s(request.customer, now_s)
+        if not entry.is_late and token_s <= entry.latest_start_s(expected_s):
+            return True
+        ahead = self._waiting.customer_count(request.service, request.customer)
+        token_s = now_s + quota.retry_after_s(request.customer, now_s, ahead)
+        if token_s > entry.last_start_s(expected_s):
+            return False
+        entry.is_late = True
+        self._waiting.release_token(entry)
+        return True
 
     def release(
         self,
@@ -454,6 +469,8 @@
                 self._planner.record(entry, now_s)
                 entry.is_late = True
                 continue
+            if not entry.is_late and self._can_wait_for_token(entry, now_s):
+                continue
             self._waiting.remove(key)
             decision = self._decide_late(entry, pool, len(queue), now_s)
             if isinstance(decision, Refused):
--- a/src/gentianfold/placement/waiting_requests.py
+++ b/src/gentianfold/placement/waiting_requests.py
@@ -23,7 +23,7 @@
     """One queue for each service; the order in which they are served is not kept."""
 
     by_customer: Counter[str]
-    """First attempts that wait, by customer; kept up to date."""
+    """First attempts that wait and reserve a token, by customer; kept up to date."""
     _queues: dict[str, dict[SlotRequestKey, QueueEntry]] = attrs.field(factory=dict)
     _homes: defaultdict[str, Counter[tuple[str, ...]]] = attrs.field(
         factory=lambda: defaultdict(Counter)
@@ -56,9 +56,20 @@
         self._customers[entry.request.service][entry.request.customer] += 1
         if entry.request.zones is not None:
             self._homes[entry.request.service][entry.request.zones] += 1
-        if entry.request.attempt == 1:
+        if entry.request.attempt == 1 and entry.reserves_token:
             self.by_customer[entry.request.customer] += 1
 
+    def release_token(self, entry: QueueEntry) -> None:
+        """Keep no token for a request any more, whether it waits already or will."""
+        is_counted = entry.request.attempt == 1 and entry.reserves_token
+        entry.reserves_token = False
+        if is_counted and entry.request.key in self:
+            _count_down(self.by_customer, entry.request.customer)
+
+    def customer_count(self, service: str, customer: str) -> int:
+        """Return the requests of a customer in the queue of a service (count)."""
+        return self._customers[service][customer]
+
     def remove(self, key: SlotRequestKey) -> QueueEntry | None:
         """Remove and return a request; ``None`` for one that does not wait."""
         service = self._services.pop(key, None)
@@ -68,7 +79,7 @@
         _count_down(self._customers[service], entry.request.customer)
         if entry.request.zones is not None:
             _count_down(self._homes[service], entry.request.zones)
-        if entry.request.attempt == 1:
+        if entry.request.attempt == 1 and entry.reserves_token:
             _count_down(self.by_customer, entry.request.customer)
         return entry
 
--- a/src/gentianfold/platform/deployment.py
+++ b/src/gentianfold/platform/deployment.py
@@ -19,6 +19,8 @@
 """Table of the region of each availability zone."""
 BOUNDS_FIELD = "bounds"
 """Table of the figures of the rules."""
+QUOTA_SLACK_FIELD = "quota_slack"
+"""Requests of a customer beyond its limit in a window (count), in that table."""
 WARMUP_OVERSHOOT_FIELD = "warmup_overshoot"
 """Multiple of the rate that a cold upstream may get, in that table."""
 WARMUP_SLACK_FIELD = "warmup_slack"
@@ -65,6 +67,18 @@
     return overshoot, _number(bounds.get(WARMUP_SLACK_FIELD), 0.0)
 
 
+def stated_quota_slack(fields: Mapping[str, Any]) -> float | None:
+    """Return how far the requests of a customer in a window may exceed its limit.
+
+    Returns:
+        Requests of all VMs together (count); ``None`` if not stated.
+    """
+    bounds = fields.get(BOUNDS_FIELD)
+    if not isinstance(bounds, dict):
+        return None
+    return _number(bounds.get(QUOTA_SLACK_FIELD), 0.0)
+
+
 def _number(value: Any, minimum: float) -> float | None:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     return float(value) if is_number and minimum <= value < math.inf else None
--- a/src/gentianfold/settings/settings.py
+++ b/src/gentianfold/settings/settings.py
@@ -95,6 +95,11 @@
         default=5.0, metadata=type_metadata(value_types.NumberType(0.1, 3600))
     )
     """Length of the sliding window in which requests are counted (seconds)."""
+    slack: float | None = attrs.field(
+        default=None, metadata=type_metadata(value_types.NumberType(0, 1e6))
+    )
+    """Requests of a customer in a window that are tolerated beyond its limit (count);
+    ``None`` as the platform states, else 0."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/gentianfold/vm/policies.py
+++ b/src/gentianfold/vm/policies.py
@@ -7,12 +7,30 @@
 from gentianfold.placement.choice import ChoicePolicy
 from gentianfold.placement.retry_budget import RetryBudgetPolicy
 from gentianfold.placement.warmup_limiter import WarmupPolicy
-from gentianfold.platform.deployment import stated_regions, stated_warmup
+from gentianfold.platform.deployment import (
+    stated_quota_slack,
+    stated_regions,
+    stated_warmup,
+)
 
 if TYPE_CHECKING:
     from gentianfold.settings.settings import Settings
 
 
+START_ALLOWANCE_FRACTION = 0.2
+"""Part of the slack of the limits that a seed may grant once when it was restarted: three
+seeds, each of them alone, stay within it, and leave room for parts of a request that are
+rounded up."""
+
+
+def start_allowance(settings: Settings) -> int:
+    """Return the requests of each customer that a restarted seed may grant (count)."""
+    slack = settings.limits.slack
+    if slack is None:
+        slack = stated_quota_slack(settings.platform) or 0.0
+    return int(slack * START_ALLOWANCE_FRACTION)
+
+
 def retry_policy(settings: Settings) -> RetryBudgetPolicy:
     """Return the bound of the retries."""
     budget = settings.retries
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -23,7 +23,7 @@
 from gentianfold.forwarding.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
 from gentianfold.forwarding.hangup_watcher import HangupWatcher
 from gentianfold.forwarding.messages import Response
-from gentianfold.forwarding.request_forwarder import RequestForwarder
+from gentianfold.forwarding.request_forwarder import START_WAIT_S, RequestForwarder
 from gentianfold.forwarding.service_selector import ServiceSelector
 from gentianfold.forwarding.tunnel_server import TunnelConnection
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
@@ -46,6 +46,7 @@
 from gentianfold.vm.policies import (
     choice_policy,
     retry_policy,
+    start_allowance,
     warmup_policy,
     zone_regions,
 )
@@ -161,6 +162,7 @@
         """
         transport = UdpTransport(self.settings.fleet.port)
         node = self._build_node(transport)
+        node.shares.start_allowance = start_allowance(self.settings)
         self._node = node
         transport.receive = node.receive
         await transport.open(self.settings.address)
@@ -267,6 +269,7 @@
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
         forwarder.memory = self.resources.memory
+        forwarder.waits_until_s = forwarder.now_s() + START_WAIT_S
         self._tunnels = tunnels
         return CallerRequestHandler(
             forwarder,
--- a/tests/fleet/test_quota_fleet.py
+++ b/tests/fleet/test_quota_fleet.py
@@ -85,6 +85,7 @@
     connect_failures: float = 0.0
     connecting: list = attrs.field(factory=list)
     refused: dict = attrs.field(factory=dict)
+    start_allowance: int = 0
 
     def __attrs_post_init__(self):
         self.random = random.Random(self.seed)
@@ -125,6 +126,7 @@
             view,
             lease_clock=clock,
         )
+        self.nodes[vm].shares.start_allowance = self.start_allowance
         self.frozen.pop(vm, None)
 
     def transmit(self, sender, receiver, message):
@@ -361,6 +363,25 @@
     assert count_unserved(fleet, 20) == 0.0
 
 
+@pytest.mark.parametrize("size", (3, 12))
+def test_a_fleet_that_restarts_as_a_whole_serves_a_modest_customer_at_once(size):
+    # It was refused until the leases of the processes before had ended.
+    fleet = make_fleet(size)
+    fleet.run(10, per_s=0)
+    fleet.start_allowance = 4
+    for vm in fleet.nodes:
+        fleet.start(vm)
+    fleet.run(0.5, per_s=0)
+    for _ in range(2):
+        fleet.request(fleet.names[-1], "modest")
+        fleet.run(0.1, per_s=0)
+    assert len(fleet.sent["modest"]) == 2
+    for _ in range(60):
+        fleet.request(fleet.names[-1], "greedy")
+    fleet.run(0.1, per_s=0)
+    assert len(fleet.sent["greedy"]) == 4
+
+
 @pytest.mark.parametrize("size", (3, 12))
 def test_a_fleet_that_restarts_as_a_whole_serves_once_earlier_leases_have_ended(size):
     # Seeds lent their shares with their next heartbeat only, up to 0.4 s later.
--- a/tests/fleet/test_quota_machine.py
+++ b/tests/fleet/test_quota_machine.py
@@ -25,6 +25,8 @@
 """Time after a disturbance from which one broker holds all shares (seconds)."""
 AFTER_S = st.sampled_from([11.0, 0.0])
 """Time for which the customers press after a disturbance (seconds)."""
+START_ALLOWANCE = 4
+"""Requests that a restarted seed grants once, a fifth of what is tolerated."""
 PRESS_PER_S = 300
 """Requests of all customers together (per second)."""
 EXAMPLES = int(os.environ.get("LIMIT_EXAMPLES", "0"))
@@ -57,6 +59,7 @@
         }
         size = data.draw(st.sampled_from(self.sizes))
         self.fleet = self.fleet_type(size, network_seed, self.customers)
+        self.fleet.start_allowance = START_ALLOWANCE
         self.group_ids = itertools.count(1)
         self.disturbed_s = self.fleet.now_s
         if start == "formed":
--- a/tests/vm/test_start_without_store.py
+++ b/tests/vm/test_start_without_store.py
@@ -43,3 +43,22 @@
         await wait_until(lambda: is_ready(vm))
         answer = await send_request(vm, request_bytes())
         assert answer[0] == 200
+
+
+async def test_a_request_that_comes_before_the_configuration_waits_for_it():
+    # When all VMs had lost their power, requests were refused until they had read it.
+    async with open_site() as site:
+        site.store.status = 503
+        vm = await replace_vm(site, 0)
+        await wait_until(lambda: vm.accepts_callers)
+        answers = []
+
+        async def send():
+            answers.append(await send_request(vm, request_bytes()))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.1)
+            assert vm.view.routing.configuration is None
+            site.store.status = 200
+        assert answers[0][0] == 200
