--- a/tests/fleet/test_mixed_builds.py
+++ b/tests/fleet/test_mixed_builds.py
@@ -231,7 +231,7 @@
     view.upstreams.replace(entries, REVISION)
     view.routing.configuration = CONFIGURATION
     scheduler.warmups.warmups = WARMUPS
-    node.apply_upstreams(now_s)
+    node.upstreams.apply(now_s)
     if role is Role.BROKER:
         membership.become_broker()
     else:
