Ask for tokens only while slots are lent

Tokens are of use with lent slots only. Change: wishes are sent for three seconds after a slot was lent. Result: test_a_vm_asks_for_tokens_only_while_slots_are_lent fails before; the tests of loans pass.

--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -32,6 +33,9 @@
 
 LENT = "lent"
 """Stands for the broker in placements on lent slots."""
+WISH_TERM_S = 3.0
+"""Time after a slot was lent for which the VM asks for tokens (seconds): longer than the
+longest term of a slot."""
 MAX_USES = 12
 """Uses that are reported in one message (count)."""
 
@@ -58,6 +62,7 @@
     """Lent tokens of customers' rate limits."""
     placed_count: int = 0
     """Requests placed on lent slots since the start (count)."""
+    _borrowed_s: float = -math.inf
     _uses: list[SlotUse] = attrs.field(factory=list)
     _returned: list[int] = attrs.field(factory=list)
     _unserved: Counter[tuple[str, str, bool]] = attrs.field(factory=Counter)
@@ -111,6 +116,7 @@
         """Keep a slot that the broker has granted to a request for further ones."""
         tracker = self.scheduler.tracker(placement.upstream)
         if placement.term_s > 0 and tracker is not None:
+            self._borrowed_s = self.clock.now_s()
             zone = tracker.upstream.zone
             until_s = self.clock.now_s() + placement.term_s
             self.slots.borrow(LentSlot(placement, request, zone, until_s))
@@ -212,8 +218,13 @@
         self._returned.clear()
 
     def ask(self, broker: str) -> TokenAsk:
-        """Return what a heartbeat to a broker tells of lent tokens."""
-        return self.tokens.ask(broker, self.clock.now_s())
+        """Return what a heartbeat to a broker tells of lent tokens.
+
+        Tokens are of use with lent slots only, and wishes are long.
+        """
+        now_s = self.clock.now_s()
+        is_borrowing = now_s - self._borrowed_s < WISH_TERM_S
+        return self.tokens.ask(broker, now_s, is_borrowing)
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
         """Yield lease or slot request, upstream, route and customer of each slot.
--- a/src/gentianfold/fleet/token_stock.py
+++ b/src/gentianfold/fleet/token_stock.py
@@ -68,8 +68,14 @@
                 return True
         return False
 
-    def ask(self, broker: str, now_s: float) -> TokenAsk:
-        """Report on the lots of a broker and ask for tokens, with a heartbeat to it."""
+    def ask(self, broker: str, now_s: float, is_wishing: bool = True) -> TokenAsk:
+        """Report on the lots of a broker, with a heartbeat to it.
+
+        Args:
+            broker: Address of the broker.
+            now_s: Current time (seconds).
+            is_wishing: Whether to ask for further tokens.
+        """
         if broker != self._broker:
             # Lots of the former broker are used until they end.
             self._broker = broker
@@ -80,7 +86,8 @@
         reports = tuple(
             self._report(number, lot, now_s) for number, lot in self._lots.items()
         )
-        return TokenAsk(self._last_ask, reports, self._wishes(now_s))
+        wishes = self._wishes(now_s) if is_wishing else ()
+        return TokenAsk(self._last_ask, reports, wishes)
 
     def _report(self, number: int, lot: _Lot, now_s: float) -> LotReport:
         is_final = now_s >= lot.until_s
--- a/tests/fleet/test_loans_fleet.py
+++ b/tests/fleet/test_loans_fleet.py
@@ -204,6 +204,23 @@
     assert fleet.nodes[broker].scheduler.lent.idle_count == 0
 
 
+def test_a_vm_asks_for_tokens_only_while_slots_are_lent():
+    # Heartbeats named all customers of a VM, and the bytes of a calm fleet doubled.
+    fleet = make_fleet(4, policy=LendingPolicy())
+    fleet.run(14, per_s=12)
+    member = next(vm for vm in fleet.nodes if vm not in fleet.brokers())
+    loans = fleet.nodes[member].loans
+    assert loans.tokens._wishes(fleet.now_s)
+    assert loans.ask(fleet.brokers()[0]).wishes == ()
+    fleet = make_fleet(4)
+    fleet.run(14, per_s=12)
+    assert any(
+        node.loans.ask(fleet.brokers()[0]).wishes
+        for vm, node in fleet.nodes.items()
+        if vm not in fleet.brokers()
+    )
+
+
 def test_lent_slots_keep_no_healthy_upstream_without_requests():
     # VMs went on with lent slots of a few upstreams while callers of a fifth of the
     # requests left: the others got nothing for two seconds.
