Apply the zones of reloaded settings

The regions of zones, by which homes are kept, were read at the start alone: after a changed settings file, requests with homes in a new zone were refused, and ones in a zone that had moved to another region went on.

test_a_reload_of_the_settings_brings_new_zones fails on (503 for 200).

--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -44,8 +44,6 @@
 from gentianfold.placement.slot_request import FINAL_RETRY_S, RefusalReason, Refused
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from gentianfold.forwarding.attempt_result import AttemptResult
     from gentianfold.forwarding.connection_pool import ConnectionPool
     from gentianfold.forwarding.header_names import HeaderNames
@@ -102,8 +100,6 @@
     """Address of this VM."""
     zone: str
     """Availability zone of this VM."""
-    regions: Mapping[str, str] = attrs.field(factory=dict)
-    """Region of each availability zone."""
     hop_filter: HopFilter = attrs.field(init=False)
     """Removes headers that concern one connection."""
     paths: UpstreamPaths = attrs.field(init=False)
@@ -172,7 +168,7 @@
             return deadline_s
         customer_record = configuration.customers.get(customer)
         customer_homes = customer_record.homes if customer_record is not None else ()
-        zones = allowed_zones(route.homes, customer_homes, self.regions)
+        zones = allowed_zones(route.homes, customer_homes, self.routing.regions)
         if zones is not None and not zones:
             return Failure(NO_UPSTREAM, "no zone is in all homes", HOMES_RETRY_AFTER_S)
         priority = route.priority
--- a/src/gentianfold/forwarding/routing_state.py
+++ b/src/gentianfold/forwarding/routing_state.py
@@ -10,6 +10,8 @@
 from gentianfold.forwarding.prefix_table import PrefixTable
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.model import Configuration, Upstream
 
 
@@ -27,6 +29,9 @@
     """When the upstream list was last known to be current (loop time); ``None`` until
     it has been read."""
 
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    """Region of each availability zone, by which homes are kept."""
+
     def update_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer; return whether it was applied."""
         current = self.configuration
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -27,15 +27,13 @@
 from gentianfold.forwarding.service_selector import ServiceSelector
 from gentianfold.forwarding.tunnel_server import TunnelConnection
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
-from gentianfold.placement.choice import ChoicePolicy, Chooser
 from gentianfold.placement.quota_table import QuotaTable
-from gentianfold.placement.retry_budget import RetryBudget, RetryBudgetPolicy
 from gentianfold.placement.slot_scheduler import SlotScheduler
-from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupPolicy
 from gentianfold.platform.deployment import is_first_start
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
+from gentianfold.vm.changeable_settings import apply_settings
 from gentianfold.vm.configuration_fetcher import (
     CONFIGURATION_PATH,
     ConfigurationFetcher,
@@ -208,12 +206,7 @@
 
     def _build_node(self, transport: UdpTransport) -> Node:
         settings = self.settings
-        scheduler = SlotScheduler(
-            quota=QuotaTable(settings.limits.window_s),
-            budget=RetryBudget(_retry_policy(settings)),
-            chooser=Chooser(_choice_policy(settings)),
-            warmups=WarmupBudget(_warmup_policy(settings)),
-        )
+        scheduler = SlotScheduler(quota=QuotaTable(settings.limits.window_s))
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
         broker = Broker(
@@ -229,7 +222,7 @@
         )
         loop = asyncio.get_running_loop()
         broker.decisions.now_s, broker.decisions.call_soon = loop.time, loop.call_soon
-        return Node(
+        node = Node(
             settings.address,
             settings.zone,
             incarnation,
@@ -243,6 +236,8 @@
             started_s=loop.time(),
             process_started_s=self.process_started_s,
         )
+        apply_settings(settings, node)
+        return node
 
     def _build_handler(self, node: Node, task_group: TaskGroup) -> CallerRequestHandler:
         forwarder = RequestForwarder(
@@ -254,7 +249,6 @@
             node.scheduler.crashes,
             self.settings.address,
             self.settings.zone,
-            self.settings.zones,
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
         node.tunnels.link_used_mbps = self.resources.link.schedule.used_mbps
@@ -392,18 +386,15 @@
                 logger.warning("vm: settings reload rejected, {}", failure)
             return
         if self._node is not None:
-            seeds = tuple(seed.host for seed in settings.fleet.seeds)
-            self._node.membership.seeds = self._node.broker.seeds = seeds
-            scheduler = self._node.scheduler
-            scheduler.budget.policy = _retry_policy(settings)
-            scheduler.quota.window_s = settings.limits.window_s
-            scheduler.chooser.policy = _choice_policy(settings)
-            scheduler.warmups.policy = _warmup_policy(settings)
+            apply_settings(settings, self._node)
         self.settings = attrs.evolve(
-            self.settings, stop=settings.stop, fleet=settings.fleet
+            self.settings,
+            stop=settings.stop,
+            fleet=settings.fleet,
+            zones=settings.zones,
         )
         logger.info(
-            "vm: settings reloaded, applied seeds, limits, retries and stop times"
+            "vm: settings reloaded, applied seeds, limits, retries, zones and stop times"
         )
 
     async def _receive_signals(self, task_status: TaskStatus[None]) -> None:
@@ -483,18 +474,5 @@
             connection.close_if_idle()
 
 
-def _retry_policy(settings: Settings) -> RetryBudgetPolicy:
-    budget = settings.retries
-    return RetryBudgetPolicy(budget.ratio, budget.slack, budget.window_s)
-
-
-def _warmup_policy(settings: Settings) -> WarmupPolicy:
-    return WarmupPolicy(settings.warmup.overshoot, settings.warmup.slack)
-
-
-def _choice_policy(settings: Settings) -> ChoicePolicy:
-    return ChoicePolicy(zone_price_per_kb=settings.placement.zone_price_per_kb)
-
-
 def _socket_address(endpoint: Endpoint) -> tuple[str, int]:
     return endpoint.host, endpoint.port
--- a/tests/vm/test_homes.py
+++ b/tests/vm/test_homes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import attrs
 import pytest
 from conftest import open_site, request_bytes, send_request, wait_until
@@ -10,6 +12,7 @@
 from gentianfold.fleet.transport import UdpTransport
 from gentianfold.placement.homes import allowed_zones
 from gentianfold.standins.site import make_configuration
+from gentianfold.vm.settings_file import SettingsFile
 
 pytestmark = pytest.mark.anyio
 
@@ -126,3 +129,30 @@
         monkeypatch.setattr(type(vm.pool), "acquire", acquire_none)
         status = (await send_request(vm, request_bytes("r1")))[0]
         assert status == 503 and not received(site, "south")
+
+
+async def test_a_reload_of_the_settings_brings_new_zones(tmp_path):
+    # The zones of the start were kept: requests of a new zone's homes were refused.
+    configuration = make_homes(["south"])
+    async with open_site(upstreams=1, configuration=configuration) as site:
+        vm = site.vms[0]
+        await site.add_upstream("south", zone="z2")
+        await wait_until(lambda: "south" in vm.view.upstreams.names())
+        assert await search(site, 1) == [503]
+        settings = {
+            "vm": "vm-1",
+            "zone": "z1",
+            "address": "127.0.0.1",
+            "zones": REGIONS,
+            "callers": "127.0.0.1:1",
+            "readiness": "127.0.0.1:2",
+            "operators": "127.0.0.1:3",
+            "store": {"endpoint": str(vm.settings.store.endpoint)},
+            "fleet": {"seeds": ["127.0.0.9:3"]},
+        }
+        path = tmp_path / "vm.json"
+        path.write_text(json.dumps(settings))
+        vm.settings_file = SettingsFile(str(path))
+        await wait_until(lambda: vm.settings.fleet.seeds[0].host == "127.0.0.9")
+        assert await search(site, 4, "s") == [200] * 4
+        assert received(site, "south") == 4
