--- a/tests/vm/test_homes.py
+++ b/tests/vm/test_homes.py
@@ -148,11 +148,11 @@
             "readiness": "127.0.0.1:2",
             "operators": "127.0.0.1:3",
             "store": {"endpoint": str(vm.settings.store.endpoint)},
-            "fleet": {"seeds": ["127.0.0.9:3"]},
+            "fleet": {"seeds": ["127.0.0.1:3"]},
         }
         path = tmp_path / "vm.json"
         path.write_text(json.dumps(settings))
         vm.settings_file = SettingsFile(str(path))
-        await wait_until(lambda: vm.settings.fleet.seeds[0].host == "127.0.0.9")
+        await wait_until(lambda: vm.settings.zones == REGIONS)
         assert await search(site, 4, "s") == [200] * 4
         assert received(site, "south") == 4
