Count the age of a grant from the request for it, by the clock that runs while frozen

A VM that was frozen while grants of cold upstreams were on their way used them all when it woke: their age counted from their arrival, by the event loop's clock, which stands still meanwhile. A grant now counts from the last transmission of the request that the broker is known to have had while it granted nothing, by the clock of the leases.

test_a_vm_returns_a_grant_that_waited_while_it_was_suspended (with and without an acknowledgement before the grant) fails on: the placement was used (assert False).

--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -138,6 +138,7 @@
             self.membership,
             self.transport,
             self.is_withdrawn,
+            self.lease_clock,
             self.loans,
         )
         self.upstreams = NodeUpstreams(
@@ -242,8 +243,9 @@
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
         is_bounded = tracker is not None and tracker.warmup.is_bounded(now_s)
+        age_s = self.lease_clock.now_s() - placement.granted_at_s
         return (
-            (is_bounded and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
+            (is_bounded and age_s > MAX_SEND_DELAY_S)
             or not self.view.is_within(name, placement.zones)
             or not self._takes_requests(name, placement.start_time_ms)
         )
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -98,7 +98,7 @@
             slot.placement,
             slot_request_id=request.slot_request_id,
             granted_by=LENT,
-            granted_at_s=loop_now_s,
+            granted_at_s=now_s,
             zones=request.zones,
         )
 
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections import deque
 from typing import TypeAlias
 
 import anyio
@@ -34,6 +35,23 @@
     """Set to the decision."""
     acknowledged: bool = False
     """Whether the broker has answered the last transmission of the request."""
+    earliest_grant_s: float = math.inf
+    """Time before which the request was not granted (clock of the leases, seconds)."""
+    _unanswered_s: deque[float] = attrs.field(factory=deque)
+
+    def record_sent(self, now_s: float) -> None:
+        """Record a transmission of the request (clock of the leases, seconds)."""
+        self.earliest_grant_s = min(self.earliest_grant_s, now_s)
+        self._unanswered_s.append(now_s)
+
+    def record_queued(self) -> None:
+        """Record that a transmission has reached the broker while no slot was granted.
+
+        The time of the transmission counts, not that of the answer: that and a grant
+        behind it may have waited while this VM was suspended.
+        """
+        if self._unanswered_s:
+            self.earliest_grant_s = self._unanswered_s.popleft()
 
     async def await_decision(
         self, unanswered: int, pace: ResendPace
@@ -78,9 +96,15 @@
 
 
 def to_decision(
-    message: SlotGranted | SlotRefused, broker: str, now_s: float
+    message: SlotGranted | SlotRefused, broker: str, granted_at_s: float
 ) -> PlacementDecision:
-    """Return the decision that a message of the broker at an address carries."""
+    """Return the decision that a message of the broker at an address carries.
+
+    Args:
+        message: The message.
+        broker: Address of the broker.
+        granted_at_s: Earliest time of a grant (clock of the leases, seconds).
+    """
     if isinstance(message, SlotRefused):
         reason = RefusalReason(message.reason)
         return Refused(reason, message.retry_after_ms / 1000, message.ahead)
@@ -93,6 +117,6 @@
         GrantReason(message.reason),
         broker,
         message.start_time_ms,
-        now_s,
+        granted_at_s,
         term_s=message.term_ms / 1000,
     )
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -11,6 +11,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.clock import BootClock, Clock
 from gentianfold.fleet.membership import Membership, Role
 from gentianfold.fleet.messages import (
     ReleaseSlot,
@@ -71,6 +72,8 @@
     """Sends messages to the broker."""
     is_withdrawn: Callable[[Placement], bool]
     """Tells whether the upstream of a grant takes no requests of this VM."""
+    clock: Clock = attrs.field(factory=BootClock)
+    """Measures the age of grants; advances while the VM is suspended."""
     loans: NodeLoans | None = None
     """Places requests on slots that the broker has lent; ``None`` for no loans."""
     pace: ResendPace = attrs.field(factory=ResendPace)
@@ -193,6 +196,7 @@
                 pending.acknowledged = False
                 if not tries or self.pace.try_resend():
                     age_s = self._now_s() - asked_s
+                    pending.record_sent(self.clock.now_s())
                     self.transport.send(broker, to_acquire_slot(request, age_s))
                 tries += 1
                 decision = await pending.await_decision(unanswered, self.pace)
@@ -262,7 +266,7 @@
             return decision
         if isinstance(decision, Granted):
             granted_by = self.membership.role.value
-            return to_placement(request, decision, granted_by, self._now_s())
+            return to_placement(request, decision, granted_by, self.clock.now_s())
         pending = self._add_pending(request)
         try:
             with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
@@ -311,8 +315,11 @@
                 self.transport.send(vm, release)
             return
         pending.acknowledged = True
-        if not isinstance(message, SlotQueued):
-            pending.decided.set_result(to_decision(message, vm, self._now_s()))
+        if isinstance(message, SlotQueued):
+            pending.record_queued()
+        else:
+            decision = to_decision(message, vm, pending.earliest_grant_s)
+            pending.decided.set_result(decision)
 
     def resolve(self, slot_request_id: int, decision: Granted | Refused) -> None:
         """Pass a decision of this VM's own scheduler to the request that awaits it."""
@@ -321,7 +328,10 @@
             self._cancel_locally(slot_request_id)
         elif isinstance(decision, Granted):
             placement = to_placement(
-                pending.request, decision, self.membership.role.value, self._now_s()
+                pending.request,
+                decision,
+                self.membership.role.value,
+                self.clock.now_s(),
             )
             pending.decided.set_result(placement)
         else:
--- a/src/gentianfold/forwarding/placer.py
+++ b/src/gentianfold/forwarding/placer.py
@@ -36,7 +36,8 @@
     start_time_ms: int = 0
     """Unix time of the upstream's start (milliseconds)."""
     granted_at_s: float = math.inf
-    """When this VM got the slot (event loop time, seconds); infinite if unknown."""
+    """Time before which the slot was not granted (clock of the leases, seconds);
+    infinite if unknown."""
     zones: tuple[str, ...] | None = None
     """Availability zones in which the request may run; ``None`` for any."""
     term_s: float = 0.0
--- a/tests/vm/test_cold_upstreams.py
+++ b/tests/vm/test_cold_upstreams.py
@@ -17,11 +17,20 @@
 from placement.model import make_request
 
 from gentianfold.cli.status import format_states
-from gentianfold.fleet.messages import UpstreamCold, decode, encode
+from gentianfold.clock import ManualClock
+from gentianfold.fleet.messages import (
+    SlotGranted,
+    SlotQueued,
+    UpstreamCold,
+    decode,
+    encode,
+)
+from gentianfold.fleet.pending_request import PendingRequest
 from gentianfold.forwarding.header_names import HeaderNames
 from gentianfold.forwarding.messages import Response
 from gentianfold.forwarding.upstream_notice import MAX_WARMUP_S, NoticeReader
 from gentianfold.model import Warmup
+from gentianfold.placement.slot_request import Refused
 from gentianfold.placement.warmup_limiter import MAX_SEND_DELAY_S
 from gentianfold.standins.site import make_configuration
 
@@ -81,6 +90,69 @@
         assert is_cold(site.vms[0]) and not node.is_withdrawn(old)
 
 
+async def place_while_suspended(site, monkeypatch, behind):
+    """Place a request of a member that is suspended until after the broker's grant.
+
+    Args:
+        site: A site with one upstream and two VMs.
+        monkeypatch: The fixture.
+        behind: Messages that the member gets before the grant.
+    """
+    node = site.vms[1]._node
+    clock = ManualClock(node.lease_clock.now_s())
+    node.lease_clock = node.slots.clock = clock
+    receive = node.receive
+
+    def receive_late(vm, message):
+        if isinstance(message, SlotGranted):
+            clock.time_s += 2 * MAX_SEND_DELAY_S
+            for kind in behind:
+                receive(vm, kind(message.slot_request_id))
+        receive(vm, message)
+
+    monkeypatch.setattr(node.transport, "receive", receive_late)
+    request = make_request(
+        node.next_slot_request_id(),
+        vm=node.vm,
+        service="registry",
+        idempotent=True,
+        time_left_s=1.0,
+        target_left_s=1.0,
+    )
+    return await node.place(request)
+
+
+@pytest.mark.parametrize("behind", [(), (SlotQueued,)])
+async def test_a_vm_returns_a_grant_that_waited_while_it_was_suspended(
+    monkeypatch, behind
+):
+    # The age of a grant counted from its arrival, by a clock that stood still.
+    async with open_site(upstreams=1, vms=2, configuration=configuration()) as site:
+        await wait_until(lambda: site.vms[1].is_member)
+        put_cold(site, "u1")
+        for vm in site.vms:
+            await wait_until(lambda vm=vm: is_cold(vm))
+        broker = site.vms[0]._node
+        await wait_until(
+            lambda: broker.scheduler.tracker("u1").warmup.allows_request(
+                broker._now_s()
+            )
+        )
+        placed = await place_while_suspended(site, monkeypatch, behind)
+        assert isinstance(placed, Refused)
+
+
+def test_a_request_that_was_queued_may_have_been_granted_since_its_last_sending():
+    pending = PendingRequest(make_request(1), None)
+    pending.record_sent(10.0)
+    assert pending.earliest_grant_s == 10.0
+    pending.record_sent(10.3)
+    pending.record_queued()
+    assert pending.earliest_grant_s == 10.0
+    pending.record_queued()
+    assert pending.earliest_grant_s == 10.3
+
+
 async def test_another_vm_can_state_no_longer_warm_up_than_an_upstream():
     async with open_site(upstreams=1, configuration=configuration()) as site:
         node = site.vms[0]._node
