--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -10,6 +10,7 @@
 from gentianfold.fleet.broker_loans import BrokerLoans
 from gentianfold.fleet.decision_loop import DecisionLoop
 from gentianfold.fleet.held_slots import reconcile_slots
+from gentianfold.fleet.home_table import HomeTable
 from gentianfold.fleet.lease_table import LeaseTable
 from gentianfold.fleet.lender import Lender
 from gentianfold.fleet.membership import STRONGER_FACTOR, Member, MemberTable
@@ -26,35 +27,24 @@
     SlotRefused,
     SlotUses,
 )
+from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.relay_plan import RelayPlan
-from gentianfold.fleet.store_revision import NO_REVISION
+from gentianfold.fleet.successor import find_informed, find_store_reader
 from gentianfold.fleet.tunnel_plan import TunnelPlan
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
-    from gentianfold.placement.slot_request import Decision
+    from gentianfold.placement.slot_request import Decision, Granted
     from gentianfold.placement.slot_scheduler import SlotScheduler
 
 ANNOUNCE_INTERVAL_S = 1.0
 """Time between two announcements to possible other brokers (seconds)."""
-STALE_STORE_READ_S = 1.2
-"""Age of the broker's last read of the store after which the broker role passes to a
-member that reads the store (seconds); a change published meanwhile can still take
-effect within the required 2 s."""
-WEAK_SUCCESSOR_STORE_READ_S = 1.5
-"""The same for a member with less than ``MIN_SUCCESSOR_SHARE`` of the capacity of the
-strongest one (seconds): it may not carry the fleet's slot requests."""
-MIN_SUCCESSOR_SHARE = 0.8
-"""Share of the strongest member's capacity from which a member may take over, 0 to 1."""
-LONG_STALE_STORE_READ_S = 4.0
-"""The same for a member that is much weaker than this VM (seconds); until then VMs whose
-state is old read the store themselves."""
-FRESH_STORE_READ_S = 0.8
-"""Age of a member's last read of the store below which it may take over (seconds)."""
 MAX_SEED_AGE_S = 1e6
 """Longest time without a seed that members are told (seconds)."""
 MAX_CHANGE_DATAGRAMS = 4
@@ -83,8 +73,12 @@
     """Members of the fleet besides this VM."""
     is_first_start: bool = False
     """Whether the system never ran before this process."""
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    """Region of each availability zone, by which homes are decided on."""
     stated_size: int = 0
     """Size of the largest fleet by the settings (count); 0 if they state none."""
+    homes: HomeTable = attrs.field(init=False)
+    """Zones in which the requests of members with older builds may run."""
     leases: LeaseTable = attrs.field(factory=LeaseTable)
     """Shares of fleet-wide limits that the members have lent to this VM."""
     relay_plan: RelayPlan = attrs.field(init=False)
@@ -99,6 +93,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
+        self.homes = HomeTable(self.view.routing, self.regions)
         lender = Lender(self.scheduler.quota, self.cpu_share)
         self.loans = BrokerLoans(self.scheduler, self.transport, lender)
         self.decisions = DecisionLoop(self.scheduler, self.send_decision)
@@ -138,7 +133,9 @@
             message: The request.
             now_s: Event loop time (seconds).
         """
-        age_s = message.age_ms / 1000
+        age_s, zones = message.age_ms / 1000, message.zones
+        if zones is None and self.member_table.is_older(vm):
+            zones = self.homes.zones(message.route, message.customer)
         request = SlotRequest(
             vm=vm,
             slot_request_id=message.slot_request_id,
@@ -154,7 +151,7 @@
             target_left_s=message.target_left_ms / 1000 - age_s,
             zone=message.zone,
             fingerprint=message.fingerprint,
-            zones=message.zones,
+            zones=zones,
         )
         self.loans.count_placement(now_s)
         self.decisions.request_slot(request, now_s)
@@ -188,10 +185,15 @@
                 expected_ms,
                 decision.reason,
                 upstream.start_time_ms,
-                self.loans.term_ms(vm, slot_request_id, decision),
+                self._term_ms(vm, slot_request_id, decision),
             ),
         )
 
+    def _term_ms(self, vm: str, slot_request_id: int, granted: Granted) -> int:
+        if self.member_table.is_older(vm):
+            return 0
+        return self.loans.term_ms(vm, slot_request_id, granted)
+
     def handle_release(self, vm: str, release: ReleaseSlot, now_s: float) -> None:
         """Free a slot and record the outcome, or withdraw a request that waits.
 
@@ -238,6 +240,7 @@
             heartbeat.is_cut_off,
             heartbeat.evacuations.revision if heartbeat.evacuations else None,
             heartbeat.link_used_mbps,
+            heartbeat.protocol,
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
@@ -246,7 +249,10 @@
             self.leases.join(vm, heartbeat.fleet_size, heartbeat.is_first_start)
             self.loans.lender.remove(vm)
             logger.info(
-                "fleet: VM {} joined, {} members", vm, len(self.member_table.members)
+                "fleet: VM {} joined, {} members, protocol={}",
+                vm,
+                self.member_count,
+                heartbeat.protocol,
             )
         self.leases.record(
             vm, heartbeat.lease_stamp_ms, lease_now_s, heartbeat.fleet_size
@@ -376,7 +382,10 @@
             for vm in candidates - {self.vm, *self.member_table.members}:
                 self.transport.send(vm, BrokerAnnouncement(self.member_count))
         self.loans.advance(now_s)
-        return self._find_store_reader(now_s, own_capacity) or self._find_informed()
+        members = self.member_table.members
+        return find_store_reader(
+            self.view, members, now_s, own_capacity
+        ) or find_informed(self.view, members)
 
     @property
     def member_count(self) -> int:
@@ -429,6 +438,7 @@
             int(min(lease_now_s - self.leases.seed_seen_s, MAX_SEED_AGE_S) * 1000),
             token_ask_number,
             tokens,
+            PROTOCOL,
         )
         self.transport.send(vm, reply)
 
@@ -450,45 +460,3 @@
             if capacity >= STRONGER_FACTOR * own_capacity:
                 return vm
         return None
-
-    def _find_store_reader(self, now_s: float, own_capacity: float) -> str | None:
-        """Return the strongest member with a fresh store read if this VM's is stale.
-
-        A member that is cut off from the upstreams, or much weaker than others, is
-        named later, as others may read the store meanwhile. A broker that is busy reads
-        late; a much weaker one would decide late on all requests.
-        """
-        age_ms = self.view.store_age_ms(now_s)
-        if 0 <= age_ms < STALE_STORE_READ_S * 1000:
-            return None
-        members = self.member_table.members
-        readers = [
-            (member.is_cut_off, -member.capacity, member.store_age_ms, vm)
-            for vm, member in members.items()
-            if 0 <= member.store_age_ms < FRESH_STORE_READ_S * 1000
-        ]
-        if not readers:
-            return None
-        is_cut_off, capacity, _, vm = min(readers)
-        most = max(member.capacity for member in members.values())
-        wait_s = 0.0
-        if is_cut_off or -capacity < MIN_SUCCESSOR_SHARE * most:
-            wait_s = WEAK_SUCCESSOR_STORE_READ_S
-        if STRONGER_FACTOR * -capacity <= own_capacity:
-            wait_s = LONG_STALE_STORE_READ_S
-        return None if 0 <= age_ms < wait_s * 1000 else vm
-
-    def _find_informed(self) -> str | None:
-        """Return the strongest member that knows upstreams if this VM knows none.
-
-        A VM that started anew while the store is down may get heartbeats as the broker
-        that it was.
-        """
-        if self.view.upstreams.revision != NO_REVISION:
-            return None
-        informed = [
-            (member.is_cut_off, -member.capacity, vm)
-            for vm, member in self.member_table.members.items()
-            if member.upstreams_revision != NO_REVISION
-        ]
-        return min(informed)[-1] if informed else None
--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -33,10 +33,14 @@
     """The request."""
     decided: asyncio.Future[PlacementDecision]
     """Set to the decision."""
+    broker: str = ""
+    """Address of the broker that is asked; empty for the local scheduler."""
     acknowledged: bool = False
     """Whether the broker has answered the last transmission of the request."""
     earliest_grant_s: float = math.inf
     """Time before which the request was not granted (clock of the leases, seconds)."""
+    is_queued: bool = False
+    """Whether the broker has ever answered that the request waits."""
     _unanswered_s: deque[float] = attrs.field(factory=deque)
 
     def record_sent(self, now_s: float) -> None:
@@ -50,6 +54,7 @@
         The time of the transmission counts, not that of the answer: that and a grant
         behind it may have waited while this VM was suspended.
         """
+        self.is_queued = True
         if self._unanswered_s:
             self.earliest_grant_s = self._unanswered_s.popleft()
 
--- a/src/gentianfold/forwarding/response_writer.py
+++ b/src/gentianfold/forwarding/response_writer.py
@@ -121,11 +121,15 @@
 
     # State
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a response has left of which more is to come."""
+        return self._long is not None and self._long[1].is_receiving
+
     @property
     def waiting_count(self) -> int:
         """Number of responses that have not been received completely."""
-        is_receiving = self._long is not None and self._long[1].is_receiving
-        return len(self._waiting) + is_receiving
+        return len(self._waiting) + self.is_receiving
 
     @property
     def unsent_count(self) -> int:
@@ -157,6 +161,11 @@
         """Whether further responses can be written."""
         return not self._is_finishing and not self._transport.is_closing()
 
+    @property
+    def is_free(self) -> bool:
+        """Whether all responses to the requests so far have been written."""
+        return self.can_write and self._long is None and not self._waiting
+
     # Responses
 
     def add(self, pending: PendingResponse) -> None:
@@ -164,13 +173,12 @@
         self._waiting.append(pending)
 
     def is_next(self, pending: PendingResponse) -> bool:
-        """Tell whether a response can be written before it is complete."""
-        return (
-            self.can_write
-            and self._long is None
-            and bool(self._waiting)
-            and self._waiting[0] is pending
-        )
+        """Tell whether a response can be written before it is complete.
+
+        Not if others are awaited behind it: they would be lost if it breaks off.
+        """
+        is_alone = len(self._waiting) == 1 and self._waiting[0] is pending
+        return self.can_write and self._long is None and is_alone
 
     def take_ready(self) -> PendingResponse | None:
         """Remove and return the next response if it is known and its turn has come."""
@@ -210,7 +218,7 @@
     def cancel_waiting(self) -> None:
         """Cancel the requests whose responses are not complete."""
         waiting = [*self._waiting]
-        if self._long is not None and self._long[1].is_receiving:
+        if self._long is not None and self.is_receiving:
             waiting.append(self._long[0])
         self._waiting.clear()
         for pending in waiting:
@@ -313,8 +321,10 @@
     def stalled_since_s(self, now_s: float) -> float | None:
         """Return since when a caller reads that has stalled; ``None`` if none has."""
         is_waiting = self._long is not None and self._long[1].peek_bytes(1) > 0
+        if self._link is not None and self._link.schedule.is_waiting(self):
+            is_waiting = False
         if not is_waiting and not self._transport.get_write_buffer_size():
-            # What has not come yet is not the caller's delay.
+            # Neither what has not come yet nor the turn on the link is its delay.
             self._reading = None
             return None
         sent_bytes = self._sent_bytes()
--- a/src/gentianfold/vm/changeable_settings.py
+++ b/src/gentianfold/vm/changeable_settings.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from gentianfold.placement.choice import ChoicePolicy
-from gentianfold.placement.retry_budget import RetryBudgetPolicy
-from gentianfold.placement.warmup_limiter import WarmupPolicy
+from gentianfold.vm.policies import (
+    choice_policy,
+    retry_policy,
+    warmup_policy,
+    zone_regions,
+)
 
 if TYPE_CHECKING:
     from gentianfold.fleet.node import Node
@@ -19,13 +22,7 @@
     node.membership.seeds = node.broker.seeds = seeds
     scheduler = node.scheduler
     scheduler.quota.window_s = settings.limits.window_s
-    budget = settings.retries
-    scheduler.budget.policy = RetryBudgetPolicy(
-        budget.ratio, budget.slack, budget.window_s
-    )
-    scheduler.chooser.policy = ChoicePolicy(
-        zone_price_per_kb=settings.placement.zone_price_per_kb
-    )
-    warmup = settings.warmup
-    scheduler.warmups.policy = WarmupPolicy(warmup.overshoot, warmup.slack)
-    node.view.routing.regions = settings.zones
+    scheduler.budget.policy = retry_policy(settings)
+    scheduler.chooser.policy = choice_policy(settings)
+    scheduler.warmups.policy = warmup_policy(settings)
+    node.view.routing.regions = zone_regions(settings)
