--- a/tests/fleet/test_warmup_fleet.py
+++ b/tests/fleet/test_warmup_fleet.py
@@ -121,13 +121,15 @@
 class ColdFleetMachine(LimitedFleet):
     """Failures of all kinds under requests far above what a cold upstream bears."""
 
+    cold_type, bound = ColdFleet, BOUND
+
     @initialize(
         size=st.sampled_from([2, 3, 5, 12, 32]),
         seed=st.integers(0, 999),
         formed=st.booleans(),
     )
     def start(self, size, seed, formed):
-        self.fleet = make_cold_fleet(size, seed)
+        self.fleet = make_cold_fleet(size, seed, self.cold_type)
         self.customers = self.fleet.customers
         self.group_ids = itertools.count(1)
         self.disturbed_s = self.fleet.now_s
@@ -140,8 +142,16 @@
     @invariant()
     def keeps_the_limits(self):
         if hasattr(self, "fleet"):
-            assert self.fleet.most_in_second() <= BOUND
+            assert self.fleet.most_in_second() <= self.bound
+
+
+class StrictFleetMachine(ColdFleetMachine):
+    """The same with neither overshoot nor slack."""
+
+    cold_type, bound = StrictFleet, STRICT_BOUND
 
 
 TestColdFleet = ColdFleetMachine.TestCase
 TestColdFleet.settings = settings_for(EXAMPLES or 10, 10)
+TestStrictFleet = StrictFleetMachine.TestCase
+TestStrictFleet.settings = settings_for(EXAMPLES or 5, 10)
