--- a/src/gentianfold/fleet/pending_request.py
+++ b/src/gentianfold/fleet/pending_request.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from collections import deque
 from typing import TypeAlias
 
 import anyio
@@ -41,7 +40,7 @@
     """Time before which the request was not granted (clock of the leases, seconds)."""
     is_queued: bool = False
     """Whether the broker has ever answered that the request waits."""
-    _unanswered_s: deque[float] = attrs.field(factory=deque)
+    _unanswered_s: list[float] = attrs.field(factory=list)
 
     def record_sent(self, now_s: float) -> None:
         """Record a transmission of the request (clock of the leases, seconds)."""
@@ -56,7 +55,7 @@
         """
         self.is_queued = True
         if self._unanswered_s:
-            self.earliest_grant_s = self._unanswered_s.popleft()
+            self.earliest_grant_s = self._unanswered_s.pop(0)
 
     async def await_decision(
         self, unanswered: int, pace: ResendPace
