--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -23,7 +23,7 @@
 from gentianfold.forwarding.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
 from gentianfold.forwarding.hangup_watcher import HangupWatcher
 from gentianfold.forwarding.messages import Response
-from gentianfold.forwarding.request_forwarder import RequestForwarder
+from gentianfold.forwarding.request_forwarder import START_WAIT_S, RequestForwarder
 from gentianfold.forwarding.service_selector import ServiceSelector
 from gentianfold.forwarding.tunnel_server import TunnelConnection
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
@@ -41,6 +41,7 @@
 from gentianfold.vm.early_signals import SIGNALS, ignore_signals, take_held_signals
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
+from gentianfold.vm.policies import start_allowance
 from gentianfold.vm.request_handler import CallerRequestHandler
 from gentianfold.vm.resource_limits import ResourceLimits
 from gentianfold.vm.status import (
@@ -153,6 +154,7 @@
         """
         transport = UdpTransport(self.settings.fleet.port)
         node = self._build_node(transport)
+        node.shares.start_allowance = start_allowance(self.settings)
         self._node = node
         transport.receive = node.receive
         await transport.open(self.settings.address)
@@ -216,7 +218,6 @@
             self.view,
             settings.machine.cpu_share,
             is_first_start=is_first_start(settings.platform),
-            regions=settings.zones,
             stated_size=settings.fleet.largest_size,
         )
         loop = asyncio.get_running_loop()
@@ -255,6 +256,7 @@
         node.pass_notice = tunnels.pass_notice
         forwarder.paths = UpstreamPaths(self.pool, tunnels, node.paths)
         forwarder.memory = self.resources.memory
+        forwarder.waits_until_s = forwarder.now_s() + START_WAIT_S
         self._tunnels = tunnels
         return CallerRequestHandler(
             forwarder,
