Read the regions of zones from one place in the broker too

The table by which a broker keeps requests of older VMs to their homes held the regions of its construction, from the VM's own table alone: it knew neither a reload nor the platform's zones. It reads the routing state, as the VM's own requests do. The test of the reload asks that table as well; it failed before this (a stale table: the attribute was set, the table not reached).

--- a/src/gentianfold/fleet/home_table.py
+++ b/src/gentianfold/fleet/home_table.py
@@ -9,8 +9,6 @@
 from gentianfold.placement.homes import allowed_zones
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from gentianfold.forwarding.routing_state import RoutingState
     from gentianfold.model import Route
 
@@ -20,9 +18,7 @@
     """Homes by the configuration that this VM knows."""
 
     routing: RoutingState
-    """The configuration in force."""
-    regions: Mapping[str, str]
-    """Region of each availability zone."""
+    """The configuration in force, and the region of each availability zone."""
     _version: int = 0
     _routes: dict[str, Route] = attrs.field(factory=dict)
 
@@ -44,5 +40,5 @@
         return allowed_zones(
             known_route.homes if known_route is not None else (),
             known_customer.homes if known_customer is not None else (),
-            self.regions,
+            self.routing.regions,
         )
--- a/src/gentianfold/vm/changeable_settings.py
+++ b/src/gentianfold/vm/changeable_settings.py
@@ -25,4 +25,4 @@
     scheduler.budget.policy = retry_policy(settings)
     scheduler.chooser.policy = choice_policy(settings)
     scheduler.warmups.policy = warmup_policy(settings)
-    node.view.routing.regions = node.broker.regions = zone_regions(settings)
+    node.view.routing.regions = zone_regions(settings)
--- a/tests/fleet/test_mixed_builds.py
+++ b/tests/fleet/test_mixed_builds.py
@@ -209,7 +209,8 @@
     logger.disable("gentianfold")
     sent, view, scheduler = Sent(), NodeView(), SlotScheduler()
     regions = {"z1": "north", "z2": "south", "z3": "south"}
-    broker = Broker("a", 1, (), scheduler, sent, view, regions=regions)
+    broker = Broker("a", 1, (), scheduler, sent, view)
+    view.routing.regions = regions
     membership = Membership("a", ())
     node = StillNode(
         "a",
--- a/tests/vm/test_homes.py
+++ b/tests/vm/test_homes.py
@@ -154,6 +154,6 @@
         path.write_text(json.dumps(settings))
         vm.settings_file = SettingsFile(str(path))
         await wait_until(lambda: vm.settings.zones == REGIONS)
-        assert vm._node.broker.regions == REGIONS
+        assert vm._node.broker.homes.zones("search", "") == ("z2", "z3")
         assert await search(site, 4, "s") == [200] * 4
         assert received(site, "south") == 4
