--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -138,6 +138,7 @@
             self.membership,
             self.transport,
             self.is_withdrawn,
+            self.lease_clock,
             self.loans,
         )
         self.upstreams = NodeUpstreams(
@@ -243,7 +244,8 @@
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
         is_bounded = tracker is not None and tracker.warmup.is_bounded(now_s)
-        is_late = now_s - placement.granted_at_s > MAX_SEND_DELAY_S
+        age_s = self.lease_clock.now_s() - placement.granted_at_s
+        is_late = age_s > MAX_SEND_DELAY_S
         is_uncounted = is_late or self.membership.is_older_broker(placement.granted_by)
         return (
             (is_bounded and is_uncounted)
@@ -389,6 +391,7 @@
     def advance(self) -> None:
         """Send a due heartbeat, do the duties of a broker, and deliver new decisions."""
         now_s = self._now_s()
+        self.slots.observe_pause()
         previous_role = self.membership.role
         target = None
         if not self.is_stopping:
--- a/src/gentianfold/fleet/older_broker.py
+++ b/src/gentianfold/fleet/older_broker.py
@@ -44,7 +44,7 @@
         broker: Address of the broker.
         upstreams: All upstreams that the VM knows.
         is_withdrawn: Tells whether the VM returns a grant.
-        now_s: Event loop time (seconds).
+        now_s: Time of the clock of the leases (seconds).
 
     Returns:
         The request; a refusal if the VM would return each grant.
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -12,6 +12,7 @@
 import attrs
 from loguru import logger
 
+from gentianfold.clock import BootClock, Clock
 from gentianfold.fleet.membership import Membership, Role
 from gentianfold.fleet.messages import (
     ReleaseSlot,
@@ -61,6 +62,9 @@
 """Refusal by a VM that is about to end; another VM can take the request at once."""
 LIMIT_ELSEWHERE = Refused(RefusalReason.LIMIT_ELSEWHERE, LIMIT_ELSEWHERE_RETRY_S)
 """Refusal by a VM that found no broker for a customer with a limit."""
+MAX_PAUSE_S = 0.25
+"""Time without a tick or a reply after which grants count as received late (seconds):
+five ticks, and half of the age up to which a grant of a cold upstream is used."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -77,6 +81,8 @@
     """Sends messages to the broker."""
     is_withdrawn: Callable[[Placement], bool]
     """Tells whether the upstream of a grant takes no requests of this VM."""
+    clock: Clock = attrs.field(factory=BootClock)
+    """Measures the age of grants; advances while the VM is suspended."""
     loans: NodeLoans | None = None
     """Places requests on slots that the broker has lent; ``None`` for no loans."""
     pace: ResendPace = attrs.field(factory=ResendPace)
@@ -88,6 +94,8 @@
     _granted_by: dict[int, str] = attrs.field(factory=dict)
     _new_requests: set[anyio.CancelScope] = attrs.field(factory=set)
     _refuses_new: bool = False
+    _active_s: float = math.inf
+    _resumed_s: float = -math.inf
 
     def next_slot_request_id(self) -> int:
         """Return an identifier for a slot request, unique on this VM."""
@@ -201,7 +209,7 @@
         if self.membership.has_older_broker:
             upstreams = (row.upstream for row in self.scheduler.trackers())
             asked = exclude_withdrawn(
-                request, broker, upstreams, self.is_withdrawn, asked_s
+                request, broker, upstreams, self.is_withdrawn, self.clock.now_s()
             )
             if isinstance(asked, Refused):
                 return asked
@@ -220,6 +228,7 @@
                 if is_sent:
                     sent_s = self._now_s()
                     age_s = sent_s - asked_s
+                    pending.record_sent(self.clock.now_s())
                     self.transport.send(broker, to_acquire_slot(request, age_s))
                 decision = await pending.await_decision(unanswered, self.pace)
                 if decision is not None:
@@ -294,7 +303,7 @@
             return decision
         if isinstance(decision, Granted):
             granted_by = self.membership.role.value
-            return to_placement(request, decision, granted_by, self._now_s())
+            return to_placement(request, decision, granted_by, self.clock.now_s())
         pending = self._add_pending(request)
         try:
             with anyio.move_on_after(request.time_left_s + DEADLINE_MARGIN_S):
@@ -331,6 +340,7 @@
             message: The reply.
             now_s: Event loop time (seconds).
         """
+        self.observe_pause()
         if not isinstance(message, SlotGranted):
             self.pace.record_behind(message.behind_ms / 1000, now_s)
         pending = self._pending.get(message.slot_request_id)
@@ -343,9 +353,23 @@
                 self.transport.send(vm, release)
             return
         pending.acknowledged = True
-        pending.is_queued = pending.is_queued or isinstance(message, SlotQueued)
-        if not isinstance(message, SlotQueued):
-            pending.decided.set_result(to_decision(message, vm, self._now_s()))
+        if isinstance(message, SlotQueued):
+            pending.record_queued()
+            return
+        granted_at_s = pending.earliest_grant_s
+        if granted_at_s >= self._resumed_s:
+            granted_at_s = self.clock.now_s()
+        pending.decided.set_result(to_decision(message, vm, granted_at_s))
+
+    def observe_pause(self) -> None:
+        """Notice that this VM did not run for a while; called in each tick too.
+
+        Grants may have waited for it meanwhile.
+        """
+        now_s = self.clock.now_s()
+        if now_s - self._active_s > MAX_PAUSE_S:
+            self._resumed_s = now_s
+        self._active_s = now_s
 
     def resolve(self, slot_request_id: int, decision: Granted | Refused) -> None:
         """Pass a decision of this VM's own scheduler to the request that awaits it."""
@@ -354,7 +378,10 @@
             self._cancel_locally(slot_request_id)
         elif isinstance(decision, Granted):
             placement = to_placement(
-                pending.request, decision, self.membership.role.value, self._now_s()
+                pending.request,
+                decision,
+                self.membership.role.value,
+                self.clock.now_s(),
             )
             pending.decided.set_result(placement)
         else:
--- a/src/gentianfold/vm/virtual_machine.py
+++ b/src/gentianfold/vm/virtual_machine.py
@@ -27,15 +27,13 @@
 from gentianfold.forwarding.service_selector import ServiceSelector
 from gentianfold.forwarding.tunnel_server import TunnelConnection
 from gentianfold.forwarding.upstream_paths import UpstreamPaths
-from gentianfold.placement.choice import Chooser
 from gentianfold.placement.quota_table import QuotaTable
-from gentianfold.placement.retry_budget import RetryBudget
 from gentianfold.placement.slot_scheduler import SlotScheduler
-from gentianfold.placement.warmup_limiter import WarmupBudget
 from gentianfold.platform.deployment import is_first_start
 from gentianfold.platform.headers import HEADERS
 from gentianfold.platform.store_client import StoreClient
 from gentianfold.platform.store_synchronizer import StoreSynchronizer
+from gentianfold.vm.changeable_settings import apply_settings
 from gentianfold.vm.configuration_fetcher import (
     CONFIGURATION_PATH,
     ConfigurationFetcher,
@@ -43,13 +41,7 @@
 from gentianfold.vm.early_signals import SIGNALS, ignore_signals, take_held_signals
 from gentianfold.vm.internal_http import InternalHttpConnection, PathResponder
 from gentianfold.vm.metrics import Metrics
-from gentianfold.vm.policies import (
-    choice_policy,
-    retry_policy,
-    start_allowance,
-    warmup_policy,
-    zone_regions,
-)
+from gentianfold.vm.policies import start_allowance
 from gentianfold.vm.request_handler import CallerRequestHandler
 from gentianfold.vm.resource_limits import ResourceLimits
 from gentianfold.vm.status import (
@@ -214,12 +206,7 @@
 
     def _build_node(self, transport: UdpTransport) -> Node:
         settings = self.settings
-        scheduler = SlotScheduler(
-            quota=QuotaTable(settings.limits.window_s),
-            budget=RetryBudget(retry_policy(settings)),
-            chooser=Chooser(choice_policy(settings)),
-            warmups=WarmupBudget(warmup_policy(settings)),
-        )
+        scheduler = SlotScheduler(quota=QuotaTable(settings.limits.window_s))
         seeds = tuple(seed.host for seed in settings.fleet.seeds)
         incarnation = time.time_ns() // 1_000_000
         broker = Broker(
@@ -231,12 +218,11 @@
             self.view,
             settings.machine.cpu_share,
             is_first_start=is_first_start(settings.platform),
-            regions=settings.zones,
             stated_size=settings.fleet.largest_size,
         )
         loop = asyncio.get_running_loop()
         broker.decisions.now_s, broker.decisions.call_soon = loop.time, loop.call_soon
-        return Node(
+        node = Node(
             settings.address,
             settings.zone,
             incarnation,
@@ -250,6 +236,8 @@
             started_s=loop.time(),
             process_started_s=self.process_started_s,
         )
+        apply_settings(settings, node)
+        return node
 
     def _build_handler(self, node: Node, task_group: TaskGroup) -> CallerRequestHandler:
         forwarder = RequestForwarder(
@@ -261,7 +249,6 @@
             node.scheduler.crashes,
             self.settings.address,
             self.settings.zone,
-            zone_regions(self.settings),
         )
         tunnels = FleetTunnels(node, self.settings.fleet.port)
         node.tunnels.link_used_mbps = self.resources.link.schedule.used_mbps
@@ -400,18 +387,15 @@
                 logger.warning("vm: settings reload rejected, {}", failure)
             return
         if self._node is not None:
-            seeds = tuple(seed.host for seed in settings.fleet.seeds)
-            self._node.membership.seeds = self._node.broker.seeds = seeds
-            scheduler = self._node.scheduler
-            scheduler.budget.policy = retry_policy(settings)
-            scheduler.quota.window_s = settings.limits.window_s
-            scheduler.chooser.policy = choice_policy(settings)
-            scheduler.warmups.policy = warmup_policy(settings)
+            apply_settings(settings, self._node)
         self.settings = attrs.evolve(
-            self.settings, stop=settings.stop, fleet=settings.fleet
+            self.settings,
+            stop=settings.stop,
+            fleet=settings.fleet,
+            zones=settings.zones,
         )
         logger.info(
-            "vm: settings reloaded, applied seeds, limits, retries and stop times"
+            "vm: settings reloaded, applied seeds, limits, retries, zones and stop times"
         )
 
     async def _receive_signals(self, task_status: TaskStatus[None]) -> None:
