Even out load over upstreams, with a broker and without one

Cause: without a broker each VM knew its own requests only and used the few upstreams that accepted its last ones; upstreams were full in turns. With a broker requests went to the upstream that accepted last until it was full.

Change: a VM's broker tells it its place among the VMs of its zone; each slot of the zone is the share of one VM, which uses it first when it has no broker (placement/slot_shares.py). Slots in use weigh 0.6 instead of 0.15 in the choice of an upstream.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -427,6 +427,7 @@
             int(min(lease_now_s - self.leases.seed_seen_s, MAX_SEED_AGE_S) * 1000),
             token_ask_number,
             tokens,
+            *self.member_table.rank_in_zone(vm),
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -277,6 +277,7 @@
     members: dict[str, Member] = attrs.field(factory=dict)
     """Current members by address."""
     _deputies: tuple[str, ...] | None = None
+    _ranks: dict[str, dict[str, int]] = attrs.field(factory=dict)
     _timed_out_s: dict[str, float] = attrs.field(factory=dict)
 
     def record_heartbeat(self, vm: str, member: Member) -> bool:
@@ -286,6 +287,8 @@
         self._timed_out_s.pop(vm, None)
         if old is None or old.capacity != member.capacity:
             self._deputies = None
+        if old is None or old.zone != member.zone:
+            self._ranks.clear()
         return old is None or old.incarnation != member.incarnation
 
     def expire(self, now_s: float) -> list[str]:
@@ -309,6 +312,16 @@
         """Remove a member that leaves the fleet; it does not count as timed out."""
         self.members.pop(vm, None)
         self._deputies = None
+        self._ranks.clear()
+
+    def rank_in_zone(self, vm: str) -> tuple[int, int]:
+        """Return the members of a member's zone before it, and all of the zone (count)."""
+        if not self._ranks:
+            for address in sorted(self.members):
+                in_zone = self._ranks.setdefault(self.members[address].zone, {})
+                in_zone[address] = len(in_zone)
+        in_zone = self._ranks[self.members[vm].zone]
+        return in_zone[vm], len(in_zone)
 
     def deputies(self) -> tuple[str, ...]:
         """Return the addresses of possible successors of the broker, best first."""
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -196,6 +196,10 @@
     """Number of the ask for tokens that the reply answers; 0 for none."""
     tokens: tuple[tuple[str, int], ...] = ()
     """Customer and tokens that the broker lends to the receiver."""
+    zone_rank: int = 0
+    """Members of the receiver's zone before it, in the order of their addresses (count)."""
+    zone_vm_count: int = 0
+    """Members of the receiver's zone (count); 0 from builds that divide no slots."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -342,7 +342,7 @@
         self.tunnels.candidates = reply.tunnel_vms
         self.loans.tokens.receive(vm, reply.token_ask_number, reply.tokens)
         self.slots.pace.record_behind(reply.behind_ms / 1000, now_s)
-        if self.shares.lend(vm, reply):
+        if self.shares.lend(vm, self.zone, reply):
             # The lease begins when the broker gets its stamp back.
             self.membership.expedite_heartbeat(now_s)
         self.scheduler.crashes.merge(reply.crash_records, now_s)
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -15,6 +15,7 @@
     LentShare,
     seed_part,
 )
+from gentianfold.placement.slot_shares import VmPlace
 
 if TYPE_CHECKING:
     from gentianfold.clock import Clock
@@ -94,12 +95,22 @@
         part = seed_part(held, len(seeds), now_s - own.seed_seen_s)
         return share * part, mature_share * part
 
-    def lend(self, broker: str, reply: HeartbeatReply) -> bool:
+    def lend(self, broker: str, zone: str, reply: HeartbeatReply) -> bool:
         """Lend the own share to the broker that replied, if no other one holds it.
 
+        The reply also tells which slots this VM uses first if the broker is lost.
+
+        Args:
+            broker: Address of the broker.
+            zone: Availability zone of this VM.
+            reply: Its reply.
+
         Returns:
             Whether that is a new lease.
         """
+        if reply.zone_vm_count:
+            place = VmPlace(zone, reply.zone_rank, reply.zone_vm_count)
+            self.scheduler.set_place(place)
         had_lease = self.own.stamp_ms(broker) != 0
         now_s = self.clock.now_s()
         seed_seen_s = now_s - reply.seed_age_ms / 1000
@@ -125,6 +136,7 @@
     def start_as_broker(self) -> None:
         """Start without members and without tokens: others may have used them."""
         own = self.own
+        self.scheduler.set_place(None)
         self.broker.start(own.fleet_size, self.clock.now_s(), own.seed_seen_s)
         self.scheduler.quota.reset_usage(self.loop_time_s())
         self.update()
--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -79,8 +79,12 @@
     explore_weight: float = 0.6
     """Cost reduction for an idempotent request if the last grant is at least as
     old as the horizon; linear below."""
-    load_weight: float = 0.15
-    """Cost of an upstream with all slots in use; linear below."""
+    load_weight: float = 0.6
+    """Cost of an upstream with all slots in use; linear below. Four slots in use weigh as
+    much as 0.45 s without an accepted request."""
+    share_weight: float = 3.0
+    """Cost of a slot that is the share of another VM: more than an upstream costs that
+    is nearly full and accepted no request within the horizon."""
     failure_weight: float = 0.6
     """Cost of each recent failure of an upstream that is no longer suspect."""
     warmup_weight: float = 0.5
@@ -368,6 +372,8 @@
         weight = -policy.explore_weight if explore else policy.staleness_weight
         cost = policy.load_weight * tracker.in_use / max(tracker.upstream.slots, 1)
         cost += weight * staleness
+        if tracker.is_share_used_up:
+            cost += policy.share_weight
         if tracker.failure_score:
             cost += policy.failure_weight * tracker.recent_failures(now_s)
         if tracker.is_cold(now_s):
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -50,6 +50,7 @@
 
     from gentianfold.model import Upstream
     from gentianfold.placement.service_demand import ServiceDemand
+    from gentianfold.placement.slot_shares import VmPlace
     from gentianfold.placement.upstream_pool import UpstreamPool
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
@@ -80,6 +81,7 @@
     )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
     _states: dict[str, ServiceState] = attrs.field(factory=dict)
+    _vm_place: VmPlace | None = None
     demands: DemandTable = attrs.field(init=False)
     """Recent requests of the services, and how many of them were not served."""
     lent: LentSlots = attrs.field(init=False)
@@ -128,11 +130,21 @@
         self.budget.set_share(share, now_s, valid_s)
         self.warmups.set_share(share, now_s, valid_s)
 
+    def set_place(self, place: VmPlace | None) -> None:
+        """Set the place by which a VM without a broker uses slots; ``None`` for a broker.
+
+        The broker knows which slots are in use, so it divides none.
+        """
+        if place != self._vm_place:
+            self._vm_place = place
+            self._trackers.divide(place)
+
     # Upstreams
 
     def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Replace the upstreams; those that did not restart keep their statistics."""
         self._trackers.replace(upstreams, now_s, self.chooser.random.random)
+        self._trackers.divide(self._vm_place)
         self._update_working_sets(now_s, has_changed=True)
 
     def tracker(self, name: str) -> UpstreamTracker | None:
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -7,6 +7,7 @@
 import attrs
 
 from gentianfold.model import Upstream, UpstreamState
+from gentianfold.placement.slot_shares import VmPlace, divide_slots
 from gentianfold.placement.upstream_pool import UpstreamPool
 from gentianfold.placement.upstream_tracker import UpstreamTracker
 from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupLimiter
@@ -130,6 +131,24 @@
     def __len__(self) -> int:
         return len(self._trackers)
 
+    def divide(self, place: VmPlace | None) -> None:
+        """Divide the slots of each service among VMs; ``None`` if none are divided.
+
+        Args:
+            place: Place of this VM.
+        """
+        for tracker in self._trackers.values():
+            tracker.share_slots = None
+        if place is not None:
+            for pool in self._pools.values():
+                for tracker, slots in divide_slots(pool.trackers, place):
+                    tracker.share_slots = slots
+
+    @property
+    def share_slots(self) -> int:
+        """Slots that are the share of this VM (count); 0 if none are divided."""
+        return sum(tracker.share_slots or 0 for tracker in self._trackers.values())
+
     def record_pause(
         self, name: str, start_time_ms: int, vm: str, until_s: float
     ) -> None:
--- a/src/gentianfold/placement/upstream_tracker.py
+++ b/src/gentianfold/placement/upstream_tracker.py
@@ -112,11 +112,18 @@
     """Whether it belongs to the working set of its zone."""
     rate_limiter: RateLimiter = attrs.field(factory=RateLimiter)
     """Keeps its requests to the rate that it states."""
+    share_slots: int | None = None
+    """Slots that are the share of this VM (count); ``None`` if none are divided."""
 
     def is_cold(self, now_s: float) -> bool:
         """Tell whether it is warming up, so that its rate is bounded in the fleet."""
         return now_s < self.warmup.until_s
 
+    @property
+    def is_share_used_up(self) -> bool:
+        """Whether a further request would use a slot that is another VM's share."""
+        return self.share_slots is not None and self.in_use >= self.share_slots
+
     def count_request(self, now_s: float) -> None:
         """Count a granted request towards its bounds."""
         self.rate_limiter.count_request(now_s)
--- a/src/gentianfold/placement/working_set.py
+++ b/src/gentianfold/placement/working_set.py
@@ -111,6 +111,7 @@
             tracker.is_slow,
             tracker.rate_limiter.is_limited or tracker.warmup.is_bounded(now_s),
             tracker.recent_failures(now_s) >= 1,
+            tracker.share_slots == 0,
             -tracker.last_accepted_s,
         )
     )
@@ -119,5 +120,6 @@
     slots = 0.0
     for tracker in healthy:
         tracker.in_working_set = slots < needed
-        slots += tracker.capacity_slots(slot_time_s, now_s)
+        capacity = tracker.capacity_slots(slot_time_s, now_s)
+        slots += min(capacity, tracker.share_slots or capacity)
     return slots, [tracker for tracker in healthy if tracker.in_working_set]
