--- a/tests/forwarding/test_answer_stream.py
+++ b/tests/forwarding/test_answer_stream.py
@@ -157,6 +157,30 @@
         assert relay.held_bytes() == 0 and relay.handler.broken_off_count == 0
 
 
+async def test_an_answer_in_tiny_reads_is_kept_in_blocks():
+    # Each read was an object of its own: forty times the bytes that were claimed.
+    async with open_relay(NarrowTransport()) as relay:
+        relay.upstream.data_received(HEAD + BODY[:FIRST_BYTES])
+        stream = relay.upstream._pending.stream
+        start, step = FIRST_BYTES, 8
+        while not relay.is_held_back:
+            relay.upstream.data_received(BODY[start : start + step])
+            start += step
+            if start % 4096 == 0 and start < HOLD_BYTES:
+                relay.transport.take_all()
+                relay.caller.resume_writing()
+        assert len(stream._pieces) < 20
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+        for read in reads(BODY[start:]):
+            relay.upstream.data_received(read)
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+        assert relay.caller_bytes().partition(b"\r\n\r\n")[2] == BODY
+        await settle()
+        assert isinstance(relay.result, Response)
+
+
 async def test_a_caller_that_takes_nothing_gives_the_upstream_free(monkeypatch):
     monkeypatch.setattr(long_answer, "MAX_PAUSE_S", 0.02)
     async with open_relay(NarrowTransport()) as relay:
@@ -277,3 +301,61 @@
 
 def _sent_bytes(writer):
     return writer._sent_bytes()
+
+
+async def test_nothing_is_written_into_a_long_answer():
+    # "100 Continue" lay amid the body of the answer before.
+    post = (
+        b"POST /1 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 4\r\n"
+    )
+    async with open_relay() as relay:
+        *some, last = reads(HEAD + BODY)
+        for read in some:
+            relay.upstream.data_received(read)
+        relay.caller.data_received(post + b"\r\n")
+        relay.upstream.data_received(last)
+        _, _, rest = relay.caller_bytes().partition(b"\r\n\r\n")
+        assert rest == BODY + b"HTTP/1.1 100 Continue\r\n\r\n"
+        relay.caller.data_received(b"body")
+        relay.handler.replies[1](Response(200, [], b"next"))
+        assert relay.caller_bytes().endswith(b"next")
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+async def test_no_request_starts_behind_an_answer_that_ends_the_connection(is_whole):
+    # The caller takes it as not read and sends it again.
+    async with open_relay(NarrowTransport()) as relay:
+        relay.handler.is_stopping = lambda: True
+        if is_whole:
+            relay.handler.replies[0](Response(200, [], BODY))
+        else:
+            for read in reads(HEAD + BODY)[:4]:
+                relay.upstream.data_received(read)
+        assert b"connection: close" in relay.caller_bytes()
+        relay.caller.data_received(REQUEST % 1)
+        assert relay.handler.started == [b"/0"]
+        if not is_whole:
+            for read in reads(HEAD + BODY)[4:]:
+                relay.upstream.data_received(read)
+        while relay.transport.take_all():
+            relay.caller.resume_writing()
+            await settle()
+        assert relay.caller_bytes().endswith(BODY) and relay.transport.is_half_closed
+        assert not relay.handler.cancelled
+
+
+async def test_a_stalled_caller_that_is_ended_for_room_gives_back_all():
+    # Its claim stayed until the upstream had sent everything, and others were ended.
+    async with open_relay(NarrowTransport()) as relay:
+        for read in reads(HEAD + BODY)[:4]:
+            relay.upstream.data_received(read)
+        assert relay.held_bytes() >= HOLD_BYTES - READ_BYTES
+        relay.caller.end_for_room(at_once=False)
+        assert relay.held_bytes() == 0
+        assert relay.handler.cancelled == [b"/0"] and relay.handler.cuts == [
+            (1, "room")
+        ]
+        relay.caller.connection_lost(None)
+        assert relay.handler.cancelled == [b"/0"] and relay.handler.cuts == [
+            (1, "room")
+        ]
