--- a/src/gentianfold/reports/placement_model.py
+++ b/src/gentianfold/reports/placement_model.py
@@ -20,6 +20,7 @@
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Refused, SlotRequest
 from gentianfold.placement.slot_scheduler import SlotScheduler
+from gentianfold.placement.slot_shares import VmPlace
 from gentianfold.reports.load_patterns import (
     CUSTOMER_COUNT,
     FAILURE_PERIOD_S,
@@ -212,6 +213,8 @@
     def _make_scheduler(self, index: int) -> SlotScheduler:
         chooser = Chooser(random=random.Random(self.seed * 1000 + index))
         scheduler = SlotScheduler(chooser=chooser)
+        if self.strategy == "alone":
+            scheduler.set_place(VmPlace("z1", index, VM_COUNT))
         scheduler.replace_upstreams(
             [
                 Upstream(
