--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -14,6 +14,7 @@
 from gentianfold.placement.floor import leaves_out_upstreams
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
+from gentianfold.placement.load_spread import LoadSpread, measure_spread
 from gentianfold.placement.log_entries import (
     ServiceLoad,
     StateChangeQueue,
@@ -46,6 +47,7 @@
 from gentianfold.placement.warmup_limiter import WarmupBudget
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Iterable, Iterator
 
     from gentianfold.model import Upstream
@@ -176,6 +178,16 @@
         for _, pool in self._trackers.pools():
             pool.file_all()
 
+    def load_spreads(self) -> Iterator[tuple[str, LoadSpread]]:
+        """Yield the services, each with the spread of its load over the upstreams."""
+        for service, pool in self._trackers.pools():
+            yield service, measure_spread(pool.trackers)
+
+    @property
+    def rejected_counts(self) -> Counter[str]:
+        """Attempts that upstreams rejected since the start, by service (count)."""
+        return self._outcomes.rejected_counts
+
     # Requests
 
     def request_slot(self, request: SlotRequest, now_s: float) -> Decision:
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -144,11 +144,6 @@
                 for tracker, slots in divide_slots(pool.trackers, place):
                     tracker.share_slots = slots
 
-    @property
-    def share_slots(self) -> int:
-        """Slots that are the share of this VM (count); 0 if none are divided."""
-        return sum(tracker.share_slots or 0 for tracker in self._trackers.values())
-
     def record_pause(
         self, name: str, start_time_ms: int, vm: str, until_s: float
     ) -> None:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -131,6 +131,7 @@
         "requests_waiting": node.scheduler.waiting_count,
         "retries_waiting": len(node.scheduler.retries),
         "slots_in_use": node.scheduler.granted_count,
+        "slots_of_own_share": sum(tracker.share_slots or 0 for tracker in trackers),
         "slots_lent_idle": node.scheduler.lent.idle_count,
         "slots_recalled": node.broker.loans.recall_count,
         "tokens_lent": node.broker.loans.lender.lent_count,
@@ -177,6 +178,12 @@
     }
     for name, level in (gauges | resources.gauges(now_s)).items():
         metrics.set_gauge(name, float(level))
+    for service, spread in node.scheduler.load_spreads():
+        metrics.set_gauge("upstream_use_mean", spread.mean_use, service=service)
+        metrics.set_gauge("upstream_use_busiest", spread.busiest_use, service=service)
+        metrics.set_gauge("upstreams_full_share", spread.full_share, service=service)
+    for service, count in node.scheduler.rejected_counts.items():
+        metrics.set_gauge("attempts_rejected", float(count), service=service)
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
     for outcome, count in fetcher.outcome_counts.items():
--- a/tests/placement/test_slot_shares.py
+++ b/tests/placement/test_slot_shares.py
@@ -166,3 +166,19 @@
     ]
     used = Counter(decision.upstream.name for decision in granted)
     assert used == {"u0": 3, "u1": 3}
+
+
+def test_the_spread_tells_the_busiest_from_the_mean():
+    scheduler = SlotScheduler()
+    upstreams = [make_upstream(f"u{index}", 2) for index in range(4)]
+    scheduler.replace_upstreams(upstreams, 0.0)
+    for number in (1, 2):
+        scheduler.register_grant(make_request(number), "u0", 1.0)
+    scheduler.register_grant(make_request(3), "u1", 1.0)
+    ((service, spread),) = scheduler.load_spreads()
+    assert service == "desk"
+    assert (spread.mean_use, spread.busiest_use) == (3 / 8, 1.0)
+    assert spread.full_share == 1 / 4
+    scheduler.release(("vm", 1), Outcome.SHED, 0.01, 1.0)
+    assert scheduler.rejected_counts == {"desk": 1}
+    assert next(scheduler.load_spreads())[1].full_share == 0
