--- a/src/gentianfold/placement/load_spread.py
+++ b/src/gentianfold/placement/load_spread.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
 
+from gentianfold.model import UpstreamState
+
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from gentianfold.placement.upstream_tracker import UpstreamTracker
 
@@ -24,17 +27,29 @@
     """Fraction of them that have no unused slot, 0 to 1."""
 
 
-def measure_spread(trackers: Sequence[UpstreamTracker]) -> LoadSpread:
-    """Return the spread over the upstreams of a service; suspect ones don't count."""
-    healthy = [
-        tracker
-        for tracker in trackers
-        if tracker.suspect_since_s is None and tracker.upstream.slots
-    ]
-    if not healthy:
-        return LoadSpread(0.0, 0.0, 0.0)
-    uses = [tracker.in_use / tracker.upstream.slots for tracker in healthy]
-    in_use = sum(tracker.in_use for tracker in healthy)
-    slots = sum(tracker.upstream.slots for tracker in healthy)
+def measure_spreads(
+    trackers: Iterable[UpstreamTracker],
+) -> Iterator[tuple[str, LoadSpread]]:
+    """Yield the services with the spread over their healthy upstreams.
+
+    Upstreams that are suspect or take no new requests don't count.
+
+    Args:
+        trackers: Upstreams of all services.
+    """
+    healthy = defaultdict(list)
+    for tracker in trackers:
+        upstream = tracker.upstream
+        is_live = upstream.state is UpstreamState.LIVE and upstream.slots > 0
+        if is_live and tracker.suspect_since_s is None:
+            healthy[upstream.service].append(tracker)
+    for service, of_service in healthy.items():
+        yield service, _measure_spread(of_service)
+
+
+def _measure_spread(trackers: Sequence[UpstreamTracker]) -> LoadSpread:
+    uses = [tracker.in_use / tracker.upstream.slots for tracker in trackers]
+    in_use = sum(tracker.in_use for tracker in trackers)
+    slots = sum(tracker.upstream.slots for tracker in trackers)
     full = sum(use >= 1 for use in uses)
-    return LoadSpread(in_use / slots, max(uses), full / len(healthy))
+    return LoadSpread(in_use / slots, max(uses), full / len(trackers))
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -14,7 +14,6 @@
 from gentianfold.placement.floor import leaves_out_upstreams
 from gentianfold.placement.lending import ServiceRoom
 from gentianfold.placement.lent_slots import LentSlots
-from gentianfold.placement.load_spread import LoadSpread, measure_spread
 from gentianfold.placement.log_entries import (
     ServiceLoad,
     StateChangeQueue,
@@ -178,11 +177,6 @@
         for _, pool in self._trackers.pools():
             pool.file_all()
 
-    def load_spreads(self) -> Iterator[tuple[str, LoadSpread]]:
-        """Yield the services, each with the spread of its load over the upstreams."""
-        for service, pool in self._trackers.pools():
-            yield service, measure_spread(pool.trackers)
-
     @property
     def rejected_counts(self) -> Counter[str]:
         """Attempts that upstreams rejected since the start, by service (count)."""
@@ -219,14 +213,18 @@
                     return Queued(len(queue))
                 self.demands.count_unserved(request, now_s)
                 return self.quota.refuse(request.customer, now_s)
-            self._order.count_asked(request)
-            self.budget.count_request(request.service, now_s)
+            self._count_allowed(request, now_s)
         return self._place_or_refuse(request, now_s)
 
     def count_first_attempt(self, request: SlotRequest, now_s: float) -> None:
         """Count a request that another VM placed on a slot lent to it."""
-        self._order.count_asked(request)
         self.demands.count_request(request, now_s)
+        self._count_allowed(request, now_s)
+
+    def _count_allowed(self, request: SlotRequest, now_s: float) -> None:
+        """Count a first attempt that its customer's limit allows."""
+        self._order.count_asked(request, now_s)
+        self._demand(request.service).arrivals.count(now_s)
         self.budget.count_request(request.service, now_s)
 
     def _count_refused(
@@ -274,9 +272,12 @@
         """
         grant = self._ledger.free(key)
         if grant is None:
-            self._waiting.remove(key)
             self.retries.remove(key)
+            if (entry := self._waiting.remove(key)) is not None:
+                self.retries.give_back(entry.request, now_s)
             return
+        if outcome is Outcome.CONNECT_FAILED:
+            self.retries.give_back(grant.request, now_s)
         stated = (transferred_bytes, rate_limit_per_s, pause_s)
         self._outcomes.record(grant, outcome, elapsed_s, now_s, *stated)
 
@@ -375,7 +376,8 @@
         for service, queue in self._waiting.services():
             if queue:
                 trackers = self._trackers.pool(service).trackers
-                yield measure_load(service, len(queue), trackers, now_s)
+                below = self._order.below_floor_count(service)
+                yield measure_load(service, queue.values(), trackers, below, now_s)
 
     def waiting_services(self) -> list[str]:
         """Return the services that have requests in their queues."""
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -9,6 +9,7 @@
 
 from gentianfold.fleet.membership import Role
 from gentianfold.forwarding.messages import Response
+from gentianfold.placement.load_spread import measure_spreads
 from gentianfold.vm.configuration_fetcher import compress_document
 
 if TYPE_CHECKING:
@@ -138,6 +139,8 @@
         "broker_load": node.broker.loans.lender.load(now_s),
         "requests_placed_on_loans": node.loans.placed_count,
         "members": node.fleet_size,
+        "members_older_build": node.broker.member_table.older_count,
+        "has_older_broker": node.membership.has_older_broker,
         "upstreams": len(trackers),
         "upstreams_suspect": sum(
             tracker.suspect_since_s is not None for tracker in trackers
@@ -178,7 +181,7 @@
     }
     for name, level in (gauges | resources.gauges(now_s)).items():
         metrics.set_gauge(name, float(level))
-    for service, spread in node.scheduler.load_spreads():
+    for service, spread in measure_spreads(trackers):
         metrics.set_gauge("upstream_use_mean", spread.mean_use, service=service)
         metrics.set_gauge("upstream_use_busiest", spread.busiest_use, service=service)
         metrics.set_gauge("upstreams_full_share", spread.full_share, service=service)
--- a/tests/placement/test_slot_shares.py
+++ b/tests/placement/test_slot_shares.py
@@ -8,6 +8,7 @@
 from placement.model import DRAINING, make_request, make_upstream
 
 from gentianfold.placement.choice import Chooser
+from gentianfold.placement.load_spread import measure_spreads
 from gentianfold.placement.outcome import Outcome
 from gentianfold.placement.slot_request import Granted, Queued
 from gentianfold.placement.slot_scheduler import SlotScheduler
@@ -175,10 +176,11 @@
     for number in (1, 2):
         scheduler.register_grant(make_request(number), "u0", 1.0)
     scheduler.register_grant(make_request(3), "u1", 1.0)
-    ((service, spread),) = scheduler.load_spreads()
+    ((service, spread),) = measure_spreads(scheduler.trackers())
     assert service == "desk"
     assert (spread.mean_use, spread.busiest_use) == (3 / 8, 1.0)
     assert spread.full_share == 1 / 4
     scheduler.release(("vm", 1), Outcome.SHED, 0.01, 1.0)
     assert scheduler.rejected_counts == {"desk": 1}
-    assert next(scheduler.load_spreads())[1].full_share == 0
+    ((_, spread),) = measure_spreads(scheduler.trackers())
+    assert spread.full_share == 0
