--- a/src/gentianfold/placement/choice.py
+++ b/src/gentianfold/placement/choice.py
@@ -80,8 +80,8 @@
     """Cost reduction for an idempotent request if the last grant is at least as
     old as the horizon; linear below."""
     load_weight: float = 0.6
-    """Cost of an upstream with all slots in use; linear below. Four slots in use weigh as
-    much as 0.45 s without an accepted request."""
+    """Cost of an upstream with all slots in use; linear below. They weigh as much as 0.45 s
+    without an accepted request."""
     share_weight: float = 3.0
     """Cost of a slot that is the share of another VM: more than an upstream costs that
     is nearly full and accepted no request within the horizon."""
