--- a/src/gentianfold/placement/outcome_recorder.py
+++ b/src/gentianfold/placement/outcome_recorder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -41,8 +40,6 @@
     """Usual sizes of requests with their responses, by route."""
     rejections: RejectionTable = attrs.field(factory=RejectionTable)
     """Services that reject many requests."""
-    rejected_counts: Counter[str] = attrs.field(factory=Counter)
-    """Attempts that upstreams rejected since the start, by service (count)."""
     stated_limits: StatedLimits = attrs.field(init=False)
     """Rate limits that upstreams state."""
 
@@ -76,8 +73,6 @@
         tracker, request = grant.tracker, grant.request
         self._apply(grant, outcome, elapsed_s, now_s)
         self.rejections.record(request.service, outcome, now_s)
-        if outcome is Outcome.SHED:
-            self.rejected_counts[request.service] += 1
         if pause_s is not None:
             tracker.pause(request.vm, now_s + pause_s)
         if outcome is Outcome.CONNECT_FAILED:
--- a/src/gentianfold/placement/rejection_table.py
+++ b/src/gentianfold/placement/rejection_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import attrs
 
 from gentianfold.placement.outcome import Outcome
@@ -28,6 +30,8 @@
 class RejectionTable:
     """Share of the requests that the upstreams of a service reject."""
 
+    counts: Counter[str] = attrs.field(factory=Counter)
+    """Attempts that upstreams rejected since the start, by service (count)."""
     _answers: dict[str, _Answers] = attrs.field(factory=dict)
 
     def record(self, service: str, outcome: Outcome, now_s: float) -> None:
@@ -37,8 +41,9 @@
         answers = self._answers.get(service)
         if answers is None or now_s - answers.last_s > MAX_SILENCE_S:
             answers = self._answers[service] = _Answers()
-        rejected = float(outcome is Outcome.SHED)
-        answers.rejected_share += SMOOTHING * (rejected - answers.rejected_share)
+        is_rejected = outcome is Outcome.SHED
+        self.counts[service] += is_rejected
+        answers.rejected_share += SMOOTHING * (is_rejected - answers.rejected_share)
         answers.last_s = now_s
         if answers.rejected_share < ACCEPTING_SHARE:
             answers.since_s = None
--- a/src/gentianfold/placement/slot_scheduler.py
+++ b/src/gentianfold/placement/slot_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -46,7 +47,6 @@
 from gentianfold.placement.warmup_limiter import WarmupBudget
 
 if TYPE_CHECKING:
-    from collections import Counter
     from collections.abc import Iterable, Iterator
 
     from gentianfold.model import Upstream
@@ -81,8 +81,9 @@
         default=attrs.Factory(lambda self: WaitingRequests(self.quota.waiting), True)
     )
     _order: QueueOrder = attrs.field(factory=QueueOrder)
-    _states: dict[str, ServiceState] = attrs.field(factory=dict)
-    _vm_place: VmPlace | None = None
+    _states: defaultdict[str, ServiceState] = attrs.field(
+        factory=lambda: defaultdict(ServiceState)
+    )
     demands: DemandTable = attrs.field(init=False)
     """Recent requests of the services, and how many of them were not served."""
     lent: LentSlots = attrs.field(init=False)
@@ -95,7 +96,7 @@
     """Retries that wait for the budget."""
 
     def __attrs_post_init__(self) -> None:
-        self.demands = DemandTable(lambda service: self._state(service).demand)
+        self.demands = DemandTable(lambda service: self._states[service].demand)
         self._ledger = SlotLedger(self._trackers, self._order)
         self._outcomes = OutcomeRecorder(
             self._trackers,
@@ -104,8 +105,9 @@
             self.demands,
             self.elapsed,
         )
+        state = self._states.__getitem__
         self._granter = SlotGranter(
-            self.chooser, self.quota, self._ledger, self._outcomes, self._state
+            self.chooser, self.quota, self._ledger, self._outcomes, state
         )
         self._planner = WaitPlanner(
             self._trackers,
@@ -136,20 +138,14 @@
         self.warmups.set_share(share, now_s, valid_s)
 
     def set_place(self, place: VmPlace | None) -> None:
-        """Set the place by which a VM without a broker uses slots; ``None`` for a broker.
-
-        The broker knows which slots are in use, so it divides none.
-        """
-        if place != self._vm_place:
-            self._vm_place = place
-            self._trackers.divide(place)
+        """Set the place by which a VM without a broker uses slots; ``None`` for a broker."""
+        self._trackers.set_place(place)
 
     # Upstreams
 
     def replace_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Replace the upstreams; those that did not restart keep their statistics."""
         self._trackers.replace(upstreams, now_s, self.chooser.random.random)
-        self._trackers.divide(self._vm_place)
         self._update_working_sets(now_s, has_changed=True)
 
     def tracker(self, name: str) -> UpstreamTracker | None:
@@ -177,11 +173,6 @@
         for _, pool in self._trackers.pools():
             pool.file_all()
 
-    @property
-    def rejected_counts(self) -> Counter[str]:
-        """Attempts that upstreams rejected since the start, by service (count)."""
-        return self._outcomes.rejected_counts
-
     # Requests
 
     def request_slot(self, request: SlotRequest, now_s: float) -> Decision:
@@ -309,7 +300,7 @@
             pool.healthy_in_use,
             waiting,
             len(pool.trackers),
-            self._state(service).demand.is_underserved(now_s),
+            self._states[service].demand.is_underserved(now_s),
         )
 
     def services_to_spread(self, now_s: float) -> list[str]:
@@ -317,7 +308,7 @@
         return [
             service
             for service, pool in self._trackers.pools()
-            if self._state(service).demand.is_underserved(now_s)
+            if self._states[service].demand.is_underserved(now_s)
             and leaves_out_upstreams(pool, now_s)
         ]
 
@@ -359,7 +350,7 @@
                 yield request.key, decision
         changed, self._ledger.changed = self._ledger.changed, set()
         for service, queue in self._waiting.services():
-            index = self._state(service).queue_index
+            index = self._states[service].queue_index
             if queue and (service in changed or index.is_due(len(queue), now_s)):
                 yield from self._advance_service(service, queue, now_s)
 
@@ -373,18 +364,12 @@
 
     def _update_working_sets(self, now_s: float, has_changed: bool = False) -> None:
         for service, pool in self._trackers.pools():
-            sets = self._state(service).working_sets
+            sets = self._states[service].working_sets
             if has_changed or sets.is_due(len(self._trackers), now_s):
                 sets.update(pool, self.elapsed.slot_time_s(service), now_s)
 
-    def _state(self, service: str) -> ServiceState:
-        state = self._states.get(service)
-        if state is None:
-            state = self._states[service] = ServiceState()
-        return state
-
     def _demand(self, service: str) -> ServiceDemand:
-        return self._state(service).demand
+        return self._states[service].demand
 
     def queued_services(self, now_s: float) -> Iterator[ServiceLoad]:
         """Yield the load of each service that has requests in its queue."""
@@ -431,7 +416,7 @@
         pool = self._trackers.pool(request.service).within(request.zones)
         if not pool.trackers:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
-        index = self._state(request.service).queue_index
+        index = self._states[request.service].queue_index
         ahead = index.count_ahead(queue, self._order, request, now_s)
         if not ahead or (index.is_stalled and pool.has_free_slot(now_s)):
             granted = self._granter.grant(request, pool, now_s)
@@ -450,13 +435,13 @@
     def _queue_request(self, key: SlotRequestKey, entry: QueueEntry) -> None:
         self._waiting.add(key, entry)
         service = entry.request.service
-        index, queue = self._state(service).queue_index, self._waiting.queue(service)
+        index, queue = self._states[service].queue_index, self._waiting.queue(service)
         index.add(key, entry, queue, self._order)
 
     def _advance_service(
         self, service: str, queue: dict[SlotRequestKey, QueueEntry], now_s: float
     ) -> Iterator[tuple[SlotRequestKey, Granted | Refused]]:
-        pool, index = self._trackers.pool(service), self._state(service).queue_index
+        pool, index = self._trackers.pool(service), self._states[service].queue_index
         if pool.may_start(now_s):
             customers = self._waiting.customers(service)
             self._order.update_shares(service, customers, now_s)
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -30,6 +30,7 @@
     _pools: dict[str, UpstreamPool] = attrs.field(factory=dict)
     _active: dict[str, UpstreamTracker] = attrs.field(factory=dict)
     _limited: dict[str, UpstreamTracker] = attrs.field(factory=dict)
+    _place: VmPlace | None = None
 
     def replace(
         self, upstreams: Iterable[Upstream], now_s: float, draw: Callable[[], float]
@@ -74,6 +75,7 @@
         for service, of_service in live.items():
             pool = self._pools[service] = UpstreamPool()
             pool.add_all(of_service, draw)
+        self._divide_slots()
 
     def get(self, name: str) -> UpstreamTracker | None:
         """Return the tracker of an upstream; ``None`` if it is not listed."""
@@ -131,12 +133,14 @@
     def __len__(self) -> int:
         return len(self._trackers)
 
-    def divide(self, place: VmPlace | None) -> None:
-        """Divide the slots of each service among VMs; ``None`` if none are divided.
+    def set_place(self, place: VmPlace | None) -> None:
+        """Set the place of this VM, by which slots are divided; ``None`` for no shares."""
+        if place != self._place:
+            self._place = place
+            self._divide_slots()
 
-        Args:
-            place: Place of this VM.
-        """
+    def _divide_slots(self) -> None:
+        place = self._place
         for tracker in self._trackers.values():
             tracker.share_slots = None
         if place is not None:
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -185,7 +185,7 @@
         metrics.set_gauge("upstream_use_mean", spread.mean_use, service=service)
         metrics.set_gauge("upstream_use_busiest", spread.busiest_use, service=service)
         metrics.set_gauge("upstreams_full_share", spread.full_share, service=service)
-    for service, count in node.scheduler.rejected_counts.items():
+    for service, count in node.scheduler.retries.rejections.counts.items():
         metrics.set_gauge("attempts_rejected", float(count), service=service)
     for zone, count in handler.forwarder.exchanged_bytes.items():
         metrics.set_gauge("request_bytes", float(count), zone=zone)
--- a/tests/placement/test_slot_shares.py
+++ b/tests/placement/test_slot_shares.py
@@ -181,6 +181,6 @@
     assert (spread.mean_use, spread.busiest_use) == (3 / 8, 1.0)
     assert spread.full_share == 1 / 4
     scheduler.release(("vm", 1), Outcome.SHED, 0.01, 1.0)
-    assert scheduler.rejected_counts == {"desk": 1}
+    assert scheduler.retries.rejections.counts == {"desk": 1}
     ((_, spread),) = measure_spreads(scheduler.trackers())
     assert spread.full_share == 0
