--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -441,6 +441,7 @@
             token_ask_number,
             tokens,
             PROTOCOL,
+            *self.member_table.rank_in_zone(vm),
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -202,6 +202,10 @@
     """Customer and tokens that the broker lends to the receiver."""
     protocol: int = NO_PROTOCOL
     """Version of the messages that the broker knows."""
+    zone_rank: int = 0
+    """Members of the receiver's zone before it, in the order of their addresses (count)."""
+    zone_vm_count: int = 0
+    """Members of the receiver's zone (count); 0 from builds that divide no slots."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/src/gentianfold/placement/tracker_table.py
+++ b/src/gentianfold/placement/tracker_table.py
@@ -7,6 +7,7 @@
 import attrs
 
 from gentianfold.model import Upstream, UpstreamState
+from gentianfold.placement.slot_shares import VmPlace, divide_slots
 from gentianfold.placement.upstream_pool import UpstreamPool
 from gentianfold.placement.upstream_tracker import UpstreamTracker
 from gentianfold.placement.warmup_limiter import WarmupBudget, WarmupLimiter
@@ -29,6 +30,7 @@
     _pools: dict[str, UpstreamPool] = attrs.field(factory=dict)
     _active: dict[str, UpstreamTracker] = attrs.field(factory=dict)
     _limited: dict[str, UpstreamTracker] = attrs.field(factory=dict)
+    _place: VmPlace | None = None
 
     def replace(
         self, upstreams: Iterable[Upstream], now_s: float, draw: Callable[[], float]
@@ -73,6 +75,7 @@
         for service, of_service in live.items():
             pool = self._pools[service] = UpstreamPool()
             pool.add_all(of_service, draw)
+        self._divide_slots()
 
     def get(self, name: str) -> UpstreamTracker | None:
         """Return the tracker of an upstream; ``None`` if it is not listed."""
@@ -130,6 +133,21 @@
     def __len__(self) -> int:
         return len(self._trackers)
 
+    def set_place(self, place: VmPlace | None) -> None:
+        """Set the place of this VM, by which slots are divided; ``None`` for no shares."""
+        if place != self._place:
+            self._place = place
+            self._divide_slots()
+
+    def _divide_slots(self) -> None:
+        place = self._place
+        for tracker in self._trackers.values():
+            tracker.share_slots = None
+        if place is not None:
+            for pool in self._pools.values():
+                for tracker, slots in divide_slots(pool.trackers, place):
+                    tracker.share_slots = slots
+
     def record_pause(
         self, name: str, start_time_ms: int, vm: str, until_s: float
     ) -> None:
