--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -36,8 +36,6 @@
 from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
@@ -74,8 +72,6 @@
     """Members of the fleet besides this VM."""
     is_first_start: bool = False
     """Whether the system never ran before this process."""
-    regions: Mapping[str, str] = attrs.field(factory=dict)
-    """Region of each availability zone, by which homes are decided on."""
     stated_size: int = 0
     """Size of the largest fleet by the settings (count); 0 if they state none."""
     homes: HomeTable = attrs.field(init=False)
@@ -94,7 +90,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.relay_plan = RelayPlan(self.vm)
-        self.homes = HomeTable(self.view.routing, self.regions)
+        self.homes = HomeTable(self.view.routing)
         lender = Lender(self.scheduler.quota, self.cpu_share)
         self.loans = BrokerLoans(self.scheduler, self.transport, lender)
         self.decisions = DecisionLoop(self.scheduler, self.send_decision)
