--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -38,6 +38,7 @@
 from gentianfold.fleet.node_loans import NodeLoans
 from gentianfold.fleet.node_notices import NodeNotices
 from gentianfold.fleet.node_shares import NodeShares
+from gentianfold.fleet.node_upstreams import NodeUpstreams
 from gentianfold.fleet.placement_log import PlacementLog
 from gentianfold.fleet.slot_client import SlotClient
 from gentianfold.fleet.tunnel_directory import TunnelDirectory
@@ -113,6 +114,8 @@
     """Slots and tokens that the broker has lent to this VM."""
     notices: NodeNotices = attrs.field(init=False)
     """What upstreams state about themselves."""
+    upstreams: NodeUpstreams = attrs.field(init=False)
+    """The list of upstreams."""
     evacuations: NodeEvacuations = attrs.field(init=False)
     """Zones to which nothing may be sent."""
 
@@ -137,16 +140,24 @@
             self.is_withdrawn,
             self.loans,
         )
+        self.upstreams = NodeUpstreams(
+            self.view,
+            self.scheduler,
+            self.membership,
+            self.broker,
+            self._placement_log,
+            on_applied=lambda now_s: self.notices.apply_pauses(now_s),
+        )
         self.notices = NodeNotices(
             self.vm,
             self.view,
             self.scheduler,
-            self.apply_upstreams,
+            self.upstreams.apply,
             self.membership,
             self.transport,
         )
         self.evacuations = NodeEvacuations(
-            self.view, self.scheduler, self.apply_upstreams, self._now_s
+            self.view, self.scheduler, self.upstreams.apply, self._now_s
         )
         self.broker.decisions.deliver = self._deliver_decisions
 
@@ -226,13 +237,16 @@
         """Tell whether the grant may no longer be used.
 
         The upstream may have refused further requests since, or be cold under a bound:
-        grants that are used late add up with those of the broker.
+        grants that are used late add up with those of the broker. A broker of an older
+        build grants them without a bound.
         """
         name, now_s = placement.upstream, self._now_s()
         tracker = self.scheduler.tracker(name)
         is_bounded = tracker is not None and tracker.warmup.is_bounded(now_s)
+        is_late = now_s - placement.granted_at_s > MAX_SEND_DELAY_S
+        is_uncounted = is_late or self.membership.is_older_broker(placement.granted_by)
         return (
-            (is_bounded and now_s - placement.granted_at_s > MAX_SEND_DELAY_S)
+            (is_bounded and is_uncounted)
             or not self.view.is_within(name, placement.zones)
             or not self._takes_requests(name, placement.start_time_ms)
         )
@@ -279,14 +293,11 @@
                 self._handle_heartbeat_reply(vm, message, now_s)
             case UpstreamChanges():
                 if not is_broker:
-                    self._merge_upstreams(message, now_s)
+                    self.upstreams.merge(message, now_s)
             case CrashReport():
                 self.scheduler.crashes.merge(message.crash_records, now_s)
             case UpstreamCold():
-                left_s, start_time_ms = message.left_ms / 1000, message.start_time_ms
-                self.notices.record_cold(
-                    vm, message.upstream, start_time_ms, left_s, now_s
-                )
+                self.notices.handle_cold(vm, message, now_s)
             case TunnelRequest():
                 token = self.tunnels.give_token(vm, now_s)
                 self.transport.send(vm, TunnelToken(token))
@@ -294,15 +305,7 @@
                 self.tunnels.record_token(vm, message.token, now_s)
                 self.on_tunnel_token(vm)
             case TunnelNotice():
-                pause_ms = message.pause_ms
-                self.notices.record(
-                    vm,
-                    message.upstream,
-                    message.start_time_ms,
-                    message.is_leaving,
-                    pause_ms / 1000 if pause_ms is not None else None,
-                    now_s,
-                )
+                self.notices.handle_tunnel_notice(vm, message, now_s)
             case Redirect():
                 self._handle_redirect(vm, message, now_s)
             case BrokerAnnouncement():
@@ -333,11 +336,11 @@
         self, vm: str, reply: HeartbeatReply, now_s: float
     ) -> None:
         previous_role = self.membership.role
-        self.membership.handle_reply(vm, reply.deputies, now_s)
+        self.membership.handle_reply(vm, reply.deputies, now_s, reply.protocol)
         if self.membership.role is not Role.MEMBER or vm != self.membership.broker:
             return
         if previous_role is not Role.MEMBER:
-            logger.info("fleet: joined broker {}", vm)
+            logger.info("fleet: joined broker {}, protocol={}", vm, reply.protocol)
         self.fleet_size = reply.member_count + 1
         self.tunnels.candidates = reply.tunnel_vms
         self.loans.tokens.receive(vm, reply.token_ask_number, reply.tokens)
@@ -354,20 +357,7 @@
             self.view.configuration_version,
             vm,
         )
-        is_current = self.view.upstreams.advance_revision(
-            reply.last_change_revision, reply.upstreams_revision
-        )
-        self.view.record_era(now_s)
-        if is_current and reply.store_age_ms >= 0:
-            read_s = now_s - reply.store_age_ms / 1000
-            known_s = self.view.routing.upstreams_current_at_s
-            self.view.routing.upstreams_current_at_s = max(read_s, known_s or read_s)
-
-    def _merge_upstreams(self, changes: UpstreamChanges, now_s: float) -> None:
-        has_changed = self.view.upstreams.merge(changes)
-        self.view.record_era(now_s)
-        if has_changed:
-            self.apply_upstreams(now_s)
+        self.upstreams.handle_reply(reply, now_s)
 
     def _handle_redirect(self, vm: str, redirect: Redirect, now_s: float) -> None:
         self.shares.end_lease(vm, redirect.lease_stamp_ms, redirect.fleet_size)
@@ -377,6 +367,10 @@
         is_broker = self.membership.handle_redirect(vm, redirect.broker, now_s)
         if is_broker and not was_broker:
             self.shares.start_as_broker()
+        elif was_broker and redirect.broker != self.vm:
+            # Another broker, which may know neither this VM nor that it has members.
+            announcement = BrokerAnnouncement(self.broker.member_count)
+            self.transport.send(redirect.broker, announcement)
 
     def _handle_announcement(
         self, vm: str, announcement: BrokerAnnouncement, now_s: float
@@ -415,28 +409,12 @@
         self.loans.advance()
         if target is not None:
             self.transport.send(target, self._make_heartbeat(now_s))
-        if self.view.accept_withheld(now_s):
-            logger.info("upstreams: accepted entries that outlasted the restored copy")
-            self.apply_upstreams(now_s)
+        self.upstreams.advance(now_s)
         self.evacuations.advance()
         self.scheduler.observe_running(now_s)
         self._placement_log.log_placement(self.scheduler, now_s)
         self._deliver_decisions(now_s)
 
-    def apply_upstreams(self, now_s: float) -> None:
-        """Apply the merged list of upstreams; as broker, send the changes to members."""
-        upstreams = self.view.list_upstreams()
-        self._placement_log.log_upstreams(
-            self.view.routing.upstreams, upstreams, self.view.upstreams.revision
-        )
-        self.view.routing.upstreams = {
-            upstream.name: upstream for upstream in upstreams
-        }
-        self.scheduler.replace_upstreams(upstreams, now_s)
-        self.notices.apply_pauses(now_s)
-        if self.membership.role is Role.BROKER:
-            self.broker.send_upstream_changes(now_s)
-
     def apply_configuration(self) -> None:
         """Apply the rate limits of a new configuration and distribute its version."""
         configuration = self.view.routing.configuration
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -9,7 +10,12 @@
 import attrs
 
 from gentianfold.fleet.membership import Membership, Role
-from gentianfold.fleet.messages import RecallSlots, SlotUse, SlotUses
+from gentianfold.fleet.messages import (
+    RecallSlots,
+    ReleaseSlot,
+    SlotUse,
+    SlotUses,
+)
 from gentianfold.fleet.slot_stock import LentSlot, SlotStock
 from gentianfold.fleet.token_stock import TokenStock
 from gentianfold.placement.outcome import Outcome
@@ -27,6 +33,9 @@
 
 LENT = "lent"
 """Stands for the broker in placements on lent slots."""
+WISH_TERM_S = 3.0
+"""Time after a slot was lent for which the VM asks for tokens (seconds): longer than the
+longest term of a slot."""
 MAX_USES = 12
 """Uses that are reported in one message (count)."""
 
@@ -53,6 +62,7 @@
     """Lent tokens of customers' rate limits."""
     placed_count: int = 0
     """Requests placed on lent slots since the start (count)."""
+    _borrowed_s: float = -math.inf
     _uses: list[SlotUse] = attrs.field(factory=list)
     _returned: list[int] = attrs.field(factory=list)
     _unserved: Counter[tuple[str, str, bool]] = attrs.field(factory=Counter)
@@ -106,6 +116,7 @@
         """Keep a slot that the broker has granted to a request for further ones."""
         tracker = self.scheduler.tracker(placement.upstream)
         if placement.term_s > 0 and tracker is not None:
+            self._borrowed_s = self.clock.now_s()
             zone = tracker.upstream.zone
             until_s = self.clock.now_s() + placement.term_s
             self.slots.borrow(LentSlot(placement, request, zone, until_s))
@@ -133,8 +144,9 @@
         states_nothing = pause_s is None and rate_limit_per_s in (None, UNLIMITED)
         is_sound = outcome is Outcome.SUCCEEDED and states_nothing
         is_first = placement.slot_request_id == slot.lease_id
+        may_keep = is_sound and not self.membership.has_older_broker
         is_kept = self.slots.finish(
-            placement.slot_request_id, is_sound, self.clock.now_s()
+            placement.slot_request_id, may_keep, self.clock.now_s()
         )
         self._uses.append(
             SlotUse(
@@ -176,6 +188,8 @@
         if self.membership.role is Role.BROKER:
             self.slots.clear()
             self.tokens.clear()
+        if self.membership.has_older_broker and self.slots.return_all():
+            self.membership.expedite_heartbeat(self.loop_time_s())
         due = self.slots.return_due(self.clock.now_s())
         self._returned += [slot.lease_id for slot in due]
         self.send_reports()
@@ -184,12 +198,18 @@
         """Send uses, returned slots and unserved requests to the broker.
 
         Without a broker uses and returned slots are dropped: a broker learns from
-        heartbeats, too, which slots a VM still holds.
+        heartbeats, too, which slots a VM still holds. A broker of an older build, which
+        got the role while slots were lent, is told the end of each use as that of a
+        slot request.
         """
         if not self._uses and not self._returned and not self._unserved:
             return
         broker = self.membership.broker
-        if self.membership.role is Role.MEMBER and broker is not None:
+        if self.membership.has_older_broker and broker is not None:
+            for use in self._uses:
+                self.transport.send(broker, _to_release(use))
+            self._unserved.clear()
+        elif self.membership.role is Role.MEMBER and broker is not None:
             unserved = tuple((*key, count) for key, count in self._unserved.items())
             message = SlotUses(tuple(self._uses), tuple(self._returned), unserved)
             self.transport.send(broker, message)
@@ -198,8 +218,13 @@
         self._returned.clear()
 
     def ask(self, broker: str) -> TokenAsk:
-        """Return what a heartbeat to a broker tells of lent tokens."""
-        return self.tokens.ask(broker, self.clock.now_s())
+        """Return what a heartbeat to a broker tells of lent tokens.
+
+        Tokens are of use with lent slots only, and wishes are long.
+        """
+        now_s = self.clock.now_s()
+        is_borrowing = now_s - self._borrowed_s < WISH_TERM_S
+        return self.tokens.ask(broker, now_s, is_borrowing)
 
     def held_slots(self, vm: str) -> Iterator[tuple[int, str, str, str]]:
         """Yield lease or slot request, upstream, route and customer of each slot.
@@ -213,3 +238,15 @@
             yield lease_id, upstream, route, customer
         for slot in self.slots.idle():
             yield slot.lease_id, slot.placement.upstream, "", ""
+
+
+def _to_release(use: SlotUse) -> ReleaseSlot:
+    """Return the message that frees the slot of a use."""
+    return ReleaseSlot(
+        use.lease_id,
+        use.outcome,
+        use.elapsed_ms,
+        use.transferred_bytes,
+        use.rate_limit_per_s,
+        use.pause_ms,
+    )
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -9,6 +9,7 @@
 
 from gentianfold.clock import MAX_CLOCK_RATE_ERROR
 from gentianfold.fleet.membership import Membership, Role
+from gentianfold.fleet.protocol import is_older
 from gentianfold.fleet.share_lease import (
     LEASE_TERM_S,
     SHARE_VALIDITY_S,
@@ -39,6 +40,9 @@
     """Returns the event loop time (seconds)."""
     own: LentShare = attrs.field(factory=LentShare)
     """This VM's own share, and who holds it."""
+    start_allowance: int = 0
+    """Requests of each customer beyond its limit that a seed may grant once, as long as
+    it awaits the end of leases of its earlier process (count)."""
     _updated_s: float = -1e9
 
     def start(
@@ -102,15 +106,24 @@
         """
         had_lease = self.own.stamp_ms(broker) != 0
         now_s = self.clock.now_s()
-        seed_seen_s = now_s - reply.seed_age_ms / 1000
-        self.own.seed_seen_s = max(self.own.seed_seen_s, seed_seen_s)
-        self.own.record_reply(broker, reply.lease_stamp_ms, reply.fleet_size, now_s)
+        stamp_ms, fleet_size = reply.lease_stamp_ms, reply.fleet_size
+        is_unproved = is_older(reply.protocol)
+        if not is_unproved or broker in self.membership.seeds:
+            # A broker that doesn't state the age is in touch with seeds if it is one.
+            seed_seen_s = now_s - reply.seed_age_ms / 1000
+            self.own.seed_seen_s = max(self.own.seed_seen_s, seed_seen_s)
+        if is_unproved and fleet_size < self.own.fleet_size:
+            # The broker would take a larger part for the share than this VM owns.
+            stamp_ms, fleet_size = 0, 0
+        self.own.record_reply(broker, stamp_ms, fleet_size, now_s)
         self.update()
         return not had_lease and self.own.stamp_ms(broker) != 0
 
     def end_lease(self, broker: str, stamp_ms: int, fleet_size: int) -> None:
         """Take back the own share from a broker that hands over or is none."""
         self.own.end_lease(broker, stamp_ms)
+        if self.membership.is_older_broker(broker):
+            fleet_size = max(fleet_size, self.own.fleet_size)
         if fleet_size:
             self.own.fleet_size = fleet_size
             if self.membership.role is Role.BROKER:
@@ -127,4 +140,9 @@
         own = self.own
         self.broker.start(own.fleet_size, self.clock.now_s(), own.seed_seen_s)
         self.scheduler.quota.reset_usage(self.loop_time_s())
+        is_restarted = self.clock.now_s() < own.unused_until_s and not own.fleet_size
+        if is_restarted and self.membership.vm in self.membership.seeds:
+            # Once in the life of a process: so few seeds keep to what is tolerated.
+            self.scheduler.quota.allowance = self.start_allowance
+            self.start_allowance = 0
         self.update()
