--- a/tests/placement/test_homes_queue.py
+++ b/tests/placement/test_homes_queue.py
@@ -83,7 +83,7 @@
     for number in range(40):
         request = patient(number, zones=("z9",))
         assert isinstance(scheduler.request_slot(request, 10.0), Refused)
-    assert not scheduler._state("desk").demand.is_underserved(10.0)
+    assert not scheduler._states["desk"].demand.is_underserved(10.0)
 
 
 def test_a_choice_looks_at_no_upstream_outside_of_the_homes(monkeypatch):
