Evacuate a zone in a test once its running request has arrived

Cause: test_waiting_requests_are_refused_at_once_if_no_zone_is_left failed once beside load 16 (0 requests received, 1 expected): it evacuated the zone as soon as two requests waited, when the third may still be connecting; the VM rightly returns such a grant. Change: the test waits until that request has arrived; its assertions are as before.

--- a/tests/vm/test_evacuation.py
+++ b/tests/vm/test_evacuation.py
@@ -111,6 +111,8 @@
                 tasks.start_soon(send, number)
             scheduler = vm._node.scheduler
             await wait_until(lambda: scheduler.waiting_count)
+            # A grant that is not used yet would be returned.
+            await wait_until(lambda: received(site, "u1") == 1)
             waiting = scheduler.waiting_count
             vm._node.evacuations.replace({"z1": vm.view.upstreams.revision}, BEYOND)
             vm._node.advance()
