--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -14,6 +14,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import sys
 import tempfile
@@ -451,7 +452,8 @@
 
     def __init__(self, fleet, number):
         self.fleet, self.number = fleet, number
-        self.ip = f"{fleet.block}.{number}"
+        self.zone = fleet.zones[(number - 1) // fleet.per_zone % len(fleet.zones)]
+        self.ip = f"{fleet.block}.{100 + number}"
         self.front = (self.ip, fleet.ports["front"])
         self.settings = str(Path(fleet.folder) / f"vm-{number}.json")
         self.log = Path(fleet.folder) / f"vm-{number}.log"
@@ -550,8 +552,9 @@
         self.store = Store(self.record)
         self.servers = []
         self.vms = []
-        self.seeds = 3
+        self.seeds = (1, 2, 3)
         self.zones = ["sukhbaatar"]
+        self.per_zone = 4
         self.overrides = {}
         self.store_address = None
 
@@ -586,7 +589,7 @@
             "machine_class": "edge",
             "serves": ["edge", "control_plane"],
             "ip": vm.ip,
-            "zone": self.zones[(vm.number - 1) % len(self.zones)],
+            "zone": vm.zone,
             "region": "ulaanbaatar",
             "zones": dict.fromkeys(self.zones, "ulaanbaatar"),
             "listen": {
@@ -597,7 +600,8 @@
             "internal_port_range": [self.ports["inner"], self.ports["inner"] + 15],
             "seed_nodes": [
                 f"{other.ip}:{self.ports['control']}"
-                for other in self.vms[: self.seeds]
+                for other in self.vms
+                if other.number in self.seeds
             ],
             "bootstrap": bootstrap,
             "counts_as_loss": False,
@@ -664,6 +668,27 @@
             (fields[table] if table else fields)[key] = value
         return fields
 
+    async def load(self, seconds, per_s, draw, path, keys, deadline_ms=4000):
+        """Send requests to machines that say they are ready; return the answers.
+
+        The platform asks each machine once a second, as here.
+        """
+        tasks, ready, asked_s = [], [], -1.0
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            if time.monotonic() - asked_s >= 1.0:
+                asked_s = time.monotonic()
+                alive = [vm for vm in self.vms if vm.process is not None]
+                answers = await asyncio.gather(*(vm.is_ready() for vm in alive))
+                ready = [vm for vm, is_ok in zip(alive, answers, strict=True) if is_ok]
+            if ready:
+                front, key = draw.choice(ready).front, draw.choice(keys)
+                target = f"{path}{len(tasks)}"
+                request = send(self.record, front, "GET", target, deadline_ms, key)
+                tasks.append(asyncio.create_task(request))
+            await asyncio.sleep(1 / per_s)
+        return await asyncio.gather(*tasks)
+
     async def broker(self):
         """Return the machine that coordinates the others; ``None`` if none says so."""
         for vm in self.vms:
@@ -673,13 +698,23 @@
                     return vm
         return None
 
+    async def add_vm(self, zone):
+        """Start a spare machine in a zone; it does not start the system."""
+        vm = Vm(self, len(self.vms) + 1)
+        vm.zone = zone
+        self.vms.append(vm)
+        vm.start(bootstrap=False)
+        return vm
+
     async def close(self):
-        """End all processes that were started."""
+        """End all processes that were started, and remove the temporary folder."""
         for vm in self.vms:
             if not vm.has_ended():
                 os.kill(vm.process, signal.SIGCONT)
                 os.kill(vm.process, signal.SIGKILL)
                 await vm.wait_end()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRunError(Exception):
