Review case 9: two groups of machines with different seeds hold one limit each

The settings of six of ten machines name other seeds than the rest, and then all processes are killed and start again. Each group has a broker that holds all of its seeds, takes its machines for the fleet and uses the whole limit; the groups never meet.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -459,12 +459,18 @@
         self.log = Path(fleet.folder) / f"vm-{number}.log"
         self.process = None
         self.ends = []
+        self.seeds = fleet.seeds
 
-    def start(self, bootstrap):
-        """Start the process with the command of the deploy file."""
+    def write_settings(self, bootstrap):
+        """Place the settings file, whole at once."""
         fields = self.fleet.fields(self, bootstrap)
         template = (ROOT / self.fleet.role["template"]).read_text()
-        Path(self.settings).write_text(render(template, fields))
+        Path(f"{self.settings}.new").write_text(render(template, fields))
+        os.replace(f"{self.settings}.new", self.settings)
+
+    def start(self, bootstrap):
+        """Start the process with the command of the deploy file."""
+        self.write_settings(bootstrap)
         environment = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -601,7 +607,7 @@
             "seed_nodes": [
                 f"{other.ip}:{self.ports['control']}"
                 for other in self.vms
-                if other.number in self.seeds
+                if other.number in vm.seeds
             ],
             "bootstrap": bootstrap,
             "counts_as_loss": False,
