--- a/review/6/case.py
+++ b/review/6/case.py
@@ -34,7 +34,7 @@
         ],
         ["registry", "dispatch"],
     )
-    await fleet.open(5, document)
+    await fleet.open(10, document)
     await asyncio.sleep(6.0)
     broker = await fleet.broker()
     if broker is None:
