--- a/review/6/case.py
+++ b/review/6/case.py
@@ -60,6 +60,8 @@
         machine.start(bootstrap=False)
     await asyncio.gather(*first)
     await asyncio.sleep(3.0)
+    if not await machine.is_ready():
+        raise harness.CannotRunError("the machine that was killed is not ready")
     second = [
         asyncio.create_task(
             harness.send(record, machine.front, "GET", f"/depot/{number}", 15000)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -49,13 +49,10 @@
         {"name": f"huka27{n}", "api_keys": [key], "rate_per_s": 24, "burst_size": 24}
         for n, key in enumerate(KEYS)
     ]
-    document = harness.configuration(
-        1,
-        [harness.route("search", "registry", timeout_ms=2000, target_latency_ms=1000)],
-        ["registry"],
-        tenants,
-    )
-    await fleet.open(8, document)
+    routes = [
+        harness.route("search", "registry", timeout_ms=2000, target_latency_ms=1000)
+    ]
+    await fleet.open(8, harness.configuration(1, routes, ["registry"], tenants))
     await asyncio.sleep(8.0)
     before = await load(fleet, BEFORE_S)
     if harness.TROUBLE:
@@ -66,6 +63,9 @@
         await asyncio.sleep(4.0)
         before += await load(fleet, BEFORE_S)
         rest = fleet.vms[2:]
+        # The final fault comes right after a configuration was acknowledged.
+        document = harness.configuration(2, routes, ["registry"], tenants)
+        fleet.store.put("op/config", document)
         for vm in rest:
             vm.signal(signal.SIGKILL)
         for vm in rest:
@@ -74,6 +74,9 @@
         for vm in rest:
             vm.start(bootstrap=False)
     await asyncio.sleep(RECOVER_S + 1.0)
+    ready, alive = await fleet.ready_count()
+    if ready < alive or alive < (6 if harness.TROUBLE else 8):
+        raise harness.CannotRunError(f"{ready} of {alive} machines are ready")
     after = await load(fleet, AFTER_S)
     served = [sum(status == 200 for status in part) for part in (before, after)]
     text = (
