Match grants with the process, the broker and the service of their request

Cause: replies were matched by a number which both processes of a VM count from 1, and used without a look at what was asked. The broker found requests and slots by VM and number as well, so it decided on requests of a process that had ended, and a late release or heartbeat of that process freed slots of the one that runs. Asks for tokens were numbered in the same way.

Three guards, each enough by itself: messages state the process that asked, and identifiers begin at a random point, as older builds echo these alone; a grant is used only from the broker that was asked and for an upstream that is listed for the service; and right before a request is sent, the VM's own list must have the upstream for the service. An unlisted upstream gets nothing.

Two tests name the new positions of fields and numbers: the reply's last field is the process now, and the stock of tokens is told the number of its first ask.

--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -27,6 +27,11 @@
     SlotRefused,
     SlotUses,
 )
+from gentianfold.fleet.process_number import (
+    NOT_STATED,
+    is_other_process,
+    process_number,
+)
 from gentianfold.fleet.protocol import PROTOCOL
 from gentianfold.fleet.relay_plan import RelayPlan
 from gentianfold.fleet.store_revision import NO_REVISION
@@ -84,6 +89,7 @@
     """Slots and tokens that are lent to the members."""
     decisions: DecisionLoop = attrs.field(init=False)
     """Decides on the slot requests of the members."""
+    _processes: dict[str, int] = attrs.field(factory=dict)
     _tunnel_plan: TunnelPlan = attrs.field(factory=TunnelPlan)
     _announced_s: float = -1e9
     _behind_ms: int = 0
@@ -120,6 +126,7 @@
         self.relay_plan = RelayPlan(self.vm)
         self.loans.lender.clear()
         self.decisions.queue.clear()
+        self._processes.clear()
         self._announced_s = -1e9
 
     def handle_acquire(self, vm: str, message: AcquireSlot, now_s: float) -> None:
@@ -130,6 +137,11 @@
             message: The request.
             now_s: Event loop time (seconds).
         """
+        if self.member_table.is_other_process(vm, message.process):
+            return
+        if is_other_process(message.process, self._processes.get(vm, NOT_STATED)):
+            self._remove_requests(vm)
+        self._processes[vm] = message.process
         age_s, zones = message.age_ms / 1000, message.zones
         if zones is None and self.member_table.is_older(vm):
             zones = self.homes.zones(message.route, message.customer)
@@ -157,8 +169,10 @@
         self, vm: str, slot_request_id: int, decision: Decision | None
     ) -> None:
         """Send a decision, or an acknowledgement, to the VM that requested the slot."""
+        process = self._processes.get(vm, NOT_STATED)
         if decision is None or isinstance(decision, Queued):
-            self.transport.send(vm, SlotQueued(slot_request_id, self._behind_ms))
+            queued = SlotQueued(slot_request_id, self._behind_ms, process)
+            self.transport.send(vm, queued)
             return
         if isinstance(decision, Refused):
             message = SlotRefused(
@@ -167,6 +181,7 @@
                 int(decision.retry_after_s * 1000),
                 decision.ahead,
                 self._behind_ms,
+                process,
             )
             self.transport.send(vm, message)
             return
@@ -183,9 +198,15 @@
                 decision.reason,
                 upstream.start_time_ms,
                 self._term_ms(vm, slot_request_id, decision),
+                process,
             ),
         )
 
+    def _remove_requests(self, vm: str) -> None:
+        """Free the slots of a process that has ended, and remove its requests."""
+        self.scheduler.remove_vm(vm)
+        self.decisions.queue.remove_vm(vm)
+
     def _term_ms(self, vm: str, slot_request_id: int, granted: Granted) -> int:
         if self.member_table.is_older(vm):
             return 0
@@ -196,6 +217,8 @@
 
         An unknown outcome counts as cancelled.
         """
+        if self.member_table.is_other_process(vm, release.process):
+            return
         if self.decisions.queue.withdraw((vm, release.slot_request_id)):
             return
         try:
@@ -225,6 +248,8 @@
             now_s: Event loop time (seconds).
             lease_now_s: Time of the clock of the leases (seconds).
         """
+        if self.member_table.is_replaced(vm, heartbeat.incarnation):
+            return
         member = Member(
             heartbeat.incarnation,
             now_s,
@@ -241,8 +266,11 @@
         )
         old = self.member_table.members.get(vm)
         if self.member_table.record_heartbeat(vm, member):
-            # Slots granted to an earlier process of the VM are no longer held.
             self.scheduler.remove_vm(vm)
+            if old is not None:
+                # An earlier process of the VM awaits no decisions.
+                self.decisions.queue.remove_vm(vm)
+            self._processes[vm] = process_number(heartbeat.incarnation)
             self.leases.join(vm, heartbeat.fleet_size, heartbeat.is_first_start)
             self.loans.lender.remove(vm)
             logger.info(
@@ -404,6 +432,8 @@
 
     def handle_uses(self, vm: str, message: SlotUses, now_s: float) -> None:
         """Record uses of slots that were lent to a member."""
+        if self.member_table.is_other_process(vm, message.process):
+            return
         self.loans.handle_uses(vm, message, now_s)
         self.decisions.free_slot(now_s)
 
@@ -438,6 +468,7 @@
             tokens,
             PROTOCOL,
             *self.member_table.rank_in_zone(vm),
+            process_number(self.member_table.members[vm].incarnation),
         )
         self.transport.send(vm, reply)
 
--- a/src/gentianfold/fleet/membership.py
+++ b/src/gentianfold/fleet/membership.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from gentianfold.fleet.process_number import is_other_process, process_number
 from gentianfold.fleet.protocol import NO_PROTOCOL, PROTOCOL, is_older
 
 if TYPE_CHECKING:
@@ -319,6 +320,7 @@
     _deputies: tuple[str, ...] | None = None
     _ranks: dict[str, dict[str, int]] = attrs.field(factory=dict)
     _timed_out_s: dict[str, float] = attrs.field(factory=dict)
+    _replaced: dict[str, int] = attrs.field(factory=dict)
 
     def record_heartbeat(self, vm: str, member: Member) -> bool:
         """Record a heartbeat; tell whether the VM is new or was restarted."""
@@ -329,8 +331,26 @@
             self._deputies = None
         if old is None or old.zone != member.zone:
             self._ranks.clear()
+        if old is not None and old.incarnation != member.incarnation:
+            self._replaced[vm] = old.incarnation
         return old is None or old.incarnation != member.incarnation
 
+    def is_replaced(self, vm: str, incarnation: int) -> bool:
+        """Tell whether the next process of a VM has sent a heartbeat before."""
+        return self._replaced.get(vm) == incarnation
+
+    def is_other_process(self, vm: str, process: int) -> bool:
+        """Tell whether a message states another process of a member than the last one.
+
+        Args:
+            vm: Address of the sender.
+            process: Number in the message.
+        """
+        member = self.members.get(vm)
+        return member is not None and is_other_process(
+            process, process_number(member.incarnation)
+        )
+
     def expire(self, now_s: float) -> list[str]:
         """Remove members whose heartbeats have timed out; return their addresses."""
         expired = [
--- a/src/gentianfold/fleet/messages.py
+++ b/src/gentianfold/fleet/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gentianfold.fleet.process_number import NOT_STATED
 from gentianfold.fleet.protocol import NO_PROTOCOL
 from gentianfold.fleet.store_revision import NO_REVISION, StoreRevision
 from gentianfold.fleet.token_ask import TokenAsk
@@ -41,6 +42,8 @@
     age_ms: int = 0
     """Time since the times left were computed (milliseconds); 0 from this build."""
     zones: tuple[str, ...] | None = None
+    process: int = NOT_STATED
+    """Number of the process of the VM that sends it."""
 
 
 class SlotGranted(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -60,6 +63,8 @@
     term_ms: int = 0
     """Time for which the VM may use the slot for further requests (milliseconds); 0 if
     it returns the slot after this one."""
+    process: int = NOT_STATED
+    """Number of the process of the VM that asked."""
 
 
 class SlotQueued(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -69,6 +74,8 @@
     """Identifier of the slot request."""
     behind_ms: int = 0
     """How far the broker's decisions are behind the requests (milliseconds)."""
+    process: int = NOT_STATED
+    """Number of the process of the VM that asked."""
 
 
 class SlotRefused(msgspec.Struct, array_like=True, tag=4, frozen=True):
@@ -83,6 +90,8 @@
     """Requests ahead of this one in the queue of its service."""
     behind_ms: int = 0
     """How far the broker's decisions are behind the requests (milliseconds)."""
+    process: int = NOT_STATED
+    """Number of the process of the VM that asked."""
 
 
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -101,6 +110,8 @@
     pause_ms: int | None = None
     """Time for which the upstream wants no requests of the VM (milliseconds); ``None``
     if it states none."""
+    process: int = NOT_STATED
+    """Number of the process that requested the slot."""
 
 
 class Evacuations(msgspec.Struct, array_like=True, frozen=True):
@@ -206,6 +217,8 @@
     """Members of the receiver's zone before it, in the order of their addresses (count)."""
     zone_vm_count: int = 0
     """Members of the receiver's zone (count); 0 from builds that divide no slots."""
+    process: int = NOT_STATED
+    """Number of the process whose heartbeat is answered."""
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -299,6 +312,8 @@
     unserved: tuple[tuple[str, str, bool, int], ...] = ()
     """Service, route, whether idempotent, and number of the requests that the VM refused
     since the broker did not decide on them."""
+    process: int = NOT_STATED
+    """Number of the process of the VM that sends it."""
 
 
 class RecallSlots(msgspec.Struct, array_like=True, tag=16, frozen=True):
@@ -386,7 +401,9 @@
         return None
 
 
-def to_acquire_slot(request: SlotRequest, age_s: float = 0.0) -> AcquireSlot:
+def to_acquire_slot(
+    request: SlotRequest, age_s: float = 0.0, process: int = NOT_STATED
+) -> AcquireSlot:
     """Return the message that requests a slot from the broker.
 
     Its times left are those of now, as brokers of older builds read no age.
@@ -394,6 +411,7 @@
     Args:
         request: The request.
         age_s: Time since its times left were computed (seconds).
+        process: Number of the process that requests the slot.
     """
     return AcquireSlot(
         request.slot_request_id,
@@ -410,6 +428,7 @@
         request.zone,
         request.fingerprint,
         zones=request.zones,
+        process=process,
     )
 
 
@@ -420,6 +439,7 @@
     transferred_bytes: int = 0,
     rate_limit_per_s: float | None = None,
     pause_s: float | None = None,
+    process: int = NOT_STATED,
 ) -> ReleaseSlot:
     """Return the message that frees a slot; times in seconds."""
     return ReleaseSlot(
@@ -429,4 +449,5 @@
         transferred_bytes,
         rate_limit_per_s,
         int(pause_s * 1000) if pause_s is not None else None,
+        process,
     )
--- a/src/gentianfold/fleet/node.py
+++ b/src/gentianfold/fleet/node.py
@@ -40,6 +40,7 @@
 from gentianfold.fleet.node_shares import NodeShares
 from gentianfold.fleet.node_upstreams import NodeUpstreams
 from gentianfold.fleet.placement_log import PlacementLog
+from gentianfold.fleet.process_number import is_other_process, process_number
 from gentianfold.fleet.slot_client import SlotClient
 from gentianfold.fleet.tunnel_directory import TunnelDirectory
 from gentianfold.forwarding.path_state import PathState
@@ -120,6 +121,7 @@
     """Zones to which nothing may be sent."""
 
     def __attrs_post_init__(self) -> None:
+        process = process_number(self.incarnation)
         self.shares = NodeShares(
             self.membership, self.broker, self.scheduler, self.lease_clock, self._now_s
         )
@@ -130,6 +132,7 @@
             self.lease_clock,
             self.is_withdrawn,
             self._now_s,
+            process,
         )
         self.shares.start(self.broker.is_first_start, self.process_started_s)
         self.slots = SlotClient(
@@ -140,6 +143,7 @@
             self.is_withdrawn,
             self.lease_clock,
             self.loans,
+            process=process,
         )
         self.upstreams = NodeUpstreams(
             self.view,
@@ -192,7 +196,9 @@
         if self.loans.release(placement, outcome, elapsed_s, *stated):
             self._deliver_decisions(now_s)
             return
-        message = to_release_slot(slot_request_id, outcome, elapsed_s, *stated)
+        message = to_release_slot(
+            slot_request_id, outcome, elapsed_s, *stated, self.slots.process
+        )
         if self.membership.role is Role.MEMBER and self.membership.broker:
             # A broker that does not know the slot ignores the message.
             self.transport.send(self.membership.broker, message)
@@ -337,6 +343,9 @@
     def _handle_heartbeat_reply(
         self, vm: str, reply: HeartbeatReply, now_s: float
     ) -> None:
+        if is_other_process(reply.process, self.slots.process):
+            # It lends shares and tokens to an earlier process of this VM.
+            return
         previous_role = self.membership.role
         self.membership.handle_reply(vm, reply.deputies, now_s, reply.protocol)
         if self.membership.role is not Role.MEMBER or vm != self.membership.broker:
--- a/src/gentianfold/fleet/node_loans.py
+++ b/src/gentianfold/fleet/node_loans.py
@@ -16,6 +16,7 @@
     SlotUse,
     SlotUses,
 )
+from gentianfold.fleet.process_number import NOT_STATED
 from gentianfold.fleet.slot_stock import LentSlot, SlotStock
 from gentianfold.fleet.token_stock import TokenStock
 from gentianfold.placement.outcome import Outcome
@@ -56,6 +57,8 @@
     """Tells whether the upstream of a placement takes no requests of this VM."""
     loop_time_s: Callable[[], float]
     """Returns the event loop time (seconds)."""
+    process: int = NOT_STATED
+    """Number of this process."""
     slots: SlotStock = attrs.field(init=False)
     """Lent slots."""
     tokens: TokenStock = attrs.field(factory=TokenStock)
@@ -211,7 +214,9 @@
             self._unserved.clear()
         elif self.membership.role is Role.MEMBER and broker is not None:
             unserved = tuple((*key, count) for key, count in self._unserved.items())
-            message = SlotUses(tuple(self._uses), tuple(self._returned), unserved)
+            message = SlotUses(
+                tuple(self._uses), tuple(self._returned), unserved, self.process
+            )
             self.transport.send(broker, message)
             self._unserved.clear()
         self._uses.clear()
--- a/src/gentianfold/fleet/slot_client.py
+++ b/src/gentianfold/fleet/slot_client.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -28,6 +28,11 @@
     to_decision,
     to_placement,
 )
+from gentianfold.fleet.process_number import (
+    NOT_STATED,
+    is_other_process,
+    new_identifiers,
+)
 from gentianfold.fleet.resend_pace import (
     MAX_QUEUED_RETRY_S,
     REQUEST_RETRY_S,
@@ -45,6 +50,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianfold.fleet.node_loans import NodeLoans
     from gentianfold.fleet.transport import Transport
     from gentianfold.placement.slot_scheduler import SlotScheduler
@@ -87,9 +94,12 @@
     """Places requests on slots that the broker has lent; ``None`` for no loans."""
     pace: ResendPace = attrs.field(factory=ResendPace)
     """Decides when unanswered requests are sent again."""
-    _slot_request_ids: itertools.count[int] = attrs.field(
-        factory=lambda: itertools.count(1)
-    )
+    process: int = NOT_STATED
+    """Number of this process."""
+    rejected: Counter[str] = attrs.field(factory=Counter)
+    """Grants that this VM returned as they don't fit its requests, by what differs:
+    ``process``, ``broker`` or ``service``."""
+    _slot_request_ids: Iterator[int] = attrs.field(factory=new_identifiers)
     _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _granted_by: dict[int, str] = attrs.field(factory=dict)
     _new_requests: set[anyio.CancelScope] = attrs.field(factory=set)
@@ -98,7 +108,10 @@
     _resumed_s: float = -math.inf
 
     def next_slot_request_id(self) -> int:
-        """Return an identifier for a slot request, unique on this VM."""
+        """Return an identifier for a slot request, unique on this VM.
+
+        Those of an earlier process of the VM, which may still be answered, differ.
+        """
         return next(self._slot_request_ids)
 
     async def place(self, request: SlotRequest) -> Placement | Refused:
@@ -229,7 +242,8 @@
                     sent_s = self._now_s()
                     age_s = sent_s - asked_s
                     pending.record_sent(self.clock.now_s())
-                    self.transport.send(broker, to_acquire_slot(request, age_s))
+                    message = to_acquire_slot(request, age_s, self.process)
+                    self.transport.send(broker, message)
                 decision = await pending.await_decision(unanswered, self.pace)
                 if decision is not None:
                     return self._accept_grant(request, decision, broker)
@@ -238,14 +252,10 @@
                 if not has_answer and self._gives_up(pending, unanswered, latest_s):
                     break
             self.membership.expedite_heartbeat(self._now_s())
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
+            self._withdraw(broker, request.slot_request_id)
             return ()
         except BaseException:
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
+            self._withdraw(broker, request.slot_request_id)
             raise
         finally:
             self._pending.pop(request.slot_request_id, None)
@@ -276,6 +286,10 @@
         """
         if isinstance(decision, Refused):
             return decision
+        tracker = self.scheduler.tracker(decision.upstream)
+        if tracker is not None and tracker.upstream.service != request.service:
+            self._reject(broker, request.slot_request_id, self.process, "service")
+            return (decision.upstream,)
         if request.zones is not None:
             # A broker of an older build doesn't know of them.
             decision = attrs.evolve(decision, zones=request.zones)
@@ -285,9 +299,7 @@
                 broker,
                 decision.upstream,
             )
-            self.transport.send(
-                broker, ReleaseSlot(request.slot_request_id, Outcome.CANCELLED, 0)
-            )
+            self._withdraw(broker, request.slot_request_id)
             return (decision.upstream,)
         self.scheduler.register_grant(request, decision.upstream, self._now_s())
         self._granted_by[request.slot_request_id] = broker
@@ -333,7 +345,10 @@
     def handle_reply(
         self, vm: str, message: SlotGranted | SlotRefused | SlotQueued, now_s: float
     ) -> None:
-        """Resolve a pending request; return a grant for which none is pending.
+        """Resolve a pending request; return a grant that is for no pending request.
+
+        A suspended broker that goes on may grant what an earlier process of this VM
+        requested.
 
         Args:
             vm: Address of the sender.
@@ -343,14 +358,21 @@
         self.observe_pause()
         if not isinstance(message, SlotGranted):
             self.pace.record_behind(message.behind_ms / 1000, now_s)
-        pending = self._pending.get(message.slot_request_id)
+        slot_request_id = message.slot_request_id
+        if is_other_process(message.process, self.process):
+            if isinstance(message, SlotGranted):
+                self._reject(vm, slot_request_id, message.process, "process")
+            return
+        pending = self._pending.get(slot_request_id)
         if pending is None or pending.decided.done():
-            if (
-                isinstance(message, SlotGranted)
-                and message.slot_request_id not in self._granted_by
+            if isinstance(message, SlotGranted) and (
+                slot_request_id not in self._granted_by
             ):
-                release = ReleaseSlot(message.slot_request_id, Outcome.CANCELLED, 0)
-                self.transport.send(vm, release)
+                self._withdraw(vm, slot_request_id)
+            return
+        if pending.broker != vm:
+            if isinstance(message, SlotGranted):
+                self._reject(vm, slot_request_id, self.process, "broker")
             return
         pending.acknowledged = True
         if isinstance(message, SlotQueued):
@@ -361,6 +383,32 @@
             granted_at_s = self.clock.now_s()
         pending.decided.set_result(to_decision(message, vm, granted_at_s))
 
+    def _reject(self, vm: str, slot_request_id: int, process: int, cause: str) -> None:
+        """Return a grant that does not fit the request that it names.
+
+        Args:
+            vm: Address of the VM that granted the slot.
+            slot_request_id: Slot request that it names.
+            process: Number of the process that requested the slot.
+            cause: What differs.
+        """
+        self.rejected[cause] += 1
+        logger.warning(
+            "fleet: rejected a grant of {}, cause={} slot_request={}",
+            vm,
+            cause,
+            slot_request_id,
+        )
+        release = ReleaseSlot(slot_request_id, Outcome.CANCELLED, 0, process=process)
+        self.transport.send(vm, release)
+
+    def _withdraw(self, broker: str, slot_request_id: int) -> None:
+        """Withdraw a slot request of this process, or return its slot."""
+        release = ReleaseSlot(
+            slot_request_id, Outcome.CANCELLED, 0, process=self.process
+        )
+        self.transport.send(broker, release)
+
     def observe_pause(self) -> None:
         """Notice that this VM did not run for a while; called in each tick too.
 
--- a/src/gentianfold/fleet/token_stock.py
+++ b/src/gentianfold/fleet/token_stock.py
@@ -16,6 +16,7 @@
 
 from gentianfold.clock import MAX_CLOCK_RATE_ERROR
 from gentianfold.fleet.arrival_rate import ArrivalRates
+from gentianfold.fleet.process_number import first_identifier
 from gentianfold.fleet.token_ask import LotReport, TokenAsk
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
 
     _broker: str = ""
     _lots: dict[int, _Lot] = attrs.field(factory=dict)
-    _last_ask: int = 0
+    _last_ask: int = attrs.field(factory=first_identifier)
     _asked_s: dict[int, float] = attrs.field(factory=dict)
     _rates: ArrivalRates = attrs.field(factory=ArrivalRates)
 
--- a/src/gentianfold/forwarding/attempt.py
+++ b/src/gentianfold/forwarding/attempt.py
@@ -214,7 +214,9 @@
         if time_left_s < MIN_TIME_LEFT_S:
             self.forwarder.pool.release(address, placement.upstream, connection)
             return AttemptResult(Outcome.CANCELLED, refused=NO_TIME_LEFT)
-        if self.forwarder.placer.is_withdrawn(placement):
+        if not self.forwarder.is_for_service(
+            placement, self.plan.service
+        ) or self.forwarder.placer.is_withdrawn(placement):
             connection.close()
             return AttemptResult(
                 Outcome.CANCELLED,
--- a/src/gentianfold/forwarding/request_forwarder.py
+++ b/src/gentianfold/forwarding/request_forwarder.py
@@ -9,6 +9,7 @@
 
 import anyio
 import attrs
+from loguru import logger
 
 from gentianfold.codes.limits import LIMIT_ELSEWHERE, OVER_RATE
 from gentianfold.codes.peers import BROKER_BEHIND
@@ -48,7 +49,7 @@
     from gentianfold.forwarding.connection_pool import ConnectionPool
     from gentianfold.forwarding.header_names import HeaderNames
     from gentianfold.forwarding.messages import CallerRequest, Response
-    from gentianfold.forwarding.placer import Placer
+    from gentianfold.forwarding.placer import Placement, Placer
     from gentianfold.forwarding.request_record import RequestRecord
     from gentianfold.forwarding.routing_state import RoutingState
     from gentianfold.forwarding.service_selector import ServiceSelector
@@ -118,6 +119,8 @@
     an ``other`` availability zone."""
     passed_on: PassedOnCounts = attrs.field(factory=PassedOnCounts)
     """Answers that were passed on while they were received."""
+    misplaced_count: int = 0
+    """Placements on upstreams of other services, which were not used (count)."""
     waits_until_s: float = -math.inf
     """Event loop time until which requests wait for the first configuration (seconds)."""
 
@@ -328,6 +331,23 @@
             return _crash_failure(refused)
         return Failure(_REFUSAL_CODES[refused.reason], "", refused.retry_after_s)
 
+    def is_for_service(self, placement: Placement, service: str) -> bool:
+        """Tell whether the upstream of a placement is listed for a service.
+
+        This VM's own list decides, whichever VM chose the upstream.
+        """
+        upstream = self.routing.upstreams.get(placement.upstream)
+        if upstream is not None and upstream.service == service:
+            return True
+        self.misplaced_count += 1
+        logger.warning(
+            "request: upstream {} of {} is not listed for service {}",
+            placement.upstream,
+            placement.granted_by,
+            service,
+        )
+        return False
+
     def count_exchange(self, upstream_name: str, exchanged_bytes: int) -> None:
         """Count the bytes of an attempt by the zone of its upstream."""
         upstream = self.routing.upstreams.get(upstream_name)
--- a/src/gentianfold/placement/admission.py
+++ b/src/gentianfold/placement/admission.py
@@ -87,6 +87,11 @@
         self.counts["withdrawn"] += 1
         return True
 
+    def remove_vm(self, vm: str) -> None:
+        """Remove the requests of a VM, as when its process has ended."""
+        for key in [key for key in self._arrivals if key[0] == vm]:
+            del self._arrivals[key]
+
     def clear(self) -> None:
         """Remove all requests, as when another VM becomes the broker."""
         self._arrivals.clear()
--- a/src/gentianfold/vm/status.py
+++ b/src/gentianfold/vm/status.py
@@ -193,6 +193,9 @@
         metrics.set_gauge("configuration_fetches", float(count), outcome=outcome)
     for outcome, count in node.broker.decisions.queue.counts.items():
         metrics.set_gauge("slot_requests", float(count), outcome=outcome)
+    rejected = {**node.slots.rejected, "unsent": handler.forwarder.misplaced_count}
+    for cause, count in rejected.items():
+        metrics.set_gauge("grants_rejected", float(count), cause=cause)
     for cause, count in resources.refusals().items():
         metrics.set_gauge("resource_refusals", float(count), cause=cause)
     for message, count in node.transport.sent_bytes.items():
--- a/tests/fleet/test_slot_shares_fleet.py
+++ b/tests/fleet/test_slot_shares_fleet.py
@@ -99,5 +99,5 @@
     old = msgspec.convert(fields, HeartbeatReply)
     assert (old.zone_rank, old.zone_vm_count) == (0, 0)
     sent = msgspec.json.decode(msgspec.json.encode(old))
-    new = msgspec.convert([*sent[:-2], 2, 5, "later"], HeartbeatReply)
-    assert (new.zone_rank, new.zone_vm_count) == (2, 5)
+    new = msgspec.convert([*sent[:-3], 2, 5, 9, "later"], HeartbeatReply)
+    assert (new.zone_rank, new.zone_vm_count, new.process) == (2, 5, 9)
--- a/tests/fleet/test_token_stock.py
+++ b/tests/fleet/test_token_stock.py
@@ -6,7 +6,7 @@
 
 
 def stock_with(tokens, broker="b", at_s=0.0):
-    stock = TokenStock()
+    stock = TokenStock(last_ask=0)
     ask = stock.ask(broker, at_s)
     stock.receive(broker, ask.number, tokens.items())
     return stock
@@ -19,14 +19,14 @@
 
 
 def test_tokens_end_with_a_term_that_begins_when_they_were_asked_for():
-    stock = TokenStock()
+    stock = TokenStock(last_ask=0)
     ask = stock.ask("b", 0.0)
     stock.receive("b", ask.number, {"c": 1}.items())
     assert not stock.take("c", LOT_TERM_S)
 
 
 def test_a_lot_that_comes_twice_is_taken_once():
-    stock = TokenStock()
+    stock = TokenStock(last_ask=0)
     ask = stock.ask("b", 0.0)
     for _ in range(2):
         stock.receive("b", ask.number, {"c": 1}.items())
@@ -35,7 +35,7 @@
 
 
 def test_an_answer_of_another_broker_or_to_an_old_ask_is_ignored():
-    stock = TokenStock()
+    stock = TokenStock(last_ask=0)
     first = stock.ask("b", 0.0)
     stock.receive("other", first.number, {"c": 1}.items())
     assert not stock.take("c", 0.1)
@@ -75,7 +75,7 @@
 
 
 def test_wishes_follow_the_requests_of_the_last_seconds():
-    stock = TokenStock()
+    stock = TokenStock(last_ask=0)
     for number in range(20):
         stock.record_arrival("large", number / 10)
     stock.record_arrival("small", 1.9)
