Wait for upstreams to notice the end of connections in a test of a planned stop

It looked as soon as the UDP port was free. Traced with a poll in each iteration of the event loop: the stand-in notices the end two iterations later, 3 of 3 times, so the look of every 10 ms could fall between. The test now waits for it and then checks, as before, that the answer is still unsent, so the connections must end before the grace does.

--- a/tests/vm/test_planned_stop.py
+++ b/tests/vm/test_planned_stop.py
@@ -76,7 +76,10 @@
             await receive_head(stream)
             vm.stop_requested.set()
             await wait_until(lambda: is_free(vm.settings.address, site.fleet_port))
-            assert not any(u.server.connections for u in site.upstreams.values())
+            # Upstreams notice the end of their connections a moment later.
+            await wait_until(
+                lambda: not any(u.server.connections for u in site.upstreams.values())
+            )
             assert [row.unsent_count for row in vm.caller_connections] == [1]
             await wait_until(lambda: not vm.caller_connections)
             cut = [labels for name, labels in vm.metrics.counters if "cut" in name]
