Keep no more of an answer without end than was claimed for it

Answers without end are cut at 64 KiB of head and 8 MiB in all, but took more memory than that by three ways: a read of 64 KiB may bring a head of 10,000 short fields, 2 MB of objects, before any of it is claimed; an exchange without room got one read more before it paused; a tunnel read up to 256 KiB behind what its opener had not read, 128 KiB claimed. A VM of 200 MB reached 212 MB beside servers that send such heads to 200 callers, so the platform would have ended it with the requests of all its callers.

Heads have 256 fields at most. A read brings no more than is claimed, and 64 KiB more are claimed before the next one, or the exchange waits; answers that the caller takes while they come keep their own bound. Tunnels read 64 KiB at a time.

--- a/src/gentianfold/forwarding/response_head.py
+++ b/src/gentianfold/forwarding/response_head.py
@@ -1,4 +1,4 @@
-"""Tells whether the head of an upstream's response is valid.
+"""Reads the head of an upstream's response, and tells whether it is valid.
 
 The parser takes some heads that are no answer in the protocol, such as a status of 000.
 """
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from gentianfold.forwarding.messages import Headers
+    from gentianfold.forwarding.messages import Headers, Response
 
 _VERSIONS = ("1.0", "1.1")
 _MIN_STATUS, _MAX_STATUS = 100, 599
@@ -44,3 +44,15 @@
         # A body in another coding would pass for the upstream's own bytes.
         return "transfer coding is not chunked"
     return ""
+
+
+def keep_alive_timeout_s(response: Response) -> float | None:
+    """Return the server's idle timeout (seconds); ``None`` if the header lacks one."""
+    value = response.header(b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- a/src/gentianfold/forwarding/tunnel_server.py
+++ b/src/gentianfold/forwarding/tunnel_server.py
@@ -16,6 +16,7 @@
 import anyio
 
 from gentianfold.forwarding.memory_budget import (
+    ANSWER_BYTES,
     TUNNEL_BYTES,
     Claim,
     ConnectionLimit,
@@ -27,6 +28,8 @@
     from gentianfold.forwarding.connection_pool import Address
     from gentianfold.forwarding.link_pacer import LinkPacer
 
+_RECEIVED = memoryview(bytearray(ANSWER_BYTES))
+"""Buffer of all reads from upstreams: what one brings is passed on before the next."""
 MAX_PREFACE_BYTES = 512
 """Longest preface of a tunnel (bytes)."""
 PREFACE_TIMEOUT_S = 1.0
@@ -78,8 +81,12 @@
         return None
 
 
-class _UpstreamSide(asyncio.Protocol):
-    """The connection to the upstream; unread bytes hold back the upstream."""
+class _UpstreamSide(asyncio.BufferedProtocol):
+    """The connection to the upstream; unread bytes hold back the upstream.
+
+    One read brings ``ANSWER_BYTES`` at most: with what its opener has not read before,
+    that is within ``TUNNEL_BYTES``.
+    """
 
     def __init__(self, tunnel: TunnelConnection) -> None:
         self.tunnel = tunnel
@@ -89,8 +96,12 @@
         self.transport = cast("asyncio.Transport", transport)
         _set_options(transport)
 
-    def data_received(self, data: bytes) -> None:
-        self.tunnel.write(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _RECEIVED
+
+    def buffer_updated(self, nbytes: int) -> None:
+        # The transport may keep what it can't send at once.
+        self.tunnel.write(bytes(_RECEIVED[:nbytes]))
 
     def eof_received(self) -> bool:
         self.tunnel.finish()
--- a/src/gentianfold/forwarding/upstream_connection.py
+++ b/src/gentianfold/forwarding/upstream_connection.py
@@ -16,23 +16,27 @@
 from gentianfold.forwarding.long_answer import FIRST_BYTES, HOLD_BYTES, stated_length
 from gentianfold.forwarding.memory_budget import (
     ANSWER_BYTES,
-    CLAIM_STEP_BYTES,
     FIELD_BYTES,
     ROOM_RETRY_S,
     Claim,
 )
 from gentianfold.forwarding.messages import Headers, Response, write_pieces
 from gentianfold.forwarding.reading_pauses import ReadingPauses
-from gentianfold.forwarding.response_head import find_head_fault
+from gentianfold.forwarding.response_head import find_head_fault, keep_alive_timeout_s
 
 MAX_RESPONSE_BYTES = 8 << 20
 """Most bytes that are received in one exchange (bytes): a twenty-fifth of the smallest
 VM's memory, as several exchanges may meet a body without end."""
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 """Most bytes of interim responses and of the head of a response (bytes)."""
+MAX_RESPONSE_FIELDS = 256
+"""Most fields of the head of a response (count): short ones take 30 times the memory of
+their text, all of it before it can be claimed."""
 MAX_UNMATCHED_RESPONSES = 3
 """Responses to earlier requests after which a connection is closed (count); fewer are
 skipped."""
+MIN_READ_BYTES = 16 << 10
+"""Claimed room below which more is claimed before the next read (bytes)."""
 _RECEIVED = memoryview(bytearray(ANSWER_BYTES))
 """Buffer of all reads: what one brings is parsed before the next."""
 
@@ -67,6 +71,10 @@
 """A complete response, or why there is none."""
 
 
+class _TooManyFieldsError(Exception):
+    """Stops the parser in a head with more fields than the limit."""
+
+
 @attrs.define(eq=False, repr=False)
 class _PendingResponse:
     """A response that is awaited or being read."""
@@ -84,7 +92,7 @@
 class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection that carries one exchange at a time. Implements ``AnswerSource``.
 
-    One read brings ``ANSWER_BYTES`` at most, as much as is claimed before it.
+    One read brings ``ANSWER_BYTES`` at most, and no more than is claimed before it.
 
     Attributes:
         idle_since_s: Time at which the connection became idle (event loop time,
@@ -205,7 +213,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
-        return _RECEIVED
+        pending = self._pending
+        if pending is None or pending.claim is None or pending.stream is not None:
+            return _RECEIVED
+        room_bytes = pending.claim.size_bytes - self._held_bytes(pending)
+        return _RECEIVED[: max(room_bytes, MIN_READ_BYTES)]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse what was read into the buffer; the parser keeps copies only."""
@@ -236,6 +248,7 @@
                 # The head is refused before, as no request asks for another protocol.
                 return
             except httptools.HttpParserError as error:
+                # No effect on an exchange that a callback has failed.
                 self._refuse(str(error))
                 return
         self._pass_on()
@@ -269,20 +282,33 @@
             stream.flush()
 
     def _claim_received(self) -> None:
-        """Claim the bytes of the response; stop to read while there is no room."""
+        """Claim room for the next read; stop to read while there is none."""
         pending = self._pending
         if pending is None or pending.claim is None:
             return
-        size_bytes = self._received_bytes + FIELD_BYTES * len(self._headers)
-        if pending.stream is not None:
-            size_bytes = pending.stream.claimed_bytes
+        claim, held_bytes = pending.claim, self._held_bytes(pending)
         if pending.result.done():
             # The bytes are here, and go to the caller.
-            pending.claim.force_to(size_bytes)
-        elif not pending.claim.grow_to(size_bytes, self._loop.time()):
-            pending.claim.force_to(size_bytes)
+            claim.force_to(held_bytes)
+        elif not self._claim_next_read(pending, claim):
+            claim.force_to(max(held_bytes, claim.size_bytes))
             self._pause_reading()
 
+    def _claim_next_read(self, pending: _PendingResponse, claim: Claim) -> bool:
+        """Claim what is held and what the next read may bring; tell if there was room.
+
+        What is held of an answer that the caller takes has a bound of its own.
+        """
+        size_bytes = self._held_bytes(pending)
+        if pending.stream is None and claim.size_bytes - size_bytes < MIN_READ_BYTES:
+            size_bytes += ANSWER_BYTES
+        return claim.grow_to(size_bytes, self._loop.time())
+
+    def _held_bytes(self, pending: _PendingResponse) -> int:
+        if pending.stream is not None:
+            return pending.stream.claimed_bytes
+        return self._received_bytes + FIELD_BYTES * len(self._headers)
+
     def hold_back(self, is_held_back: bool) -> None:
         """Stop to read from the upstream while the caller is slower, or read on."""
         self._is_held_back = is_held_back
@@ -298,8 +324,15 @@
 
     def _read_if_room(self) -> None:
         self._room_timer = None
-        claim = self._pending.claim if self._pending is not None else None
-        if claim is None or claim.has_room(CLAIM_STEP_BYTES, self._loop.time()):
+        pending = self._pending
+        claim = pending.claim if pending is not None else None
+        if pending is None or claim is None:
+            has_room = True
+        elif pending.stream is not None:
+            has_room = claim.has_room(ANSWER_BYTES, self._loop.time())
+        else:
+            has_room = self._claim_next_read(pending, claim)
+        if has_room:
             self._update_reading()
         else:
             self._await_room()
@@ -372,8 +405,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; trailers are dropped."""
-        if not self._has_headers:
-            self._headers.append((name.lower(), value))
+        if self._has_headers:
+            return
+        if len(self._headers) >= MAX_RESPONSE_FIELDS:
+            self._fail(ExchangeFailure.TOO_LARGE)
+            raise _TooManyFieldsError
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
@@ -459,15 +496,3 @@
             self._pending.result.set_result(failure)
         if self._transport is not None:
             self._transport.abort()
-
-
-def keep_alive_timeout_s(response: Response) -> float | None:
-    """Return the server's idle timeout (seconds); ``None`` if the header lacks one."""
-    value = response.header(b"keep-alive")
-    if value is None:
-        return None
-    for part in value.split(b","):
-        name, _, number = part.partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
-    return None
--- a/tests/forwarding/test_upstream_connection.py
+++ b/tests/forwarding/test_upstream_connection.py
@@ -12,6 +12,7 @@
 from gentianfold.forwarding.memory_budget import ANSWER_BYTES
 from gentianfold.forwarding.upstream_connection import (
     MAX_RESPONSE_BYTES,
+    MAX_RESPONSE_FIELDS,
     MAX_RESPONSE_HEAD_BYTES,
     ExchangeFailure,
     Response,
@@ -95,6 +96,28 @@
     assert connection._transport.is_aborted and not connection.is_open
 
 
+@pytest.mark.parametrize("read_bytes", [1_000, 65_536])
+async def test_a_head_of_very_many_fields_is_refused_before_they_are_kept(read_bytes):
+    # One read brought 10,000 fields of six bytes, which took 2 MB before any claim.
+    connection = open_connection()
+    data = b"HTTP/1.1 200 OK\r\n" + b"x: a\r\n" * 10_000
+    chunks = [data[n : n + read_bytes] for n in range(0, len(data), read_bytes)]
+    result, _ = await exchange(connection, chunks)
+    assert result is ExchangeFailure.TOO_LARGE
+    assert len(connection._headers) <= MAX_RESPONSE_FIELDS
+    assert connection._transport.is_aborted and not connection.is_open
+
+
+async def test_a_head_of_as_many_fields_as_servers_send_is_read():
+    connection = open_connection()
+    fields = b"".join(b"x-%d: a\r\n" % number for number in range(200))
+    head, _, body = answer(b"r1", b"body").partition(b"\r\n\r\n")
+    data = head + b"\r\n" + fields + b"\r\n" + body
+    result, _ = await exchange(connection, [data])
+    assert isinstance(result, Response) and result.body == b"body"
+    assert result.header(b"x-199") == b"a"
+
+
 @pytest.mark.parametrize("read_bytes", [70_000, 1 << 18, 1 << 20])
 async def test_a_long_answer_in_one_read_is_whole(read_bytes):
     # It was refused as too large: all bytes of the read counted as its head.
