--- a/src/gentianfold/fleet/broker.py
+++ b/src/gentianfold/fleet/broker.py
@@ -41,6 +41,7 @@
 from gentianfold.placement.slot_request import Queued, Refused, SlotRequest
 
 if TYPE_CHECKING:
+    from gentianfold.fleet.lease_table import FleetShares
     from gentianfold.fleet.node_view import NodeView
     from gentianfold.fleet.store_revision import StoreRevision
     from gentianfold.fleet.transport import Transport
@@ -420,16 +421,14 @@
         """Number of members besides this VM."""
         return len(self.member_table.members)
 
-    def shares(
-        self, own: tuple[float, float], lease_now_s: float
-    ) -> tuple[float, float]:
-        """Return the part of each fleet-wide limit to use, and its mature part.
+    def shares(self, own: tuple[float, float], lease_now_s: float) -> FleetShares:
+        """Return the parts of fleet-wide limits to use.
 
         Args:
             own: This VM's own share, and the mature part of that.
             lease_now_s: Time of the clock of the leases (seconds).
         """
-        self.leases.seeds = self.seeds
+        self.leases.seeds, self.leases.overshoot = self.seeds, self.overshoot
         return self.leases.shares(own, lease_now_s)
 
     def handle_uses(self, vm: str, message: SlotUses, now_s: float) -> None:
--- a/src/gentianfold/fleet/lease_table.py
+++ b/src/gentianfold/fleet/lease_table.py
@@ -35,6 +35,16 @@
 outage between regions."""
 
 
+@attrs.frozen
+class FleetShares:
+    """Parts of fleet-wide limits that one VM may use, each with its mature part."""
+
+    strict: tuple[float, float]
+    """Parts of limits that tolerate nothing; those of all VMs add up to 1."""
+    of_customers: tuple[float, float]
+    """Parts of limits of customers; all add up to what is allowed and tolerated."""
+
+
 @attrs.define
 class _Member:
     """What a broker knows of one process of a member."""
@@ -130,11 +140,8 @@
                 return 0
         return self.known_size + len(self._admitted)
 
-    def shares(self, own: tuple[float, float], now_s: float) -> tuple[float, float]:
-        """Return the part of each limit that this VM may use, and its mature part.
-
-        The parts of all VMs add up to 1. Evidence of the fleet's size is taken into
-        account first.
+    def shares(self, own: tuple[float, float], now_s: float) -> FleetShares:
+        """Return the parts of the limits that this VM may use.
 
         Args:
             own: Its own share and the mature part of that.
@@ -146,50 +153,55 @@
             self.seed_seen_s = now_s
         if not self.known_size:
             self._end_forming(live, held, now_s)
-        if self.known_size:
+        strict = SeedParts(len(self.seeds))
+        tolerant = SeedParts(len(self.seeds), self.overshoot)
+        if not self.known_size:
+            shares = FleetShares(
+                self._forming_shares(strict, held, own, now_s),
+                self._forming_shares(tolerant, held, own, now_s),
+            )
+        else:
             self._update_owners(live, own, now_s)
-        return self._shares(SeedParts(len(self.seeds)), own, now_s)
+            lent = live & self._owners
+            mature = sum(self._is_mature(vm, now_s) for vm in lent)
+            whole = (
+                min(len(lent) / self.known_size + own[0], 1.0),
+                min(mature / self.known_size + own[1], 1.0),
+            )
+            shares = FleetShares(
+                self._known_shares(strict, held, own, whole, now_s),
+                self._known_shares(tolerant, held, own, whole, now_s),
+            )
+        self._log_basis(len(held), shares.of_customers[0])
+        return shares
 
-    def customer_shares(
-        self, own: tuple[float, float], now_s: float
+    def _known_shares(
+        self,
+        parts: SeedParts,
+        held: set[str],
+        own: tuple[float, float],
+        whole: tuple[float, float],
+        now_s: float,
     ) -> tuple[float, float]:
-        """Return the same as ``shares``, which comes first, for the limits of customers.
-
-        The parts of all VMs add up to what these limits allow and tolerate.
-        """
-        parts = SeedParts(len(self.seeds), self.overshoot)
-        shares = self._shares(parts, own, now_s)
-        held = len(self._held_seeds(self._live(now_s), own))
-        basis = (self.known_size > 0, held, shares[0] > 0)
+        """Return what the seeds leave of the shares that this VM holds."""
+        if self.is_size_stated:
+            return whole
+        part = parts.known(len(held), now_s - self.seed_seen_s)
+        mature = whole[1] if self._may_mature(parts, held, own, now_s) else 0.0
+        return whole[0] * part, mature * part
+
+    def _log_basis(self, held: int, share: float) -> None:
+        """Log the part of customers' limits when what it rests on has changed."""
+        basis = (self.known_size > 0, held, share > 0)
         if basis != self._logged_basis:
             self._logged_basis = basis
             logger.info(
                 "fleet: limits of customers, share={:.3f} seeds={}/{} known_size={}",
-                shares[0],
+                share,
                 held,
                 len(self.seeds),
                 self.known_size,
             )
-        return shares
-
-    def _shares(
-        self, parts: SeedParts, own: tuple[float, float], now_s: float
-    ) -> tuple[float, float]:
-        live = self._live(now_s)
-        held = self._held_seeds(live, own)
-        if not self.known_size:
-            return self._forming_shares(parts, held, own, now_s)
-        lent = live & self._owners
-        mature = sum(self._is_mature(vm, now_s) for vm in lent)
-        part = 1.0
-        if not self.is_size_stated:
-            part = parts.known(len(held), now_s - self.seed_seen_s)
-            if not self._may_mature(parts, held, own, now_s):
-                return min(len(lent) / self.known_size + own[0], 1.0) * part, 0.0
-        return (
-            min(len(lent) / self.known_size + own[0], 1.0) * part,
-            min(mature / self.known_size + own[1], 1.0) * part,
-        )
 
     def start_hand_over(self, own: tuple[float, float], now_s: float) -> None:
         """Take the members for the fleet if its seeds never ran before.
--- a/src/gentianfold/fleet/node_shares.py
+++ b/src/gentianfold/fleet/node_shares.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gentianfold.clock import MAX_CLOCK_RATE_ERROR
+from gentianfold.fleet.lease_table import FleetShares
 from gentianfold.fleet.membership import Membership, Role
 from gentianfold.fleet.protocol import is_older
 from gentianfold.fleet.seed_parts import SeedParts
@@ -78,12 +79,14 @@
             own = self.own.own_share(leases.known_size or 1, now_s)
             shares = self.broker.shares(own, now_s)
             self.own.seed_seen_s = leases.seed_seen_s
-            leases.overshoot = self.broker.overshoot
-            customer_shares = leases.customer_shares(own, now_s)
         else:
-            shares = self._alone_shares(0.0, now_s)
-            customer_shares = self._alone_shares(self.broker.overshoot, now_s)
-        self.scheduler.set_share(*shares, loop_s, SHARE_VALIDITY_S, customer_shares)
+            shares = FleetShares(
+                self._alone_shares(0.0, now_s),
+                self._alone_shares(self.broker.overshoot, now_s),
+            )
+        self.scheduler.set_share(
+            *shares.strict, loop_s, SHARE_VALIDITY_S, shares.of_customers
+        )
         is_growing = is_broker and self.broker.leases.is_growing(now_s)
         self.scheduler.quota.is_growing = is_growing
 
--- a/tests/fleet/test_lease_table.py
+++ b/tests/fleet/test_lease_table.py
@@ -45,21 +45,21 @@
     while now_s < until_s:
         now_s += 0.4
         lend(leases, members, now_s)
-        shares = leases.shares(own, now_s)
+        shares = leases.shares(own, now_s).strict
     return shares
 
 
 def test_a_broker_uses_the_shares_that_it_was_lent_until_they_end():
     leases = make_leases(8, ("a", "b", "m"))
     assert leases.known_size == 8
-    assert leases.shares(LENT, 100.4) == (3 / 8, 0.0)
-    assert leases.shares((1 / 8, 1 / 8), 101.1) == (4 / 8, 1 / 8)
-    assert leases.shares(LENT, 100.1 + LEASE_TERM_S) == (0.0, 0.0)
+    assert leases.shares(LENT, 100.4).strict == (3 / 8, 0.0)
+    assert leases.shares((1 / 8, 1 / 8), 101.1).strict == (4 / 8, 1 / 8)
+    assert leases.shares(LENT, 100.1 + LEASE_TERM_S).strict == (0.0, 0.0)
 
 
 def test_a_broker_that_lost_its_seeds_uses_a_part_and_later_nothing():
     leases = make_leases(8, ("a", "m1", "m2", "m3"))
-    assert leases.shares(LENT, 100.4) == (SOME_SEEDS_PART * 4 / 8, 0.0)
+    assert leases.shares(LENT, 100.4).strict == (SOME_SEEDS_PART * 4 / 8, 0.0)
     assert run(leases, ("m1", "m2", "m3"), 108.0)[0] == NO_SEED_PART * 3 / 8
     assert run(leases, ("m1", "m2", "m3"), 103.0 + SEED_TERM_S)[0] == 0.0
 
@@ -69,7 +69,7 @@
     leases.join("m", 8, is_first_start=False)
     for stamp_ms in (0, 99_999, 100_900):
         leases.record("m", stamp_ms, 100.5, 8)
-    assert leases.shares(LENT, 100.5)[0] == 2 / 8
+    assert leases.shares(LENT, 100.5).strict[0] == 2 / 8
 
 
 def test_missing_vms_keep_their_shares_for_as_long_as_an_outage_lasts():
@@ -143,7 +143,7 @@
     leases.join("m", 40, is_first_start=False)
     assert leases.known_size == 40
     lend(leases, ("m",), 100.8)
-    assert leases.shares((1 / 40, 0.0), 100.8)[0] == SOME_SEEDS_PART * 2 / 40
+    assert leases.shares((1 / 40, 0.0), 100.8).strict[0] == SOME_SEEDS_PART * 2 / 40
     assert not leases.ends_forming()
 
 
@@ -153,13 +153,13 @@
     leases.join("new", 0, is_first_start=False)
     own = (0.25, 0.0)
     lend(leases, (*owners, "new"), 100.8)
-    assert leases.shares(own, 100.8)[0] == 1.0
+    assert leases.shares(own, 100.8).strict[0] == 1.0
     assert (leases.told_size("a"), leases.told_size("new")) == (5, 0)
     lend(leases, ("a", "b", "new"), 101.2)
-    assert leases.shares(own, 101.2)[0] == 1.0
+    assert leases.shares(own, 101.2).strict[0] == 1.0
     assert leases.told_size("new") == 0
     lend(leases, (*owners, "new"), 101.6)
-    assert leases.shares(own, 101.6)[0] == 1.0
+    assert leases.shares(own, 101.6).strict[0] == 1.0
     assert leases.told_size("new") == 5
 
 
@@ -183,5 +183,5 @@
 
 def test_a_stated_size_needs_no_seeds():
     leases = make_leases(8, ("m1", "m2"), is_size_stated=True)
-    assert leases.shares((1 / 8, 0.0), 100.5)[0] == 3 / 8
+    assert leases.shares((1 / 8, 0.0), 100.5).strict[0] == 3 / 8
     assert run(leases, ("m1", "m2"), 150.0, (1 / 8, 0.0))[0] == 3 / 8
--- a/tests/fleet/test_seed_parts.py
+++ b/tests/fleet/test_seed_parts.py
@@ -81,9 +81,8 @@
             size = leases.told_size(member)
             leases.record(member, int(now_s * 1000 - 1), now_s, size)
         shares = leases.shares(own, now_s)
-        customer_shares = leases.customer_shares(own, now_s)
         now_s += 0.4
-    return shares, customer_shares
+    return shares.strict, shares.of_customers
 
 
 @pytest.mark.parametrize("vm", ["a", "x"])
